--- /dev/null
+++ b/seam/decider/config.go
@@ -0,0 +1,56 @@
+package decider
+
+import (
+	"time"
+
+	"primroseseam.org/seam/allocator"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/picker"
+	"primroseseam.org/seam/queuer"
+)
+
+// configChanged takes a configuration that is newer than the one in force.
+func (m *Model) configChanged(now time.Time, msg ConfigChanged) []Cmd {
+	if m.config != nil && msg.Config.Version() <= m.config.Version() {
+		return nil
+	}
+	m.config = msg.Config
+	m.resizeBuckets(now)
+	m.updatePools()
+	return nil
+}
+
+// resizeBuckets gives this instance an equal part of every team's rate.
+func (m *Model) resizeBuckets(now time.Time) {
+	part := float64(m.config.FleetSize())
+	for _, t := range m.config.Teams() {
+		rate := allocator.Rate(t.RatePerSecond / part)
+		burst := t.Burst / part
+		if b, ok := m.buckets[t.Name]; ok {
+			b.Resize(now, rate, burst)
+			continue
+		}
+		m.buckets[t.Name] = allocator.NewBucket(rate, burst, burst, now)
+	}
+}
+
+func (m *Model) updatePools() {
+	for _, configured := range m.config.Services() {
+		endpoints := make([]picker.Endpoint, 0, len(configured.Endpoints))
+		for _, p := range configured.Endpoints {
+			endpoints = append(endpoints, picker.NewEndpoint(p.Address, p.Region, p.Slots, p.Draining))
+		}
+		if s, ok := m.services[configured.Name]; ok {
+			s.pool.Update(endpoints)
+			continue
+		}
+		m.services[configured.Name] = &service{pool: picker.NewPool(endpoints), queue: queuer.New()}
+	}
+}
+
+func (m *Model) configuredServices() []configurer.Service {
+	if m.config == nil {
+		return nil
+	}
+	return m.config.Services()
+}
--- /dev/null
+++ b/seam/decider/decider.go
@@ -0,0 +1,139 @@
+// Package decider makes every routing and limiting decision of an instance.
+//
+// The package is one state and one loop. Typed messages go in through
+// [Model.Update]; new state and typed commands come out. There is no input or
+// output, no wall clock and no unseeded randomness inside, so that a recorded
+// list of messages gives the same commands again.
+//
+// # Usage
+//
+//	m := decider.New(decider.WithSelf(self), decider.WithSeed(1))
+//	for _, cmd := range m.Update(clock.Now(), decider.RequestArrived{...}) {
+//		switch c := cmd.(type) {
+//		case decider.Forward:
+//		case decider.Refuse:
+//		}
+//	}
+package decider
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"primroseseam.org/seam/allocator"
+	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/picker"
+	"primroseseam.org/seam/queuer"
+)
+
+// Self says who and where this instance is.
+type Self struct {
+	id            string
+	region        string
+	failureDomain string
+}
+
+// NewSelf returns an instance's identity.
+func NewSelf(id, region, failureDomain string) Self {
+	return Self{id: id, region: region, failureDomain: failureDomain}
+}
+
+// ID returns the instance's name, which is unique in the fleet.
+func (s Self) ID() string { return s.id }
+
+// Region returns the region in which the instance runs.
+func (s Self) Region() string { return s.region }
+
+// FailureDomain returns the failure domain in which the instance runs.
+func (s Self) FailureDomain() string { return s.failureDomain }
+
+// Model is the state of an instance. It is not safe for concurrent use: one
+// goroutine owns it and feeds it messages.
+type Model struct {
+	self     Self
+	rng      *rand.Rand
+	config   *configurer.Config
+	keys     *authenticator.Keyring
+	buckets  map[string]*allocator.Bucket
+	services map[string]*service
+	requests map[uint64]*request
+	stopping bool
+}
+
+// service is the state of one service: its endpoints and waiting requests.
+type service struct {
+	pool  *picker.Pool
+	queue *queuer.Queue
+}
+
+// request is the state of one request between arrival and its last answer.
+type request struct {
+	id         uint64
+	team       string
+	service    string
+	idempotent bool
+	repeatable bool
+	weight     int
+	deadline   time.Time
+	arrived    time.Time
+	endpoint   string
+	attempts   int
+	queued     bool
+}
+
+// Option changes a model at its creation.
+type Option func(*Model)
+
+// WithSelf sets who and where the instance is.
+func WithSelf(s Self) Option {
+	return func(m *Model) { m.self = s }
+}
+
+// WithSeed seeds the model's random choices.
+func WithSeed(seed uint64) Option {
+	return func(m *Model) { m.rng = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a model that has no configuration and no keys yet.
+func New(opts ...Option) *Model {
+	m := &Model{
+		rng:      rand.New(rand.NewPCG(1, 1)),
+		keys:     authenticator.NewKeyring(nil),
+		buckets:  map[string]*allocator.Bucket{},
+		services: map[string]*service{},
+		requests: map[uint64]*request{},
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// Update takes one message at the time now and returns what is to be done.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case RequestArrived:
+		return m.requestArrived(now, msg)
+	case AnswerEnded:
+		return m.answerEnded(now, msg)
+	case CallerLeft:
+		return m.callerLeft(now, msg)
+	case LoadReported:
+		return m.loadReported(now, msg)
+	case ConfigChanged:
+		return m.configChanged(now, msg)
+	case KeysChanged:
+		m.keys = msg.Keys
+		return nil
+	case Ticked:
+		return m.ticked(now)
+	case StopRequested:
+		m.stopping = true
+		return nil
+	}
+	return nil
+}
+
+// Requests returns the number of requests that wait or are being answered.
+func (m *Model) Requests() int { return len(m.requests) }
--- /dev/null
+++ b/seamd/commander/commander.go
@@ -0,0 +1,100 @@
+// Package commander is the command line of the daemon.
+//
+// # Usage
+//
+//	os.Exit(commander.Execute(ctx, os.Args[1:], os.Stdout, os.Stderr))
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seamd/daemon"
+	"primroseseam.org/seamd/loader"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Execute runs the command line and returns the process's exit code.
+func Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cobra.Command{
+		Use:           "seamd",
+		Short:         "seamd is an entry instance of primroseseam",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	root.AddCommand(runCommand(stderr), settingsCommand())
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "seamd:", err)
+	if coder.Of(err) == coder.SettingsInvalid {
+		return exitSettings
+	}
+	return exitFailed
+}
+
+func runCommand(stderr io.Writer) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Serve until SIGTERM, then shut down gracefully",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := loader.Load(path)
+			if err != nil {
+				return err
+			}
+			d, err := daemon.New(settings, daemon.WithLogger(newLogger(settings, stderr)))
+			if err != nil {
+				return err
+			}
+			return d.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func settingsCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "settings", Short: "Work with settings files"}
+	parent.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := loader.Load(args[0]); err != nil {
+				return err
+			}
+			cmd.Println("settings are valid")
+			return nil
+		},
+	})
+	return parent
+}
+
+// newLogger logs JSON lines at the level of the settings.
+func newLogger(settings loader.Settings, w io.Writer) *zap.Logger {
+	level, err := zapcore.ParseLevel(settings.Log.Level)
+	if err != nil {
+		level = zapcore.InfoLevel
+	}
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level))
+}
--- /dev/null
+++ b/seamd/daemon/daemon.go
@@ -0,0 +1,195 @@
+// Package daemon runs an entry instance: its listeners, its decision loop and
+// the commands that the loop gives.
+//
+// # Usage
+//
+//	d, err := daemon.New(settings, daemon.WithLogger(logger))
+//	err = d.Run(ctx) // returns after a graceful shutdown when ctx ends
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/steerer"
+	"primroseseam.org/seam/storer"
+	"primroseseam.org/seamd/forwarder"
+	"primroseseam.org/seamd/loader"
+)
+
+// readHeaderTimeout bounds how long a caller may take to send its headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Daemon is an entry instance.
+type Daemon struct {
+	settings  loader.Settings
+	clock     clockwork.Clock
+	log       *zap.Logger
+	store     storer.Store
+	forwarder *forwarder.Forwarder
+	loop      *loop
+	metrics   *metrics.Set
+	table     atomic.Pointer[steerer.Table]
+	config    atomic.Pointer[configurer.Config]
+	// keyRecords belongs to the goroutine that watches keys.
+	keyRecords map[string]authenticator.Record
+	leaving    atomic.Bool
+	nextID     atomic.Uint64
+	listeners  listeners
+}
+
+// listeners holds the bound sockets.
+type listeners struct {
+	callers net.Listener
+	lookups net.Listener
+	metrics net.Listener
+}
+
+// Option changes a daemon at its creation.
+type Option func(*Daemon)
+
+// WithLogger sets the logger; the default logs nothing.
+func WithLogger(log *zap.Logger) Option { return func(d *Daemon) { d.log = log } }
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(d *Daemon) { d.clock = c } }
+
+// WithStore sets the platform's object service.
+func WithStore(s storer.Store) Option { return func(d *Daemon) { d.store = s } }
+
+// New binds the listeners of an instance. Errors say which address failed.
+func New(settings loader.Settings, opts ...Option) (*Daemon, error) {
+	d := &Daemon{
+		settings:  settings,
+		clock:     clockwork.NewRealClock(),
+		log:       zap.NewNop(),
+		store:     storer.NewHTTP(settings.Platform.Address),
+		forwarder: forwarder.New(),
+		metrics:   metrics.NewSet(),
+
+		keyRecords: map[string]authenticator.Record{},
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	seed := settings.Seed
+	if seed == 0 {
+		seed = uint64(d.clock.Now().UnixNano())
+	}
+	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
+	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
+	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
+	d.table.Store(steerer.NewTable(nil, nil))
+	return d, d.bind()
+}
+
+func (d *Daemon) bind() error {
+	sockets := []struct {
+		name    string
+		address string
+		socket  *net.Listener
+	}{
+		{"callers", d.settings.Listen.Callers, &d.listeners.callers},
+		{"lookups", d.settings.Listen.Lookups, &d.listeners.lookups},
+		{"metrics", d.settings.Listen.Metrics, &d.listeners.metrics},
+	}
+	for _, s := range sockets {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return fmt.Errorf("listen for %s: %w", s.name, err)
+		}
+		*s.socket = l
+	}
+	return nil
+}
+
+// CallerAddress returns the bound address for callers' requests.
+func (d *Daemon) CallerAddress() string { return d.listeners.callers.Addr().String() }
+
+// LookupAddress returns the bound address for look-ups.
+func (d *Daemon) LookupAddress() string { return d.listeners.lookups.Addr().String() }
+
+// Run serves until ctx ends, then shuts down gracefully: requests in progress
+// go on, new ones are refused, and nothing is cut.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	background, _ := errgroup.WithContext(work)
+	background.Go(func() error { d.loop.run(work); return nil })
+	background.Go(func() error { d.watchStore(work); return nil })
+	background.Go(func() error { d.watchInstances(work); return nil })
+
+	servers := []*server{
+		{"callers", d.listeners.callers, d.callerServer()},
+		{"lookups", d.listeners.lookups, &http.Server{Handler: d.lookupHandler(), ReadHeaderTimeout: readHeaderTimeout}},
+		{"metrics", d.listeners.metrics, &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout}},
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		background.Go(func() error { failed <- s.serve(); return nil })
+	}
+	d.log.Info("daemon: started", zap.String("instance", d.settings.Instance.ID))
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	err = errors.Join(err, d.shutDown(servers))
+	stopWork()
+	_ = background.Wait()
+	d.forwarder.Close()
+	d.log.Info("daemon: stopped", zap.String("instance", d.settings.Instance.ID))
+	return err
+}
+
+// shutDown lets callers learn of the stop, then waits for open requests.
+func (d *Daemon) shutDown(servers []*server) error {
+	d.leaving.Store(true)
+	d.loop.send(decider.StopRequested{})
+	d.clock.Sleep(time.Duration(d.settings.Shutdown.Linger))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
+	defer cancel()
+	var errs []error
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Kill ends the instance at once, as a crash would. For tests of failures.
+func (d *Daemon) Kill() {
+	_ = d.listeners.callers.Close()
+	_ = d.listeners.lookups.Close()
+	_ = d.listeners.metrics.Close()
+}
+
+// server is one HTTP listener.
+type server struct {
+	name   string
+	socket net.Listener
+	http   *http.Server
+}
+
+func (s *server) serve() error {
+	err := s.http.Serve(s.socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", s.name, err)
+}
--- /dev/null
+++ b/seamd/daemon/lookups.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+
+	"github.com/kataras/iris/v12"
+	"go.uber.org/zap"
+)
+
+// lookupHandler serves callers' look-ups and the operators' pages.
+func (d *Daemon) lookupHandler() http.Handler {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get("/v1/entries", d.serveEntries)
+	app.Get("/v1/health", d.serveHealth)
+	if err := app.Build(); err != nil {
+		d.log.Error("lookup: build failed", zap.Error(err))
+	}
+	return app
+}
+
+// serveEntries answers which instances a caller should use. The caller names
+// its region, or an address, or is known by the address it calls from.
+func (d *Daemon) serveEntries(ctx iris.Context) {
+	table := d.table.Load()
+	region := ctx.URLParam("region")
+	if region == "" {
+		region = table.Region(clientAddress(ctx))
+	}
+	if region == "" {
+		region = d.settings.Instance.Region
+	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	_ = ctx.JSON(table.Entries(region, rng))
+}
+
+func clientAddress(ctx iris.Context) netip.Addr {
+	if addr, err := netip.ParseAddr(ctx.URLParam("client")); err == nil {
+		return addr
+	}
+	if addr, err := netip.ParseAddrPort(ctx.Request().RemoteAddr); err == nil {
+		return addr.Addr()
+	}
+	return netip.Addr{}
+}
+
+func (d *Daemon) serveHealth(ctx iris.Context) {
+	if d.leaving.Load() {
+		ctx.StatusCode(http.StatusServiceUnavailable)
+	}
+	_ = ctx.JSON(map[string]bool{"leaving": d.leaving.Load()})
+}
+
+// metricsHandler serves the metrics in Prometheus text.
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		d.metrics.WritePrometheus(w)
+	})
+	return mux
+}
--- /dev/null
+++ b/seamd/daemon/loop.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"primroseseam.org/seam/decider"
+)
+
+const (
+	// inboxSize is the number of messages that may wait for the loop.
+	inboxSize = 4096
+	// tickEvery is the time between two ticks.
+	tickEvery = 50 * time.Millisecond
+	// repliesPerRequest is the greatest number of commands for one request.
+	repliesPerRequest = 8
+)
+
+// loop owns the model: messages go in, commands go to whoever waits for them.
+type loop struct {
+	model   *decider.Model
+	clock   clockwork.Clock
+	log     *zap.Logger
+	inbox   chan envelope
+	done    chan struct{}
+	replies map[uint64]chan decider.Cmd
+	forward *metrics.Counter
+	refuse  *metrics.Counter
+}
+
+// envelope is a message and, for a new request, where its commands go.
+type envelope struct {
+	msg   decider.Msg
+	id    uint64
+	reply chan decider.Cmd
+}
+
+func newLoop(m *decider.Model, c clockwork.Clock, log *zap.Logger, set *metrics.Set) *loop {
+	return &loop{
+		model:   m,
+		clock:   c,
+		log:     log,
+		inbox:   make(chan envelope, inboxSize),
+		done:    make(chan struct{}),
+		replies: map[uint64]chan decider.Cmd{},
+		forward: set.NewCounter("seam_forwards_total"),
+		refuse:  set.NewCounter("seam_refusals_total"),
+	}
+}
+
+// send gives the loop a message.
+func (l *loop) send(msg decider.Msg) { l.post(envelope{msg: msg}) }
+
+// request gives the loop a new request and returns where its commands arrive.
+func (l *loop) request(msg decider.RequestArrived) <-chan decider.Cmd {
+	reply := make(chan decider.Cmd, repliesPerRequest)
+	l.post(envelope{msg: msg, id: msg.ID, reply: reply})
+	return reply
+}
+
+// forget says that no more commands are awaited for a request.
+func (l *loop) forget(id uint64) { l.post(envelope{id: id}) }
+
+func (l *loop) post(e envelope) {
+	select {
+	case l.inbox <- e:
+	case <-l.done:
+	}
+}
+
+// run handles messages until ctx ends.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.done)
+	ticker := l.clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			l.update(decider.Ticked{})
+		case e := <-l.inbox:
+			l.handle(e)
+		}
+	}
+}
+
+func (l *loop) handle(e envelope) {
+	if e.msg == nil {
+		delete(l.replies, e.id)
+		return
+	}
+	if e.reply != nil {
+		l.replies[e.id] = e.reply
+	}
+	l.update(e.msg)
+}
+
+func (l *loop) update(msg decider.Msg) {
+	for _, cmd := range l.model.Update(l.clock.Now(), msg) {
+		l.carryOut(cmd)
+	}
+}
+
+func (l *loop) carryOut(cmd decider.Cmd) {
+	switch c := cmd.(type) {
+	case decider.Forward:
+		l.forward.Inc()
+		l.log.Info("route: forwarded", zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team),
+			zap.String("service", c.Decision.Service), zap.String("endpoint", c.Endpoint),
+			zap.Int("attempt", c.Attempt), zap.Duration("waited", c.Decision.Waited))
+		l.deliver(c.ID, c)
+	case decider.Refuse:
+		l.refuse.Inc()
+		l.log.Info("route: refused", zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team),
+			zap.String("service", c.Decision.Service), zap.Stringer("code", c.Code), zap.Stringer("ran", c.Ran))
+		l.deliver(c.ID, c)
+		delete(l.replies, c.ID)
+	case decider.Cancel:
+		l.deliver(c.ID, c)
+	}
+}
+
+func (l *loop) deliver(id uint64, cmd decider.Cmd) {
+	if reply, ok := l.replies[id]; ok {
+		reply <- cmd
+	}
+}
--- /dev/null
+++ b/seamd/forwarder/content.go
@@ -0,0 +1,50 @@
+package forwarder
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxHeldBodyBytes is the size up to which a request's body is kept, so that
+// the request can be sent again.
+const maxHeldBodyBytes = 64 << 10
+
+// Content is the body of a request. A short one is held and may be read again;
+// a long one is streamed once.
+type Content struct {
+	held   []byte
+	rest   io.Reader
+	length int64
+}
+
+// ReadContent reads the start of a body of the given length, -1 if unknown.
+func ReadContent(body io.Reader, length int64) (Content, error) {
+	held := make([]byte, maxHeldBodyBytes)
+	n, err := io.ReadFull(body, held)
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		if length >= 0 && int64(n) != length {
+			return Content{}, fmt.Errorf("body has %d bytes instead of %d", n, length)
+		}
+		return Content{held: held[:n], length: int64(n)}, nil
+	case err != nil:
+		return Content{}, fmt.Errorf("read body: %w", err)
+	}
+	return Content{held: held, rest: body, length: length}, nil
+}
+
+// Repeatable reports whether the body can be sent more than once.
+func (c Content) Repeatable() bool { return c.rest == nil }
+
+// Length returns the size of the body in bytes, or -1 if it is not known.
+func (c Content) Length() int64 { return c.length }
+
+// Reader returns the body from its start.
+func (c Content) Reader() io.Reader {
+	if c.rest == nil {
+		return bytes.NewReader(c.held)
+	}
+	return io.MultiReader(bytes.NewReader(c.held), c.rest)
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,78 @@
+// Command standin runs the platform stand-in or an upstream stand-in by hand.
+//
+// # Usage
+//
+//	standin platform --listen 127.0.0.1:7000
+//	standin upstream --listen 127.0.0.1:9000 --slots 3 --work 20ms
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"primroseseam.org/standin/responder"
+	"primroseseam.org/standin/storekeeper"
+)
+
+// readHeaderTimeout bounds how long a client may take to send its headers.
+const readHeaderTimeout = 5 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{Use: "standin", Short: "standin takes the place of outside systems", SilenceUsage: true}
+	root.AddCommand(platformCommand(), upstreamCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+func platformCommand() *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Serve the platform's object API from memory",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd.Context(), listen, storekeeper.New())
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "IP address and port")
+	return cmd
+}
+
+func upstreamCommand() *cobra.Command {
+	var (
+		listen string
+		slots  int
+		work   time.Duration
+	)
+	cmd := &cobra.Command{
+		Use:   "upstream",
+		Short: "Answer requests as an upstream would",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd.Context(), listen, responder.New(responder.WithSlots(slots), responder.WithWork(work)))
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:9000", "IP address and port")
+	cmd.Flags().IntVar(&slots, "slots", 3, "requests that run at once")
+	cmd.Flags().DurationVar(&work, "work", 20*time.Millisecond, "time that a request takes")
+	return cmd
+}
+
+func serve(ctx context.Context, listen string, h http.Handler) error {
+	server := &http.Server{Addr: listen, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", listen, err)
+	}
+	return nil
+}
