--- a/seamctl/demonstrator/demonstrator.go
+++ b/seamctl/demonstrator/demonstrator.go
@@ -199,7 +199,8 @@
 	d.daemons = append(d.daemons, instance)
 	d.keeper.SetInstance(storer.Instance{
 		ID: settings.Instance.ID, Region: region, FailureDomain: settings.Instance.FailureDomain,
-		CallerAddress: instance.CallerAddress(), LookupAddress: instance.LookupAddress(), State: storer.InstanceLive,
+		CallerAddress: instance.CallerAddress(), LookupAddress: instance.LookupAddress(),
+		PeerAddress: instance.PeerAddress(), State: storer.InstanceLive,
 	})
 	done := make(chan struct{})
 	go func() {
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -47,14 +47,17 @@
 	// keyRecords belongs to the goroutine that watches keys.
 	keyRecords map[string]authenticator.Record
 	leaving    atomic.Bool
-	nextID     atomic.Uint64
-	listeners  listeners
+	// incarnation orders the starts of this instance.
+	incarnation uint64
+	nextID      atomic.Uint64
+	listeners   listeners
 }
 
 // listeners holds the bound sockets.
 type listeners struct {
 	callers net.Listener
 	lookups net.Listener
+	peers   net.Listener
 	metrics net.Listener
 }
 
@@ -85,9 +88,10 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.incarnation = uint64(d.clock.Now().UnixNano())
 	seed := settings.Seed
 	if seed == 0 {
-		seed = uint64(d.clock.Now().UnixNano())
+		seed = d.incarnation
 	}
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
@@ -104,6 +108,7 @@
 	}{
 		{"callers", d.settings.Listen.Callers, &d.listeners.callers},
 		{"lookups", d.settings.Listen.Lookups, &d.listeners.lookups},
+		{"peers", d.settings.Listen.Peers, &d.listeners.peers},
 		{"metrics", d.settings.Listen.Metrics, &d.listeners.metrics},
 	}
 	for _, s := range sockets {
@@ -122,6 +127,9 @@
 // LookupAddress returns the bound address for look-ups.
 func (d *Daemon) LookupAddress() string { return d.listeners.lookups.Addr().String() }
 
+// PeerAddress returns the bound address for other instances.
+func (d *Daemon) PeerAddress() string { return d.listeners.peers.Addr().String() }
+
 // Run serves until ctx ends, then shuts down gracefully: requests in progress
 // go on, new ones are refused, and nothing is cut.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -135,6 +143,7 @@
 	servers := []*server{
 		{"callers", d.listeners.callers, d.callerServer()},
 		{"lookups", d.listeners.lookups, &http.Server{Handler: d.lookupHandler(), ReadHeaderTimeout: readHeaderTimeout}},
+		{"peers", d.listeners.peers, &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 		{"metrics", d.listeners.metrics, &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 	}
 	failed := make(chan error, len(servers))
@@ -176,6 +185,7 @@
 func (d *Daemon) Kill() {
 	_ = d.listeners.callers.Close()
 	_ = d.listeners.lookups.Close()
+	_ = d.listeners.peers.Close()
 	_ = d.listeners.metrics.Close()
 }
 
