Spread configuration and keys through watchers and relays

Cause: every instance polled the store for each kind, a stale read could have been taken for news, and operators had no client for configuration and keys.

Change: the store's value carries who made a change; seam/applier accepts it conditionally, settles lost answers by the change's id and shows conflicts as both changes. seam/spreader is the pure state machine that follows the store at two watchers for each region and relays to the rest; versions only grow. Instances tell on /v1/status what their decision loop runs. Keys expire, exceptions expire when their time comes, and requests of a withdrawn key are refused while they wait and cut two seconds after.

--- /dev/null
+++ b/seam/applier/history.go
@@ -0,0 +1,80 @@
+package applier
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/storer"
+)
+
+// historySlots is the number of replaced versions that are kept.
+const historySlots = 64
+
+// slotName returns where a replaced version is kept.
+func slotName(sequence int64) string { return fmt.Sprintf("%02d", sequence%historySlots) }
+
+// archive keeps a version before it is replaced. All who replace the same
+// version write the same value, so a race between them is harmless.
+func (a *Applier) archive(ctx context.Context, current Current) error {
+	if current.Change == nil {
+		return nil
+	}
+	slot, err := a.store.Get(ctx, storer.KindConfigHistory, slotName(current.Sequence()))
+	if err != nil && coder.Of(err) != coder.StoreNotFound {
+		return err
+	}
+	if kept, err := configurer.ParseStored(slot.Value); err == nil && kept.Change != nil && kept.Change.Sequence >= current.Sequence() {
+		return nil
+	}
+	value, err := json.Marshal(current.Stored)
+	if err != nil {
+		return fmt.Errorf("encode configuration: %w", err)
+	}
+	slot.Kind, slot.Name, slot.Value = storer.KindConfigHistory, slotName(current.Sequence()), value
+	_, err = a.store.Put(ctx, slot)
+	return err
+}
+
+// Archived reads a replaced version. It fails with StoreNotFound if the
+// version was never replaced, or so long ago that its slot was reused.
+func (a *Applier) Archived(ctx context.Context, sequence int64) (configurer.Stored, error) {
+	o, err := a.store.Get(ctx, storer.KindConfigHistory, slotName(sequence))
+	if err != nil {
+		return configurer.Stored{}, err
+	}
+	stored, err := configurer.ParseStored(o.Value)
+	if err != nil {
+		return configurer.Stored{}, err
+	}
+	if stored.Change == nil || stored.Change.Sequence != sequence {
+		return configurer.Stored{}, coder.Errorf(coder.StoreNotFound, slotName(sequence), "change %d is not kept any more", sequence)
+	}
+	return stored, nil
+}
+
+// History returns the accepted changes that are still kept, newest first.
+func (a *Applier) History(ctx context.Context) ([]configurer.Change, error) {
+	current, err := a.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	events, err := a.store.List(ctx, storer.KindConfigHistory)
+	if err != nil {
+		return nil, err
+	}
+	var changes []configurer.Change
+	for _, o := range events.Objects {
+		if stored, err := configurer.ParseStored(o.Value); err == nil && stored.Change != nil {
+			changes = append(changes, *stored.Change)
+		}
+	}
+	if current.Change != nil {
+		changes = append(changes, *current.Change)
+	}
+	slices.SortFunc(changes, func(a, b configurer.Change) int { return int(b.Sequence - a.Sequence) })
+	return slices.CompactFunc(changes, func(a, b configurer.Change) bool { return a.Sequence == b.Sequence }), nil
+}
--- a/seam/authenticator/keys.go
+++ b/seam/authenticator/keys.go
@@ -13,8 +13,11 @@
 import (
 	"crypto/rand"
 	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -53,6 +56,23 @@
 	Team      string    `json:"team"`
 	Issued    time.Time `json:"issued"`
 	Withdrawn bool      `json:"withdrawn,omitempty"`
+	// Expires ends the key by itself, for the overlap of a rotation.
+	Expires *time.Time `json:"expires,omitempty"`
+}
+
+// ParseRecord decodes and checks a key's record.
+func ParseRecord(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("decode key record: %w", err)
+	}
+	if r.Team == "" {
+		return Record{}, errors.New("key record has no team")
+	}
+	if r.Digest == (Digest{}) {
+		return Record{}, errors.New("key record has no digest")
+	}
+	return r, nil
 }
 
 // Issue makes a new key for team. The secret is not kept anywhere.
@@ -67,26 +87,52 @@
 
 // Keyring maps digests to teams.
 type Keyring struct {
-	teams map[Digest]string
+	// byPrefix groups records by the start of their digests, so that the rest
+	// of a digest is compared in constant time.
+	byPrefix map[prefix][]Record
+	count    int
 }
 
+// prefix is the part of a digest by which records are found.
+type prefix [8]byte
+
 // NewKeyring returns the keyring of all records that are not withdrawn.
 func NewKeyring(records []Record) *Keyring {
-	k := &Keyring{teams: make(map[Digest]string, len(records))}
+	k := &Keyring{byPrefix: make(map[prefix][]Record, len(records))}
 	for _, r := range records {
-		if !r.Withdrawn {
-			k.teams[r.Digest] = r.Team
+		if r.Withdrawn {
+			continue
 		}
+		p := prefix(r.Digest[:len(prefix{})])
+		k.byPrefix[p] = append(k.byPrefix[p], r)
+		k.count++
 	}
 	return k
 }
 
-// Team returns the team that owns the key with this digest. A map look-up by
-// digest leaks no timing of the secret, since the digest is not invertible.
+// Team returns the team that owns the key with this digest, expired or not.
 func (k *Keyring) Team(d Digest) (string, bool) {
-	team, ok := k.teams[d]
-	return team, ok
+	r, ok := k.find(d)
+	return r.Team, ok
+}
+
+// TeamAt returns the team that owns the key with this digest at a time.
+func (k *Keyring) TeamAt(d Digest, now time.Time) (string, bool) {
+	r, ok := k.find(d)
+	if !ok || r.Expires != nil && !now.Before(*r.Expires) {
+		return "", false
+	}
+	return r.Team, true
+}
+
+func (k *Keyring) find(d Digest) (Record, bool) {
+	for _, r := range k.byPrefix[prefix(d[:len(prefix{})])] {
+		if subtle.ConstantTimeCompare(r.Digest[:], d[:]) == 1 {
+			return r, true
+		}
+	}
+	return Record{}, false
 }
 
 // Len returns the number of keys in force.
-func (k *Keyring) Len() int { return len(k.teams) }
+func (k *Keyring) Len() int { return k.count }
--- a/seam/configurer/check.go
+++ b/seam/configurer/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"primroseseam.org/seam/coder"
 )
@@ -13,6 +14,8 @@
 	maxFleetSize        = 1000
 	maxSlotsPerEndpoint = 10_000
 	maxWeight           = 1000
+	minKeyFreshness     = 5 * time.Second
+	maxKeyFreshness     = 24 * time.Hour
 )
 
 // checker walks a document and keeps the first fault.
@@ -38,6 +41,9 @@
 	d := doc.Defaults
 	c.require(d.FleetSize > 0 && d.FleetSize <= maxFleetSize, "defaults.fleetSize",
 		"must be 1 to %d", maxFleetSize)
+	freshness := time.Duration(d.KeyFreshness)
+	c.require(freshness == 0 || freshness >= minKeyFreshness && freshness <= maxKeyFreshness,
+		"defaults.keyFreshness", "must be %v to %v", minKeyFreshness, maxKeyFreshness)
 	c.checkRegions(d.Regions)
 	c.checkLinks(d.Links)
 	c.checkTeams(d.Teams)
--- a/seam/configurer/configurer.go
+++ b/seam/configurer/configurer.go
@@ -11,13 +11,9 @@
 package configurer
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"time"
-
-	"primroseseam.org/seam/coder"
 )
 
 // Duration is a time.Duration that is written as a Go duration string, "1.5s".
@@ -56,8 +52,14 @@
 	Services  []Service `json:"services"`
 	Routes    []Route   `json:"routes"`
 	Teams     []Team    `json:"teams"`
+	// KeyFreshness is how long an instance trusts its keys without evidence
+	// that they are the newest; 0 means [DefaultKeyFreshness].
+	KeyFreshness Duration `json:"keyFreshness,omitempty"`
 }
 
+// DefaultKeyFreshness applies if a configuration doesn't set keyFreshness.
+const DefaultKeyFreshness = 15 * time.Second
+
 // Region is a set of failure domains that are close to each other.
 type Region struct {
 	Name           string   `json:"name"`
@@ -145,6 +147,7 @@
 type Config struct {
 	version  int64
 	document Document
+	change   Change
 	teams    map[string]Team
 	services map[string]Service
 }
@@ -152,16 +155,15 @@
 // Parse decodes and checks a document. Errors carry [coder.ConfigInvalid] and
 // the path of the field at fault.
 func Parse(data []byte, version int64) (*Config, error) {
-	var doc Document
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&doc); err != nil {
-		return nil, coder.Errorf(coder.ConfigInvalid, "", "not a configuration: %w", err)
+	stored, err := ParseStored(data)
+	if err != nil {
+		return nil, err
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, coder.Errorf(coder.ConfigInvalid, "", "data after the document")
+	c, err := New(stored.Document, version)
+	if err == nil && stored.Change != nil {
+		c.change = *stored.Change
 	}
-	return New(doc, version)
+	return c, err
 }
 
 // New checks doc and returns it as a configuration.
@@ -169,28 +171,43 @@
 	if err := check(doc); err != nil {
 		return nil, err
 	}
-	c := &Config{
-		version:  version,
-		document: doc,
-		teams:    make(map[string]Team, len(doc.Defaults.Teams)),
-		services: make(map[string]Service, len(doc.Defaults.Services)),
-	}
-	for _, t := range doc.Defaults.Teams {
+	c := &Config{version: version, document: doc}
+	c.build(func(Exception) bool { return true })
+	return c, nil
+}
+
+// build fills the indexes, with the exceptions that inForce accepts applied.
+func (c *Config) build(inForce func(Exception) bool) {
+	c.teams = make(map[string]Team, len(c.document.Defaults.Teams))
+	c.services = make(map[string]Service, len(c.document.Defaults.Services))
+	for _, t := range c.document.Defaults.Teams {
 		c.teams[t.Name] = t
 	}
-	for _, s := range doc.Defaults.Services {
+	for _, s := range c.document.Defaults.Services {
 		s.Endpoints = append([]Endpoint(nil), s.Endpoints...)
 		c.services[s.Name] = s
 	}
-	for _, e := range doc.Exceptions {
-		c.apply(e)
+	for _, e := range c.document.Exceptions {
+		if inForce(e) {
+			c.apply(e)
+		}
 	}
-	return c, nil
 }
 
 // Version returns the store's version of the configuration.
 func (c *Config) Version() int64 { return c.version }
 
+// Change returns who put the version in the store; its ID may be empty.
+func (c *Config) Change() Change { return c.change }
+
+// KeyFreshness returns how long keys are trusted without fresh evidence.
+func (c *Config) KeyFreshness() time.Duration {
+	if d := c.document.Defaults.KeyFreshness; d > 0 {
+		return time.Duration(d)
+	}
+	return DefaultKeyFreshness
+}
+
 // Document returns the document as it was written.
 func (c *Config) Document() Document { return c.document }
 
--- a/seam/decider/config.go
+++ b/seam/decider/config.go
@@ -14,7 +14,8 @@
 	if m.config != nil && msg.Config.Version() <= m.config.Version() {
 		return nil
 	}
-	m.config = msg.Config
+	m.config = msg.Config.At(now)
+	m.expiry, _ = msg.Config.NextExpiry(now)
 	m.resizeBuckets(now)
 	m.updatePools()
 	return nil
--- a/seam/decider/decider.go
+++ b/seam/decider/decider.go
@@ -59,6 +59,12 @@
 	services map[string]*service
 	requests map[uint64]*request
 	stopping bool
+	// evidence is the time of the newest KeyEvidence.
+	evidence time.Time
+	// cuts lists forwarded requests of withdrawn keys, soonest first.
+	cuts []cut
+	// expiry is when the next exception expires, or zero.
+	expiry time.Time
 }
 
 // service is the state of one service: its endpoints and waiting requests.
@@ -80,6 +86,9 @@
 	endpoint   string
 	attempts   int
 	queued     bool
+	key        authenticator.Digest
+	// cutAt is when the request is cut, since its key was withdrawn.
+	cutAt time.Time
 }
 
 // Option changes a model at its creation.
@@ -124,10 +133,13 @@
 	case ConfigChanged:
 		return m.configChanged(now, msg)
 	case KeysChanged:
-		m.keys = msg.Keys
+		return m.keysChanged(now, msg)
+	case KeyEvidence:
+		m.evidence = msg.At
 		return nil
 	case Ticked:
-		return m.ticked(now)
+		m.expireExceptions(now)
+		return append(m.cutWithdrawn(now), m.ticked(now)...)
 	case StopRequested:
 		m.stopping = true
 		return nil
--- a/seam/decider/messages.go
+++ b/seam/decider/messages.go
@@ -52,6 +52,10 @@
 // KeysChanged brings newer keys.
 type KeysChanged struct{ Keys *authenticator.Keyring }
 
+// KeyEvidence says that at a time the keys held were all that had been
+// accepted. Without such a message the age of keys isn't checked.
+type KeyEvidence struct{ At time.Time }
+
 // Ticked says that time has passed.
 type Ticked struct{}
 
@@ -65,5 +69,6 @@
 func (LoadReported) isMsg()   {}
 func (ConfigChanged) isMsg()  {}
 func (KeysChanged) isMsg()    {}
+func (KeyEvidence) isMsg()    {}
 func (Ticked) isMsg()         {}
 func (StopRequested) isMsg()  {}
--- a/seam/decider/requests.go
+++ b/seam/decider/requests.go
@@ -47,7 +47,11 @@
 	if !msg.HasKey {
 		return none, coder.KeyMissing
 	}
-	name, ok := m.keys.Team(msg.Key)
+	if m.keysStale(r.arrived) {
+		return none, coder.KeyEvidenceStale
+	}
+	r.key = msg.Key
+	name, ok := m.keys.TeamAt(msg.Key, r.arrived)
 	if !ok {
 		return none, coder.KeyUnknown
 	}
--- a/seam/storer/storer.go
+++ b/seam/storer/storer.go
@@ -25,11 +25,19 @@
 // The kinds of object that the system keeps in the platform's service.
 const (
 	KindConfig Kind = "config"
-	KindKey    Kind = "key"
-	KindSeat   Kind = "seat"
-	KindStatus Kind = "status"
+	// KindConfigHistory holds replaced configurations in a ring of slots.
+	KindConfigHistory Kind = "configHistory"
+	KindKey           Kind = "key"
+	KindSeat          Kind = "seat"
+	KindStatus        Kind = "status"
 )
 
+// ConfigName is the name of the configuration in force.
+const ConfigName = "current"
+
+// MaxValueBytes is the greatest size of a value that the service holds.
+const MaxValueBytes = 1 << 20
+
 // Object is a versioned value in the store. Version 0 means that the object
 // does not exist yet.
 type Object struct {
--- a/seamctl/commander/commander.go
+++ b/seamctl/commander/commander.go
@@ -17,12 +17,6 @@
 	"primroseseam.org/seamctl/demonstrator"
 )
 
-// Exit codes of the client.
-const (
-	exitOK     = 0
-	exitFailed = 1
-)
-
 // errPromiseBroken says that a run violated a promise or didn't check it.
 var errPromiseBroken = errors.New("a promise was violated or not checked")
 
@@ -38,9 +32,10 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(demoCommand())
+	root.AddCommand(configCommand(), keyCommand(), upstreamCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(stderr, "seamctl:", err)
-		return exitFailed
+		return exitCode(err)
 	}
 	return exitOK
 }
--- /dev/null
+++ b/seamctl/commander/key.go
@@ -0,0 +1,143 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"primroseseam.org/seam/applier"
+	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/storer"
+)
+
+func keyCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "key", Short: "Issue, withdraw and list callers' keys"}
+	parent.AddCommand(keyIssueCommand(), keyWithdrawCommand(), keyListCommand())
+	return parent
+}
+
+func keyIssueCommand() *cobra.Command {
+	var p platform
+	var team, replaces string
+	var overlap time.Duration
+	cmd := &cobra.Command{
+		Use:   "issue",
+		Short: "Issue a key and print its secret once",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			secret, record, err := authenticator.Issue(team, time.Now().UTC())
+			if err != nil {
+				return err
+			}
+			var issued storer.Object
+			err = p.withStore(cmd.Context(), func(ctx context.Context, store storer.Store) error {
+				a := applier.New(store)
+				if issued, err = a.IssueKey(ctx, record); err != nil {
+					return err
+				}
+				return endOverlap(ctx, a, replaces, overlap)
+			})
+			if err != nil {
+				return err
+			}
+			w := cmd.OutOrStdout()
+			printf(w, "digest: %s\nsecret: %s\n", record.Digest, secret)
+			return p.awaitKey(cmd.Context(), w, issued)
+		},
+	}
+	p.addFlags(cmd)
+	p.addWaitFlags(cmd)
+	cmd.Flags().StringVar(&team, "team", "", "team that owns the key")
+	cmd.Flags().StringVar(&replaces, "replaces", "", "digest of the key that this one replaces")
+	cmd.Flags().DurationVar(&overlap, "overlap", 24*time.Hour, "how long the replaced key still works")
+	_ = cmd.MarkFlagRequired("team")
+	return cmd
+}
+
+// endOverlap lets the replaced key expire.
+func endOverlap(ctx context.Context, a *applier.Applier, replaces string, overlap time.Duration) error {
+	if replaces == "" {
+		return nil
+	}
+	var digest authenticator.Digest
+	if err := digest.UnmarshalText([]byte(replaces)); err != nil {
+		return err
+	}
+	_, err := a.ExpireKey(ctx, digest, time.Now().UTC().Add(overlap))
+	return err
+}
+
+func (p *platform) awaitKey(ctx context.Context, w io.Writer, key storer.Object) error {
+	return p.await(ctx, w, func(ctx context.Context, a *applier.Awaiter, progress func(applier.Progress)) error {
+		return a.Key(ctx, key, progress)
+	})
+}
+
+func keyWithdrawCommand() *cobra.Command {
+	var p platform
+	cmd := &cobra.Command{
+		Use:   "withdraw DIGEST",
+		Short: "Withdraw a key and wait until every instance refuses it",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var digest authenticator.Digest
+			if err := digest.UnmarshalText([]byte(args[0])); err != nil {
+				return err
+			}
+			var withdrawn storer.Object
+			err := p.withStore(cmd.Context(), func(ctx context.Context, store storer.Store) error {
+				var err error
+				withdrawn, err = applier.New(store).WithdrawKey(ctx, digest)
+				return err
+			})
+			if err != nil {
+				return err
+			}
+			printf(cmd.OutOrStdout(), "accepted: withdrawn at version %d\n", withdrawn.Version)
+			return p.awaitKey(cmd.Context(), cmd.OutOrStdout(), withdrawn)
+		},
+	}
+	p.addFlags(cmd)
+	p.addWaitFlags(cmd)
+	return cmd
+}
+
+func keyListCommand() *cobra.Command {
+	var p platform
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List the digests of all keys",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return p.withStore(cmd.Context(), func(ctx context.Context, store storer.Store) error {
+				events, err := store.List(ctx, storer.KindKey)
+				for _, o := range events.Objects {
+					writeKey(cmd.OutOrStdout(), o)
+				}
+				return err
+			})
+		},
+	}
+	p.addFlags(cmd)
+	return cmd
+}
+
+func writeKey(w io.Writer, o storer.Object) {
+	r, err := authenticator.ParseRecord(o.Value)
+	if err != nil {
+		printf(w, "%s\tinvalid: %v\n", o.Name, err)
+		return
+	}
+	state := "in force"
+	switch {
+	case r.Withdrawn:
+		state = "withdrawn"
+	case r.Expires != nil && time.Now().Before(*r.Expires):
+		state = "expires " + r.Expires.Format(time.RFC3339)
+	case r.Expires != nil:
+		state = "expired"
+	}
+	printf(w, "%s\t%s\t%s\t%s\n", r.Digest, r.Team, r.Issued.Format(time.RFC3339), state)
+}
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -44,9 +44,16 @@
 	metrics   *metrics.Set
 	table     atomic.Pointer[steerer.Table]
 	config    atomic.Pointer[configurer.Config]
-	// keyRecords belongs to the goroutine that watches keys.
-	keyRecords map[string]authenticator.Record
-	leaving    atomic.Bool
+	inForce   atomic.Pointer[inForce]
+	spread    *spread
+	// keyRecords and keyVersions are guarded by the spread's lock.
+	keyRecords  map[string]authenticator.Record
+	keyVersions map[string]int64
+	peerClient  *http.Client
+	// work ends when the daemon has shut down, stopping when it starts to.
+	work     context.Context
+	stopping chan struct{}
+	leaving  atomic.Bool
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
@@ -83,8 +90,12 @@
 		forwarder: forwarder.New(),
 		metrics:   metrics.NewSet(),
 
-		keyRecords: map[string]authenticator.Record{},
+		keyRecords:  map[string]authenticator.Record{},
+		keyVersions: map[string]int64{},
+		peerClient:  &http.Client{},
+		stopping:    make(chan struct{}),
 	}
+	d.inForce.Store(&inForce{})
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -96,6 +107,7 @@
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
 	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
+	d.spread = newSpread(d, seed)
 	d.table.Store(steerer.NewTable(nil, nil))
 	return d, d.bind()
 }
@@ -135,9 +147,10 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
+	d.work = work
 	background, _ := errgroup.WithContext(work)
 	background.Go(func() error { d.loop.run(work); return nil })
-	background.Go(func() error { d.watchStore(work); return nil })
+	background.Go(func() error { d.spread.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
 
 	servers := []*server{
@@ -168,6 +181,7 @@
 // shutDown lets callers learn of the stop, then waits for open requests.
 func (d *Daemon) shutDown(servers []*server) error {
 	d.leaving.Store(true)
+	close(d.stopping)
 	d.loop.send(decider.StopRequested{})
 	d.clock.Sleep(time.Duration(d.settings.Shutdown.Linger))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
--- a/seamd/daemon/lookups.go
+++ b/seamd/daemon/lookups.go
@@ -15,6 +15,7 @@
 	app.Logger().SetLevel("disable")
 	app.Get("/v1/entries", d.serveEntries)
 	app.Get("/v1/health", d.serveHealth)
+	app.Get("/v1/status", d.serveStatus)
 	if err := app.Build(); err != nil {
 		d.log.Error("lookup: build failed", zap.Error(err))
 	}
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -37,6 +37,8 @@
 	msg   decider.Msg
 	id    uint64
 	reply chan decider.Cmd
+	// after runs once the message has been handled.
+	after func()
 }
 
 func newLoop(m *decider.Model, c clockwork.Clock, log *zap.Logger, set *metrics.Set) *loop {
@@ -55,6 +57,9 @@
 // send gives the loop a message.
 func (l *loop) send(msg decider.Msg) { l.post(envelope{msg: msg}) }
 
+// sendThen gives the loop a message and runs after once it has been handled.
+func (l *loop) sendThen(msg decider.Msg, after func()) { l.post(envelope{msg: msg, after: after}) }
+
 // request gives the loop a new request and returns where its commands arrive.
 func (l *loop) request(msg decider.RequestArrived) <-chan decider.Cmd {
 	reply := make(chan decider.Cmd, repliesPerRequest)
@@ -98,6 +103,9 @@
 		l.replies[e.id] = e.reply
 	}
 	l.update(e.msg)
+	if e.after != nil {
+		e.after()
+	}
 }
 
 func (l *loop) update(msg decider.Msg) {
--- a/seamd/daemon/peers.go
+++ b/seamd/daemon/peers.go
@@ -14,6 +14,7 @@
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMembershipServiceHandler(&membershipService{daemon: d}))
+	mux.Handle(peerv1connect.NewRelayServiceHandler(&relayService{daemon: d}))
 	return mux
 }
 
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -2,70 +2,58 @@
 
 import (
 	"context"
-	"encoding/json"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
 
 	"primroseseam.org/seam/authenticator"
-	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/spreader"
 	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
 )
 
-const (
-	// watchWait is how long one watch waits for changes.
-	watchWait = 10 * time.Second
-	// storeRetryAfter is the wait after a failed call to the store.
-	storeRetryAfter = 500 * time.Millisecond
-	// instancesEvery is the time between two reads of the instance list.
-	instancesEvery = time.Second
-)
+// instancesEvery is the time between two reads of the instance list.
+const instancesEvery = time.Second
 
-// watchStore follows the configuration and the keys until ctx ends.
-func (d *Daemon) watchStore(ctx context.Context) {
-	go d.watchKind(ctx, storer.KindConfig, d.takeConfig)
-	d.watchKind(ctx, storer.KindKey, d.takeKeys)
+// readKind lists a kind or watches it, as the call says.
+func (d *Daemon) readKind(ctx context.Context, call spreader.ReadStore) (storer.Events, error) {
+	if call.Position < 0 {
+		return d.store.List(ctx, call.Kind)
+	}
+	return d.store.Watch(ctx, call.Kind, call.Position, call.Wait)
 }
 
-// watchKind lists a kind, then watches it, and passes every object on.
-func (d *Daemon) watchKind(ctx context.Context, kind storer.Kind, take func([]storer.Object)) {
-	position := int64(-1)
-	for ctx.Err() == nil {
-		events, err := d.readKind(ctx, kind, position)
-		if err != nil {
-			if coder.Of(err) == coder.StoreCompacted {
-				position = -1
-			}
-			d.log.Debug("store: no answer", zap.String("kind", string(kind)), zap.Error(err))
-			d.sleep(ctx, storeRetryAfter)
-			continue
+// install puts newer objects in force. The caller keeps their order: no older
+// version of an object comes after a newer one.
+func (d *Daemon) install(objects []storer.Object) {
+	var keys []storer.Object
+	for _, o := range objects {
+		if o.Kind == storer.KindKey {
+			keys = append(keys, o)
 		}
-		position = events.Position
-		take(events.Objects)
 	}
-}
-
-func (d *Daemon) readKind(ctx context.Context, kind storer.Kind, position int64) (storer.Events, error) {
-	if position < 0 {
-		return d.store.List(ctx, kind)
+	d.takeKeys(keys)
+	for _, o := range objects {
+		if o.Kind == storer.KindConfig && o.Name == storer.ConfigName {
+			d.takeConfig(o)
+		}
 	}
-	return d.store.Watch(ctx, kind, position, watchWait)
 }
 
-func (d *Daemon) takeConfig(objects []storer.Object) {
-	for _, o := range objects {
-		c, err := configurer.Parse(o.Value, o.Version)
-		if err != nil {
-			d.log.Error("config: ignored an invalid version", zap.Int64("version", o.Version), zap.Error(err))
-			continue
-		}
-		d.log.Info("config: in force", zap.Int64("version", o.Version))
-		d.config.Store(c)
-		d.loop.send(decider.ConfigChanged{Config: c})
+func (d *Daemon) takeConfig(o storer.Object) {
+	c, err := configurer.Parse(o.Value, o.Version)
+	if err != nil {
+		d.log.Error("config: ignored an invalid version", zap.Int64("version", o.Version), zap.Error(err))
+		return
 	}
+	d.config.Store(c)
+	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
+		d.configInForce(c)
+		d.log.Info("config: in force", zap.Int64("version", o.Version), zap.String("change", c.Change().ID))
+	})
 }
 
 // takeKeys merges changed keys into those known.
@@ -74,20 +62,24 @@
 		return
 	}
 	for _, o := range objects {
-		var r authenticator.Record
-		if err := json.Unmarshal(o.Value, &r); err != nil {
+		r, err := authenticator.ParseRecord(o.Value)
+		if err != nil {
 			d.log.Error("key: ignored an invalid record", zap.String("name", o.Name), zap.Error(err))
 			continue
 		}
 		d.keyRecords[o.Name] = r
+		d.keyVersions[o.Name] = o.Version
 	}
 	records := make([]authenticator.Record, 0, len(d.keyRecords))
 	for _, r := range d.keyRecords {
 		records = append(records, r)
 	}
 	ring := authenticator.NewKeyring(records)
-	d.log.Info("key: ring changed", zap.Int("keys", ring.Len()))
-	d.loop.send(decider.KeysChanged{Keys: ring})
+	versions := maps.Clone(d.keyVersions)
+	d.loop.sendThen(decider.KeysChanged{Keys: ring}, func() {
+		d.keysInForce(versions, ring.Len())
+		d.log.Info("key: ring in force", zap.Int("keys", ring.Len()))
+	})
 }
 
 // watchInstances turns the platform's instance list into the look-up table.
@@ -95,6 +87,7 @@
 	for ctx.Err() == nil {
 		if list, err := d.store.Instances(ctx); err == nil {
 			d.table.Store(d.newTable(list))
+			d.spread.setInstances(ctx, list)
 		}
 		d.sleep(ctx, instancesEvery)
 	}
