Give the decider calls for link bytes and region slots

Traffic between regions needs to hold link bytes and slots of the target region. The calls stand on an equal part for each instance, as team rates do for now; loans between instances replace that part behind the same calls.

--- a/seam/allocator/bucket.go
+++ b/seam/allocator/bucket.go
@@ -72,3 +72,10 @@
 	b.filled = now
 	b.tokens = math.Min(b.burst, b.tokens+float64(b.rate)*elapsed.Seconds())
 }
+
+// Adjust gives tokens back, or takes them if amount is negative. A bucket that
+// falls below zero grants nothing until it has refilled.
+func (b *Bucket) Adjust(now time.Time, amount float64) {
+	b.fill(now)
+	b.tokens = math.Min(b.burst, b.tokens+amount)
+}
--- a/seam/decider/config.go
+++ b/seam/decider/config.go
@@ -16,6 +16,7 @@
 	}
 	m.config = msg.Config
 	m.resizeBuckets(now)
+	m.configureLimits(now, msg.Config)
 	m.updatePools()
 	return nil
 }
--- a/seam/decider/decider.go
+++ b/seam/decider/decider.go
@@ -56,6 +56,7 @@
 	config   *configurer.Config
 	keys     *authenticator.Keyring
 	buckets  map[string]*allocator.Bucket
+	limits   limits
 	services map[string]*service
 	requests map[uint64]*request
 	stopping bool
@@ -101,6 +102,7 @@
 		rng:      rand.New(rand.NewPCG(1, 1)),
 		keys:     authenticator.NewKeyring(nil),
 		buckets:  map[string]*allocator.Bucket{},
+		limits:   limits{links: map[string]*allocator.Bucket{}, slots: map[string]int{}},
 		services: map[string]*service{},
 		requests: map[uint64]*request{},
 	}
