--- a/seam/decider/config.go
+++ b/seam/decider/config.go
@@ -17,6 +17,7 @@
 	m.config = msg.Config.At(now)
 	m.expiry, _ = msg.Config.NextExpiry(now)
 	m.resizeBuckets(now)
+	m.configureLimits(now, msg.Config)
 	m.updatePools()
 	return nil
 }
