Authenticate peers and operators, and serve TLS by settings

Cause: anyone who reached a peer listener could have changed an instance.

Change: seam/prover signs requests and answers with a shared secret that never travels; seam/certifier serves TLS from files that are read again when they change. Settings without a secret or an authority for peers are refused, unless they ask for unauthenticated peers.

--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -81,6 +81,9 @@
 	StoreCompacted Code = 303
 	// StoreOutcomeUnknown means that a write may or may not have been applied.
 	StoreOutcomeUnknown Code = 304
+
+	// PeerUnauthenticated means that a peer or an operator didn't prove itself.
+	PeerUnauthenticated Code = 400
 )
 
 // Ran tells whether a refused request reached an upstream.
--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -34,6 +34,7 @@
 	_ = x[StoreNotFound-302]
 	_ = x[StoreCompacted-303]
 	_ = x[StoreOutcomeUnknown-304]
+	_ = x[PeerUnauthenticated-400]
 }
 
 const (
@@ -44,6 +45,7 @@
 	_Code_name_4 = "ConfigInvalidConfigConflictConfigNotInForce"
 	_Code_name_5 = "SettingsInvalid"
 	_Code_name_6 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
+	_Code_name_7 = "PeerUnauthenticated"
 )
 
 var (
@@ -75,6 +77,8 @@
 	case 300 <= i && i <= 304:
 		i -= 300
 		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
+	case i == 400:
+		return _Code_name_7
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -50,6 +50,7 @@
 	keyRecords  map[string]authenticator.Record
 	keyVersions map[string]int64
 	peerClient  *http.Client
+	security    security
 	// work ends when the daemon has shut down, stopping when it starts to.
 	work     context.Context
 	stopping chan struct{}
@@ -86,19 +87,27 @@
 		settings:  settings,
 		clock:     clockwork.NewRealClock(),
 		log:       zap.NewNop(),
-		store:     storer.NewHTTP(settings.Platform.Address),
 		forwarder: forwarder.New(),
 		metrics:   metrics.NewSet(),
 
 		keyRecords:  map[string]authenticator.Record{},
 		keyVersions: map[string]int64{},
-		peerClient:  &http.Client{},
 		stopping:    make(chan struct{}),
 	}
 	d.inForce.Store(&inForce{})
 	for _, opt := range opts {
 		opt(d)
 	}
+	if d.store == nil {
+		store, err := newStore(settings)
+		if err != nil {
+			return nil, err
+		}
+		d.store = store
+	}
+	if err := d.secure(); err != nil {
+		return nil, err
+	}
 	d.incarnation = uint64(d.clock.Now().UnixNano())
 	seed := settings.Seed
 	if seed == 0 {
@@ -128,7 +137,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", s.name, err)
 		}
-		*s.socket = l
+		*s.socket = d.secureListener(s.name, l)
 	}
 	return nil
 }
--- a/seamd/daemon/relay.go
+++ b/seamd/daemon/relay.go
@@ -200,6 +200,3 @@
 	defer s.mu.Unlock()
 	return connect.NewResponse(&peerv1.OfferResponse{Taken: uint32(s.model.Serial() - before)}), nil
 }
-
-// peerURL returns the base address of a peer.
-func (d *Daemon) peerURL(address string) string { return "http://" + address }
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -40,6 +40,7 @@
 	Platform Platform `json:"platform"`
 	Shutdown Shutdown `json:"shutdown"`
 	Log      Log      `json:"log"`
+	Security Security `json:"security"`
 	// Seed seeds random choices; 0 takes the time of the start.
 	Seed uint64 `json:"seed,omitempty"`
 }
@@ -146,5 +147,5 @@
 	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
 		return coder.Errorf(coder.SettingsInvalid, "log.level", "%q is not a level", s.Log.Level)
 	}
-	return nil
+	return s.Security.check()
 }
