--- a/seam/applier/applier.go
+++ b/seam/applier/applier.go
@@ -58,6 +58,9 @@
 	Version int64
 	// Superseded means that a later change has been accepted since.
 	Superseded bool
+	// Object is what was written; its value is empty if the change was found
+	// in the store.
+	Object storer.Object
 }
 
 // Applier changes the configuration. It is safe for concurrent use.
@@ -154,7 +157,7 @@
 		return Accepted{}, err
 	}
 	if current.Change != nil && current.Change.ID == p.ID {
-		return Accepted{Change: *current.Change, Version: current.Version}, nil
+		return Accepted{Change: *current.Change, Version: current.Version, Object: currentObject(current)}, nil
 	}
 	if current.Sequence() != p.Base {
 		return a.settleRaced(ctx, p, current)
@@ -177,7 +180,7 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	return Accepted{Change: *stored.Change, Version: o.Version}, nil
+	return Accepted{Change: *stored.Change, Version: o.Version, Object: object.WithVersion(o.Version)}, nil
 }
 
 // settleRaced finds out whether the change was accepted and then replaced, or
@@ -189,7 +192,7 @@
 		case transient(err):
 			return Accepted{}, err
 		case err == nil && mine.Change.ID == p.ID:
-			return Accepted{Change: *mine.Change, Version: current.Version, Superseded: true}, nil
+			return Accepted{Change: *mine.Change, Version: current.Version, Superseded: true, Object: currentObject(current)}, nil
 		}
 	}
 	base, err := a.Archived(ctx, p.Base)
@@ -221,3 +224,8 @@
 		return true
 	}
 }
+
+// currentObject names what stands in the store, without its value.
+func currentObject(current Current) storer.Object {
+	return storer.Object{Kind: storer.KindConfig, Name: storer.ConfigName, Version: current.Version}
+}
--- a/seam/applier/awaiter.go
+++ b/seam/applier/awaiter.go
@@ -58,6 +58,11 @@
 	store  storer.Store
 	client *http.Client
 	scheme string
+
+	peerClient *http.Client
+	peerScheme string
+	// known is the list that was read last.
+	known []storer.Instance
 }
 
 // AwaiterOption changes an awaiter at its creation.
@@ -77,14 +82,15 @@
 	return w
 }
 
-// Config waits until every instance runs a version of the configuration that
-// is at least version. It tells progress of each instance that gets there, and
+// Config waits until every instance runs a configuration that is at least as
+// new as the object. It tells progress of each instance that gets there, and
 // fails with ConfigNotInForce, naming the others, when ctx ends.
-func (w *Awaiter) Config(ctx context.Context, version int64, progress func(Progress)) error {
-	return w.await(ctx, "", func(s InstanceStatus) bool { return s.ConfigVersion >= version }, progress)
+func (w *Awaiter) Config(ctx context.Context, o storer.Object, progress func(Progress)) error {
+	return w.await(ctx, "", func(s InstanceStatus) bool { return s.ConfigVersion >= o.Version }, progress)
 }
 
-// Key waits until every instance runs at least version of a key's record.
+// Key waits until every instance runs a key's record that is at least as new
+// as the object.
 func (w *Awaiter) Key(ctx context.Context, key storer.Object, progress func(Progress)) error {
 	return w.await(ctx, key.Name, func(s InstanceStatus) bool { return s.KeyVersion >= key.Version }, progress)
 }
@@ -99,7 +105,7 @@
 }
 
 func (w *Awaiter) await(ctx context.Context, key string, holds func(InstanceStatus) bool, progress func(Progress)) error {
-	var list []storer.Instance
+	list := w.known
 	var listed time.Time
 	done := map[string]bool{}
 	for {
--- a/seam/applier/keys.go
+++ b/seam/applier/keys.go
@@ -81,5 +81,5 @@
 	if coder.Of(err) == coder.StoreOutcomeUnknown {
 		*written = true
 	}
-	return o, err
+	return object.WithVersion(o.Version), err
 }
--- a/seam/storer/storer.go
+++ b/seam/storer/storer.go
@@ -54,6 +54,12 @@
 	return o
 }
 
+// WithVersion returns a copy of the object with another version.
+func (o Object) WithVersion(version int64) Object {
+	o.Version = version
+	return o
+}
+
 // Events is the answer to a watch: changes after a position, oldest first.
 type Events struct {
 	// Position is where the next watch should start.
--- a/seamctl/commander/config.go
+++ b/seamctl/commander/config.go
@@ -149,26 +149,21 @@
 
 func (f *applyFlags) apply(ctx context.Context, w io.Writer, proposal applier.Proposal) error {
 	printf(w, "change: %s\n", proposal.ID)
-	var accepted applier.Accepted
-	err := f.withStore(ctx, func(ctx context.Context, store storer.Store) error {
-		var err error
-		accepted, err = applier.New(store).Apply(ctx, proposal)
-		return err
+	err := f.change(ctx, w, func(ctx context.Context, store storer.Store) (storer.Object, error) {
+		accepted, err := applier.New(store).Apply(ctx, proposal)
+		if err == nil {
+			printf(w, "accepted: sequence %d, version %d\n", accepted.Change.Sequence, accepted.Version)
+		}
+		if accepted.Superseded {
+			printf(w, "a later change has replaced it since\n")
+		}
+		return accepted.Object, err
 	})
 	var conflict *applier.ConflictError
 	if errors.As(err, &conflict) {
 		writeConflict(w, conflict)
 	}
-	if err != nil {
-		return err
-	}
-	printf(w, "accepted: sequence %d, version %d\n", accepted.Change.Sequence, accepted.Version)
-	if accepted.Superseded {
-		printf(w, "a later change has replaced it since\n")
-	}
-	return f.await(ctx, w, func(ctx context.Context, a *applier.Awaiter, progress func(applier.Progress)) error {
-		return a.Config(ctx, accepted.Version, progress)
-	})
+	return err
 }
 
 func configStatusCommand() *cobra.Command {
@@ -179,7 +174,11 @@
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return p.withStore(cmd.Context(), func(ctx context.Context, store storer.Store) error {
-				list, err := applier.NewAwaiter(store).Status(ctx)
+				awaiter, err := p.newAwaiter(ctx, store)
+				if err != nil {
+					return err
+				}
+				list, err := awaiter.Status(ctx)
 				if err != nil {
 					return err
 				}
--- a/seamctl/commander/key.go
+++ b/seamctl/commander/key.go
@@ -31,20 +31,16 @@
 			if err != nil {
 				return err
 			}
-			var issued storer.Object
-			err = p.withStore(cmd.Context(), func(ctx context.Context, store storer.Store) error {
+			w := cmd.OutOrStdout()
+			return p.change(cmd.Context(), w, func(ctx context.Context, store storer.Store) (storer.Object, error) {
 				a := applier.New(store)
-				if issued, err = a.IssueKey(ctx, record); err != nil {
-					return err
+				issued, err := a.IssueKey(ctx, record)
+				if err != nil {
+					return issued, err
 				}
-				return endOverlap(ctx, a, replaces, overlap)
+				printf(w, "digest: %s\nsecret: %s\n", record.Digest, secret)
+				return issued, endOverlap(ctx, a, replaces, overlap)
 			})
-			if err != nil {
-				return err
-			}
-			w := cmd.OutOrStdout()
-			printf(w, "digest: %s\nsecret: %s\n", record.Digest, secret)
-			return p.awaitKey(cmd.Context(), w, issued)
 		},
 	}
 	p.addFlags(cmd)
@@ -69,12 +65,6 @@
 	return err
 }
 
-func (p *platform) awaitKey(ctx context.Context, w io.Writer, key storer.Object) error {
-	return p.await(ctx, w, func(ctx context.Context, a *applier.Awaiter, progress func(applier.Progress)) error {
-		return a.Key(ctx, key, progress)
-	})
-}
-
 func keyWithdrawCommand() *cobra.Command {
 	var p platform
 	cmd := &cobra.Command{
@@ -86,17 +76,14 @@
 			if err := digest.UnmarshalText([]byte(args[0])); err != nil {
 				return err
 			}
-			var withdrawn storer.Object
-			err := p.withStore(cmd.Context(), func(ctx context.Context, store storer.Store) error {
-				var err error
-				withdrawn, err = applier.New(store).WithdrawKey(ctx, digest)
-				return err
+			w := cmd.OutOrStdout()
+			return p.change(cmd.Context(), w, func(ctx context.Context, store storer.Store) (storer.Object, error) {
+				withdrawn, err := applier.New(store).WithdrawKey(ctx, digest)
+				if err == nil {
+					printf(w, "accepted: withdrawn at version %d\n", withdrawn.Version)
+				}
+				return withdrawn, err
 			})
-			if err != nil {
-				return err
-			}
-			printf(cmd.OutOrStdout(), "accepted: withdrawn at version %d\n", withdrawn.Version)
-			return p.awaitKey(cmd.Context(), cmd.OutOrStdout(), withdrawn)
 		},
 	}
 	p.addFlags(cmd)
