--- /dev/null
+++ b/seamctl/measurer/measurer_test.go
@@ -0,0 +1,75 @@
+package measurer_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"primroseseam.org/seamctl/measurer"
+)
+
+// changes returns the number of changes: all of them if SEAM_WHOLE is set.
+func changes() int {
+	if os.Getenv("SEAM_WHOLE") != "" {
+		return 200
+	}
+	return 40
+}
+
+func TestChangesAreInForceEverywhereInSeconds(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		silence bool
+		limit   time.Duration
+	}{
+		{"storeUp", false, 2 * time.Second},
+		{"halfOfTheWatchersSilent", true, 5 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			report, err := measurer.Spread(context.Background(), measurer.SpreadPlan{
+				Instances: 10, Changes: changes(), SilenceWatchers: c.silence,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", report)
+			if report.P99 >= c.limit || report.Reverted != 0 {
+				t.Errorf("p99 %v (limit %v), %d reverted", report.P99, c.limit, report.Reverted)
+			}
+		})
+	}
+}
+
+func TestWithdrawnKeyDiesOnOpenConnections(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		down  bool
+		work  time.Duration
+		limit time.Duration
+	}{
+		{"storeUp", false, 5 * time.Millisecond, 3 * time.Second},
+		{"storeDownAfterwards", true, 5 * time.Millisecond, 5 * time.Second},
+		{"midStream", false, 8 * time.Second, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			report, err := measurer.Withdrawal(context.Background(), measurer.WithdrawalPlan{
+				Instances: 10, Connections: 50, StoreDown: c.down, Work: c.work, Watch: c.limit + time.Second,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", report)
+			if report.LastAnswered >= c.limit {
+				t.Errorf("last request %v after the withdrawal", report.LastAnswered)
+			}
+			if c.work < time.Second && report.Connections != 50 {
+				t.Errorf("%d of 50 connections saw both an answer and the refusal", report.Connections)
+			}
+			if len(report.Leaks) > 0 {
+				t.Errorf("the secret was found in %v", report.Leaks)
+			}
+		})
+	}
+}
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -151,6 +151,9 @@
 // PeerAddress returns the bound address for other instances.
 func (d *Daemon) PeerAddress() string { return d.listeners.peers.Addr().String() }
 
+// MetricsAddress returns the bound address for metrics.
+func (d *Daemon) MetricsAddress() string { return d.listeners.metrics.Addr().String() }
+
 // Run serves until ctx ends, then shuts down gracefully: requests in progress
 // go on, new ones are refused, and nothing is cut.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/seamd/daemon/status.go
+++ b/seamd/daemon/status.go
@@ -30,8 +30,9 @@
 	d.inForce.Store(&next)
 }
 
-// status describes this instance to operators.
-func (d *Daemon) status(key string) applier.InstanceStatus {
+// Status describes this instance to operators; key is the digest of a key whose
+// version is wanted, or empty.
+func (d *Daemon) Status(key string) applier.InstanceStatus {
 	now := d.inForce.Load()
 	spread := d.spread.state()
 	s := applier.InstanceStatus{
@@ -56,5 +57,5 @@
 // serveStatus says which versions are in force here. The page names no key but
 // the one that it is asked about by its digest.
 func (d *Daemon) serveStatus(ctx iris.Context) {
-	_ = ctx.JSON(d.status(ctx.URLParam("key")))
+	_ = ctx.JSON(d.Status(ctx.URLParam("key")))
 }
