--- /dev/null
+++ b/seam/gossiper/gossiper.go
@@ -0,0 +1,2 @@
+// Package gossiper keeps track of which instances are alive.
+package gossiper
--- /dev/null
+++ b/seam/gossiper/member.go
@@ -0,0 +1,31 @@
+package gossiper
+
+// Status is what an instance is believed to be.
+type Status uint8
+
+// The statuses, in the order in which one word replaces another of the same
+// revision.
+const (
+	Alive Status = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+//go:generate stringer -type=Status
+
+// Member is what is known of one instance. It is a message between instances.
+type Member struct {
+	ID            string
+	Region        string
+	FailureDomain string
+	CallerAddress string
+	LookupAddress string
+	PeerAddress   string
+	// Incarnation orders the starts of one instance.
+	Incarnation uint64
+	// Revision orders the words about one start: only the instance itself
+	// raises it, to refute a suspicion.
+	Revision uint32
+	Status   Status
+}
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -47,6 +47,7 @@
 	// keyRecords belongs to the goroutine that watches keys.
 	keyRecords map[string]authenticator.Record
 	leaving    atomic.Bool
+	directory  directory
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -95,6 +95,7 @@
 	for ctx.Err() == nil {
 		if list, err := d.store.Instances(ctx); err == nil {
 			d.table.Store(d.newTable(list))
+			d.directory.setFromPlatform(list)
 		}
 		d.sleep(ctx, instancesEvery)
 	}
