--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -52,9 +52,10 @@
 	peerClient  *http.Client
 	security    security
 	// work ends when the daemon has shut down, stopping when it starts to.
-	work     context.Context
-	stopping chan struct{}
-	leaving  atomic.Bool
+	work      context.Context
+	stopping  chan struct{}
+	leaving   atomic.Bool
+	directory directory
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
