Replay traces through the decision cores of a fleet

Cause: claims about limits, drains, keys and latency need proof by replay against stated outcomes, and nothing ran more than one core at a time without sockets.

--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -86,6 +86,14 @@
 	PeerUnauthenticated Code = 400
 )
 
+// Results of traces and replays.
+const (
+	// TraceInvalid means that a trace failed its checks.
+	TraceInvalid Code = 500
+	// OutcomeMissed means that a replay missed an outcome that its trace states.
+	OutcomeMissed Code = 501
+)
+
 // Ran tells whether a refused request reached an upstream.
 type Ran int
 
--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -35,6 +35,8 @@
 	_ = x[StoreCompacted-303]
 	_ = x[StoreOutcomeUnknown-304]
 	_ = x[PeerUnauthenticated-400]
+	_ = x[TraceInvalid-500]
+	_ = x[OutcomeMissed-501]
 }
 
 const (
@@ -46,6 +48,7 @@
 	_Code_name_5 = "SettingsInvalid"
 	_Code_name_6 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
 	_Code_name_7 = "PeerUnauthenticated"
+	_Code_name_8 = "TraceInvalidOutcomeMissed"
 )
 
 var (
@@ -54,6 +57,7 @@
 	_Code_index_3 = [...]uint8{0, 14, 29, 45, 59, 69}
 	_Code_index_4 = [...]uint8{0, 13, 27, 43}
 	_Code_index_6 = [...]uint8{0, 16, 29, 42, 56, 75}
+	_Code_index_8 = [...]uint8{0, 12, 25}
 )
 
 func (i Code) String() string {
@@ -79,6 +83,9 @@
 		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
 	case i == 400:
 		return _Code_name_7
+	case 500 <= i && i <= 501:
+		i -= 500
+		return _Code_name_8[_Code_index_8[i]:_Code_index_8[i+1]]
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/seam/decider/decider.go
+++ b/seam/decider/decider.go
@@ -151,3 +151,11 @@
 
 // Requests returns the number of requests that wait or are being answered.
 func (m *Model) Requests() int { return len(m.requests) }
+
+// ConfigVersion returns the version of the configuration in force, or 0.
+func (m *Model) ConfigVersion() int64 {
+	if m.config == nil {
+		return 0
+	}
+	return m.config.Version()
+}
--- a/seam/faker/network.go
+++ b/seam/faker/network.go
@@ -11,6 +11,7 @@
 	loss      float64
 	duplicate float64
 	cuts      map[cut]bool
+	path      func(from, to string) (time.Duration, bool)
 	sent      int
 }
 
@@ -35,9 +36,15 @@
 	return func(n *Network) { n.duplicate = part }
 }
 
+// WithPath adds a delay for each pair of nodes; false cuts the pair off.
+func WithPath(path func(from, to string) (time.Duration, bool)) NetworkOption {
+	return func(n *Network) { n.path = path }
+}
+
 // NewNetwork returns a network without cuts.
 func NewNetwork(w *World, opts ...NetworkOption) *Network {
 	n := &Network{world: w, minDelay: time.Millisecond, maxDelay: time.Millisecond, cuts: map[cut]bool{}}
+	n.path = func(string, string) (time.Duration, bool) { return 0, true }
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -78,15 +85,16 @@
 }
 
 func (n *Network) deliver(from, to string, deliver func()) {
-	if n.cuts[cut{from, to}] || n.world.rng.Float64() < n.loss {
+	extra, open := n.path(from, to)
+	if !open || n.cuts[cut{from, to}] || n.world.rng.Float64() < n.loss {
 		return
 	}
-	delay := n.minDelay
+	delay := n.minDelay + extra
 	if spread := n.maxDelay - n.minDelay; spread > 0 {
 		delay += time.Duration(n.world.rng.Int64N(int64(spread)))
 	}
 	n.world.After(to, delay, func() {
-		if !n.cuts[cut{from, to}] {
+		if _, open := n.path(from, to); open && !n.cuts[cut{from, to}] {
 			deliver()
 		}
 	})
--- a/seam/faker/store.go
+++ b/seam/faker/store.go
@@ -48,6 +48,9 @@
 	return o, ok
 }
 
+// Place writes an object at once, without going over the network.
+func (s *Store) Place(o storer.Object) { _, _ = s.apply(o) }
+
 // Put writes an object if its version still is o.Version, and tells done on
 // the calling node. A conflict carries the object that stands in the store.
 func (s *Store) Put(from string, o storer.Object, done func(storer.Object, error)) {
--- /dev/null
+++ b/seam/replayer/breaks_test.go
@@ -0,0 +1,45 @@
+package replayer_test
+
+import (
+	"testing"
+
+	"primroseseam.org/seam/replayer"
+)
+
+// caught names the scenario that is meant to catch the loss of a mechanism.
+func caught(m replayer.Mechanism) string {
+	switch m {
+	case replayer.BreakLimits:
+		return "deadlineSurge"
+	case replayer.BreakWithdrawal:
+		return "keyWithdrawn"
+	case replayer.BreakAtMostOnce:
+		return "failingUpstream"
+	case replayer.BreakNotRun:
+		return "silentConnections"
+	case replayer.BreakDrain:
+		return "domainDrain"
+	case replayer.BreakGracefulStop, replayer.BreakVersions:
+		return "rollingReplace"
+	}
+	return ""
+}
+
+func violations(r replayer.Result) int {
+	sum := 0
+	for _, p := range r.Promises {
+		sum += p.Violations
+	}
+	return sum
+}
+
+func TestLossOfAMechanismIsCaught(t *testing.T) {
+	for _, m := range replayer.Mechanisms() {
+		trace := makeTrace(t, "nathibandh", caught(m))
+		whole := violations(replayer.Replay(trace))
+		broken := replayer.Replay(trace, replayer.WithBroken(m))
+		if broken.Holds() || violations(broken) <= whole {
+			t.Errorf("%v: %d violations broken, %d whole, holds %v", m, violations(broken), whole, broken.Holds())
+		}
+	}
+}
--- /dev/null
+++ b/seam/replayer/replayer_test.go
@@ -0,0 +1,43 @@
+package replayer_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"primroseseam.org/seam/generator"
+	"primroseseam.org/seam/replayer"
+	"primroseseam.org/seam/tracer"
+)
+
+func makeTrace(t *testing.T, deployment, scenario string) *tracer.Trace {
+	t.Helper()
+	made, err := generator.Make(deployment, scenario, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file bytes.Buffer
+	if err := made.Write(&file); err != nil {
+		t.Fatal(err)
+	}
+	trace, err := tracer.Read(&file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return trace
+}
+
+func TestSameTraceGivesTheSameBytes(t *testing.T) {
+	trace := makeTrace(t, "nathibandh", "instanceCrash")
+	first, err := json.Marshal(replayer.Replay(trace))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := json.Marshal(replayer.Replay(trace))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(first, second) {
+		t.Fatalf("results differ:\n%s\n%s", first, second)
+	}
+}
--- a/seamctl/commander/exit.go
+++ b/seamctl/commander/exit.go
@@ -6,6 +6,7 @@
 const (
 	exitOK              = 0
 	exitFailed          = 1
+	exitTraceInvalid    = 2
 	exitInvalid         = 3
 	exitConflict        = 4
 	exitNotInForce      = 5
@@ -20,6 +21,8 @@
 		return exitOK
 	}
 	switch coder.Of(err) {
+	case coder.TraceInvalid:
+		return exitTraceInvalid
 	case coder.ConfigInvalid:
 		return exitInvalid
 	case coder.ConfigConflict:
