--- a/seam/replayer/breaks_test.go
+++ b/seam/replayer/breaks_test.go
@@ -35,11 +35,14 @@
 
 func TestLossOfAMechanismIsCaught(t *testing.T) {
 	for _, m := range replayer.Mechanisms() {
-		trace := makeTrace(t, "nathibandh", caught(m))
-		whole := violations(replayer.Replay(trace))
-		broken := replayer.Replay(trace, replayer.WithBroken(m))
-		if broken.Holds() || violations(broken) <= whole {
-			t.Errorf("%v: %d violations broken, %d whole, holds %v", m, violations(broken), whole, broken.Holds())
-		}
+		t.Run(m.String(), func(t *testing.T) {
+			t.Parallel()
+			trace := makeTrace(t, "nathibandh", caught(m))
+			whole := violations(replayer.Replay(trace))
+			broken := replayer.Replay(trace, replayer.WithBroken(m))
+			if broken.Holds() || violations(broken) <= whole {
+				t.Errorf("%d violations broken, %d whole, holds %v", violations(broken), whole, broken.Holds())
+			}
+		})
 	}
 }
