Check the spread over seeded schedules of faults and racing operators

Change: the real spread and the real applier run on the shared fakes: stale reads, replayed and duplicated messages, crashes, pauses, cuts, a store that goes down and loses answers, four operators who race each other.

Conclusion: the jitter of tries can be seeded, so a schedule repeats.

--- a/seam/applier/applier.go
+++ b/seam/applier/applier.go
@@ -67,6 +67,7 @@
 type Applier struct {
 	store storer.Store
 	clock clockwork.Clock
+	rng   *mathrand.Rand
 }
 
 // Option changes an applier at its creation.
@@ -75,6 +76,12 @@
 // WithClock sets the clock.
 func WithClock(c clockwork.Clock) Option { return func(a *Applier) { a.clock = c } }
 
+// WithSeed seeds the jitter between tries. The applier is then not safe for
+// concurrent use.
+func WithSeed(seed uint64) Option {
+	return func(a *Applier) { a.rng = mathrand.New(mathrand.NewPCG(seed, seed)) }
+}
+
 // New returns an applier for a store.
 func New(store storer.Store, opts ...Option) *Applier {
 	a := &Applier{store: store, clock: clockwork.NewRealClock()}
@@ -216,7 +223,11 @@
 // pause waits before another try; it reports false if ctx ends first.
 func (a *Applier) pause(ctx context.Context, try int) bool {
 	longest := min(retryAfter<<min(try, 10), maxRetryAfter)
-	wait := longest/2 + mathrand.N(longest/2)
+	jitter := mathrand.Int64N
+	if a.rng != nil {
+		jitter = a.rng.Int64N
+	}
+	wait := longest/2 + time.Duration(jitter(int64(longest/2)))
 	select {
 	case <-ctx.Done():
 		return false
--- /dev/null
+++ b/seam/spreader/schedule_test.go
@@ -0,0 +1,387 @@
+package spreader_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"iter"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"primroseseam.org/seam/applier"
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/faker"
+	"primroseseam.org/seam/spreader"
+	"primroseseam.org/seam/storer"
+)
+
+const (
+	scheduleSeeds = 40 // in CI; SEAM_SCHEDULES sets another number
+	faultTime     = 20 * time.Second
+	settleTime    = time.Minute      // for the operators, once faults have ended
+	quietTime     = 10 * time.Second // for the instances after the last change
+	operators     = 4
+	changesEach   = 3
+)
+
+// schedule is one seeded run: instances, racing operators and faults.
+type schedule struct {
+	t        *testing.T
+	seed     uint64
+	world    *faker.World
+	network  *faker.Network
+	store    *faker.Store
+	watchers []spreader.Watcher
+	nodes    []*node
+	stale    []storer.Events
+	offers   []storer.Object
+	accepted []string
+	reverted int
+	faults   bool
+}
+
+// node is an instance; its model is lost when it crashes.
+type node struct {
+	*schedule
+	id, region string
+	starts     uint64
+	model      *spreader.Model
+	installed  map[string]int64
+	waiting    []func()
+}
+
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	w := faker.NewWorld(seed)
+	n := faker.NewNetwork(w, faker.WithDelay(time.Millisecond, 300*time.Millisecond), faker.WithDuplicates(0.1))
+	s := &schedule{t: t, seed: seed, world: w, network: n, store: faker.NewStore(w, n, 2*time.Second), faults: true}
+	for i := range 9 {
+		nd := &node{schedule: s, id: fmt.Sprintf("n%d", i), region: fmt.Sprintf("r%d", i%3)}
+		s.nodes = append(s.nodes, nd)
+		if i < 6 {
+			s.watchers = append(s.watchers, spreader.Watcher{ID: nd.id, Region: nd.region, Address: nd.id})
+		}
+	}
+	for _, nd := range s.nodes {
+		nd.start()
+	}
+	return s
+}
+
+func (n *node) start() {
+	n.starts++
+	n.model = spreader.New(spreader.WithSelf(n.id, n.region), spreader.WithIncarnation(n.starts), spreader.WithSeed(n.seed+n.starts))
+	n.installed, n.waiting = map[string]int64{}, nil
+	n.update(spreader.WatchersChanged{Watchers: n.watchers})
+	n.tick()
+}
+
+func (n *node) tick() {
+	n.update(spreader.Ticked{})
+	n.world.After(n.id, 100*time.Millisecond, n.tick)
+}
+
+func (n *node) update(msg spreader.Msg) {
+	for _, cmd := range n.model.Update(n.world.Now(), msg) {
+		switch c := cmd.(type) {
+		case spreader.Install:
+			n.install(c.Objects)
+		case spreader.ReadStore:
+			n.read(c)
+		case spreader.Follow:
+			n.follow(c)
+		}
+	}
+}
+
+func (n *node) install(objects []storer.Object) {
+	for _, o := range objects {
+		name := string(o.Kind) + "/" + o.Name
+		if o.Version <= n.installed[name] {
+			n.reverted++
+		}
+		n.installed[name] = o.Version
+		n.offers = append(n.offers, o)
+	}
+	waiting := n.waiting
+	n.waiting = nil
+	for _, answer := range waiting {
+		answer()
+	}
+}
+
+// read answers a call for the store; some answers are those of an older read.
+func (n *node) read(c spreader.ReadStore) {
+	sent, starts := n.world.Now(), n.starts
+	n.world.After(n.id, min(c.Wait, 300*time.Millisecond), func() {
+		n.store.List(n.id, c.Kind, func(events storer.Events, err error) {
+			if starts != n.starts {
+				return
+			}
+			if err != nil {
+				n.update(spreader.StoreFailed{Call: c, Compacted: n.faults && n.world.Rand().IntN(4) == 0})
+				return
+			}
+			n.stale = append(n.stale, events)
+			if n.faults && n.world.Rand().IntN(5) == 0 {
+				if old := n.stale[n.world.Rand().IntN(len(n.stale))]; sameKind(old, c.Kind) {
+					events = old
+				}
+			}
+			n.update(spreader.StoreAnswered{Call: c, Sent: sent, Events: events})
+		})
+	})
+}
+
+func sameKind(events storer.Events, kind storer.Kind) bool {
+	return len(events.Objects) > 0 && events.Objects[0].Kind == kind
+}
+
+// follow carries a call to a peer, which holds it while it has no news.
+func (n *node) follow(c spreader.Follow) {
+	sent, ended, starts := n.world.Now(), false, n.starts
+	end := func(msg spreader.Msg) {
+		// An answer to a process that has died reaches nobody.
+		if !ended && starts == n.starts {
+			ended = true
+			n.update(msg)
+		}
+	}
+	n.world.After(n.id, c.Request.Wait+time.Second, func() { end(spreader.PeerFailed{Call: c}) })
+	peer := n.node(c.Peer.ID)
+	n.network.Send(n.id, peer.id, func() {
+		arrived, done := n.world.Now(), false
+		answer := func() {
+			if done {
+				return
+			}
+			done = true
+			a := peer.model.Answer(n.world.Now(), c.Request, n.world.Now().Sub(arrived))
+			n.network.Send(peer.id, n.id, func() { end(spreader.PeerAnswered{Call: c, Sent: sent, Answer: a}) })
+		}
+		if peer.model.HasNews(c.Request) || c.Request.Wait == 0 {
+			answer()
+			return
+		}
+		peer.waiting = append(peer.waiting, answer)
+		n.world.After(peer.id, c.Request.Wait, answer)
+	})
+}
+
+func (s *schedule) node(id string) *node {
+	for _, n := range s.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	s.t.Fatalf("no node %q", id)
+	return nil
+}
+
+// disturb does something bad and comes again.
+func (s *schedule) disturb() {
+	if !s.faults {
+		return
+	}
+	rng := s.world.Rand()
+	n := s.nodes[rng.IntN(len(s.nodes))]
+	switch rng.IntN(7) {
+	case 0:
+		s.world.Crash(n.id)
+		n.start()
+	case 1:
+		s.world.Pause(n.id)
+		s.world.After("", time.Duration(rng.IntN(4000))*time.Millisecond, func() { s.world.Resume(n.id) })
+	case 2:
+		s.store.SetDown(rng.IntN(2) == 0)
+	case 3:
+		s.store.LoseAnswers(1 + rng.IntN(2))
+	case 4:
+		s.network.SetCut(n.id, s.nodes[rng.IntN(len(s.nodes))].id, true)
+	case 5:
+		s.network.Mend()
+	case 6:
+		if len(s.offers) > 0 { // a replayed message
+			n.update(spreader.Offered{Objects: []storer.Object{s.offers[rng.IntN(len(s.offers))]}})
+		}
+	}
+	s.world.After("", time.Duration(rng.IntN(700))*time.Millisecond, s.disturb)
+}
+
+// operator runs the applier as a coroutine of the world: each call to the store
+// and each wait gives the turn back until the world has its answer.
+type operator struct {
+	clockwork.Clock
+	*schedule
+	name  string
+	yield func(func(func())) bool
+}
+
+func (o *operator) run(work func()) {
+	next, _ := iter.Pull(func(yield func(func(func())) bool) {
+		o.yield = yield
+		work()
+	})
+	var step func()
+	step = func() {
+		if call, ok := next(); ok {
+			call(step)
+		}
+	}
+	o.world.After("", 0, step)
+}
+
+func (o *operator) Now() time.Time { return o.world.Now() }
+
+func (o *operator) After(d time.Duration) <-chan time.Time {
+	o.yield(func(done func()) { o.world.After("", d, done) })
+	ready := make(chan time.Time, 1)
+	ready <- o.world.Now()
+	return ready
+}
+
+func (o *operator) List(_ context.Context, kind storer.Kind) (events storer.Events, err error) {
+	o.yield(func(done func()) {
+		o.store.List(o.name, kind, func(e storer.Events, failed error) { events, err = e, failed; done() })
+	})
+	return events, err
+}
+
+func (o *operator) Get(ctx context.Context, kind storer.Kind, name string) (storer.Object, error) {
+	events, err := o.List(ctx, kind)
+	for _, object := range events.Objects {
+		if object.Name == name {
+			return object, nil
+		}
+	}
+	if err == nil {
+		err = coder.Errorf(coder.StoreNotFound, name, "no such object")
+	}
+	return storer.Object{}, err
+}
+
+func (o *operator) Put(_ context.Context, object storer.Object) (written storer.Object, err error) {
+	o.yield(func(done func()) {
+		o.store.Put(o.name, object, func(w storer.Object, failed error) { written, err = w, failed; done() })
+	})
+	return written, err
+}
+
+func (o *operator) Watch(context.Context, storer.Kind, int64, time.Duration) (storer.Events, error) {
+	return storer.Events{}, nil
+}
+
+func (o *operator) Instances(context.Context) ([]storer.Instance, error) { return nil, nil }
+
+// change adds exceptions, each on top of what stands, until all are accepted.
+func (o *operator) change() {
+	a := applier.New(o, applier.WithClock(o), applier.WithSeed(o.seed))
+	for n := 0; n < changesEach; {
+		current, err := a.Current(context.Background())
+		if err != nil {
+			o.After(time.Second)
+			continue
+		}
+		reason := fmt.Sprintf("%s change %d", o.name, n)
+		doc := current.Document
+		doc.Exceptions = append(append([]configurer.Exception(nil), doc.Exceptions...), configurer.Exception{
+			Reason: reason, Scope: configurer.Scope{Team: "crew"},
+		})
+		p := applier.Proposal{ID: reason + applierSuffix(current), Operator: o.name, Base: current.Sequence(), Document: doc}
+		if _, err = a.Apply(context.Background(), p); err == nil {
+			o.accepted = append(o.accepted, reason)
+			n++
+		} else if coder.Of(err) != coder.ConfigConflict {
+			o.t.Errorf("seed %d: %v", o.seed, err)
+			return
+		}
+	}
+}
+
+// applierSuffix makes the id of every proposal its own.
+func applierSuffix(c applier.Current) string { return " on " + strconv.FormatInt(c.Sequence(), 10) }
+
+func (s *schedule) run() {
+	first, err := json.Marshal(configurer.Stored{Document: document(), Change: &configurer.Change{ID: "first", Sequence: 1}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("", storer.Object{Kind: storer.KindConfig, Name: storer.ConfigName, Value: first}, func(storer.Object, error) {})
+	s.world.Run(time.Second)
+	s.network.SetLoss(0.05)
+	for i := range operators {
+		o := &operator{schedule: s, name: fmt.Sprintf("operator-%d", i)}
+		o.run(o.change)
+	}
+	s.disturb()
+	s.world.Run(faultTime)
+	s.faults = false
+	s.store.SetDown(false)
+	s.store.LoseAnswers(0)
+	s.network.SetLoss(0)
+	s.network.Mend()
+	for waited := time.Duration(0); waited < settleTime && len(s.accepted) < operators*changesEach; waited += time.Second {
+		s.world.Run(time.Second)
+	}
+	s.world.Run(quietTime)
+}
+
+func (s *schedule) check() {
+	if s.reverted != 0 {
+		s.t.Errorf("seed %d: %d versions went back", s.seed, s.reverted)
+	}
+	o, _ := s.store.Object(storer.KindConfig, storer.ConfigName)
+	stored, err := configurer.ParseStored(o.Value)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	present := map[string]int{}
+	for _, e := range stored.Exceptions {
+		present[e.Reason]++
+	}
+	for _, reason := range s.accepted {
+		if present[reason] != 1 {
+			s.t.Errorf("seed %d: accepted change %q is present %d times", s.seed, reason, present[reason])
+		}
+	}
+	if len(s.accepted) != operators*changesEach {
+		s.t.Errorf("seed %d: %d changes accepted", s.seed, len(s.accepted))
+	}
+	for _, n := range s.nodes {
+		if v := n.model.Version(storer.KindConfig, storer.ConfigName); v != o.Version {
+			s.t.Errorf("seed %d: %s holds version %d, not %d", s.seed, n.id, v, o.Version)
+		}
+	}
+}
+
+func document() configurer.Document {
+	return configurer.Document{Defaults: configurer.Defaults{
+		FleetSize: 9,
+		Regions:   []configurer.Region{{Name: "west", FailureDomains: []string{"west-a"}}},
+		Services: []configurer.Service{{
+			Name: "lessons", Timeout: configurer.Duration(time.Second),
+			Endpoints: []configurer.Endpoint{{Address: "10.0.0.1:9000", Region: "west", FailureDomain: "west-a", Slots: 3, MaxConnections: 9}},
+		}},
+		Routes: []configurer.Route{{PathPrefix: "/lessons/", Service: "lessons", OpenToAll: true}},
+		Teams:  []configurer.Team{{Name: "crew", RatePerSecond: 10, Burst: 5, Weight: 1}},
+	}}
+}
+
+func TestVersionsNeverGoBackAndAcceptedChangesStay(t *testing.T) {
+	seeds := scheduleSeeds
+	if n, err := strconv.Atoi(os.Getenv("SEAM_SCHEDULES")); err == nil {
+		seeds = n
+	}
+	for seed := range seeds {
+		s := newSchedule(t, uint64(seed))
+		s.run()
+		s.check()
+		if t.Failed() {
+			return
+		}
+	}
+}
