--- a/seam/applier/awaiter.go
+++ b/seam/applier/awaiter.go
@@ -42,6 +42,7 @@
 	KeyEvidenceAgeMS int64 `json:"keyEvidenceAgeMs"`
 	StoreReachable   bool  `json:"storeReachable"`
 	Watcher          bool  `json:"watcher,omitempty"`
+	ClientMapVersion int64 `json:"clientMapVersion,omitempty"`
 }
 
 // Progress is what is known of one instance while waiting.
@@ -95,6 +96,12 @@
 	return w.await(ctx, key.Name, func(s InstanceStatus) bool { return s.KeyVersion >= key.Version }, progress)
 }
 
+// Clients waits until every instance uses a client map that is at least as new
+// as the object.
+func (w *Awaiter) Clients(ctx context.Context, o storer.Object, progress func(Progress)) error {
+	return w.await(ctx, "", func(s InstanceStatus) bool { return s.ClientMapVersion >= o.Version }, progress)
+}
+
 // Status asks every listed instance once.
 func (w *Awaiter) Status(ctx context.Context) ([]Progress, error) {
 	list, err := w.store.Instances(ctx)
--- a/seam/spreader/calls.go
+++ b/seam/spreader/calls.go
@@ -131,7 +131,7 @@
 		return cmds
 	}
 	m.follow.busy = false
-	if msg.Answer.EvidenceAge > staleAfter {
+	if msg.Answer.EvidenceAge > staleAfter && !msg.Answer.More {
 		m.tryAnother(now)
 		return cmds
 	}
@@ -172,17 +172,31 @@
 	return time.Duration(m.rng.Int64N(int64(d)))
 }
 
-// Answer returns what this instance holds beyond a peer's request.
+// Answer returns what this instance holds beyond a peer's request, up to a
+// size. An answer that is cut there leaves the peer's positions as they are.
 func (m *Model) Answer(now time.Time, r Request, waited time.Duration) Answer {
-	return Answer{
+	answer := Answer{
 		Positions:        maps.Clone(m.positions),
 		Incarnation:      m.incarnation,
 		Serial:           m.serial,
-		Objects:          m.beyond(r),
 		Waited:           waited,
 		EvidenceAge:      m.evidence.age(now),
 		StoreUnreachable: m.Watching() && m.evidence.storeDown,
 	}
+	size := 0
+	for _, e := range m.beyond(r) {
+		if size > answerBytes {
+			answer.Positions = nil
+			answer.EvidenceAge = unknownAge
+			answer.More = true
+			return answer
+		}
+		size += len(e.object.Value)
+		answer.Objects = append(answer.Objects, e.object)
+		answer.Serial = e.serial
+	}
+	answer.Serial = m.serial
+	return answer
 }
 
 // HasNews reports whether an answer to the request would carry an object.
@@ -193,9 +207,9 @@
 	return len(m.beyond(r)) > 0
 }
 
-// beyond returns the objects that the sender of a request lacks: those taken
-// since its last answer, or else those after its positions.
-func (m *Model) beyond(r Request) []storer.Object {
+// beyond returns the entries that the sender of a request lacks, in the order
+// of taking: those since its last answer, or else those after its positions.
+func (m *Model) beyond(r Request) []entry {
 	var entries []entry
 	for _, kind := range kinds {
 		for _, e := range m.objects[kind] {
@@ -206,11 +220,7 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.serial, b.serial) })
-	objects := make([]storer.Object, 0, len(entries))
-	for _, e := range entries {
-		objects = append(objects, e.object)
-	}
-	return objects
+	return entries
 }
 
 func (r Request) position(kind storer.Kind) int64 {
--- a/seam/spreader/messages.go
+++ b/seam/spreader/messages.go
@@ -91,6 +91,8 @@
 	Incarnation uint64
 	Serial      uint64
 	Objects     []storer.Object
+	// More means that the answer was cut at its size.
+	More bool
 	// Waited is how long the peer held the call.
 	Waited time.Duration
 	// EvidenceAge is how old the peer's evidence for its keys was.
--- a/seam/spreader/spreader.go
+++ b/seam/spreader/spreader.go
@@ -31,15 +31,18 @@
 )
 
 // kinds lists what is spread; keys go first.
-var kinds = []storer.Kind{storer.KindKey, storer.KindConfig}
+var kinds = []storer.Kind{storer.KindKey, storer.KindConfig, storer.KindClientMap}
 
 const (
 	// keyWait is how long a watch of the keys waits at the store.
 	keyWait = 2 * time.Second
-	// configWait is how long a watch of the configuration waits at the store.
+	// configWait is how long a watch of another kind waits at the store.
 	configWait = 10 * time.Second
 	// relayWait is how long a watcher holds a follower's call.
 	relayWait = 1500 * time.Millisecond
+	// answerBytes is the size at which an answer to a follower ends; the rest
+	// follows in its next call.
+	answerBytes = 2 << 20
 	// staleAfter is the age of a watcher's key evidence at which a follower
 	// tries another watcher.
 	staleAfter = 4 * time.Second
--- a/seam/storer/http.go
+++ b/seam/storer/http.go
@@ -17,6 +17,8 @@
 const (
 	// callTimeout bounds one call to the store; a watch adds its own wait.
 	callTimeout = 2 * time.Second
+	// listTimeout bounds a list, which may be long.
+	listTimeout = 10 * time.Second
 	// maxAnswerBytes bounds what is read of one answer.
 	maxAnswerBytes = 64 << 20
 )
@@ -52,7 +54,7 @@
 
 func (s *httpStore) List(ctx context.Context, kind Kind) (Events, error) {
 	var e Events
-	err := s.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(string(kind)), nil, callTimeout, &e)
+	err := s.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(string(kind)), nil, listTimeout, &e)
 	return e, err
 }
 
--- a/seam/storer/storer.go
+++ b/seam/storer/storer.go
@@ -28,8 +28,10 @@
 	// KindConfigHistory holds replaced configurations in a ring of slots.
 	KindConfigHistory Kind = "configHistory"
 	KindKey           Kind = "key"
-	KindSeat          Kind = "seat"
-	KindStatus        Kind = "status"
+	// KindClientMap holds the shards of the client map and their manifest.
+	KindClientMap Kind = "clientMap"
+	KindSeat      Kind = "seat"
+	KindStatus    Kind = "status"
 )
 
 // ConfigName is the name of the configuration in force.
--- a/seamctl/commander/platform.go
+++ b/seamctl/commander/platform.go
@@ -154,8 +154,11 @@
 		printf(w, "in force: %s (%s) after %v\n", p.Instance.ID, p.Instance.Region, time.Since(started).Round(time.Millisecond))
 	}
 	wait := p.awaiter.Config
-	if o.Kind == storer.KindKey {
+	switch o.Kind {
+	case storer.KindKey:
 		wait = p.awaiter.Key
+	case storer.KindClientMap:
+		wait = p.awaiter.Clients
 	}
 	err := wait(ctx, o, progress)
 	if coder.Of(err) == coder.ConfigNotInForce {
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -52,6 +52,7 @@
 	peerClient  *http.Client
 	security    security
 	cancels     cancels
+	clients     *clients
 	// work ends when the daemon has shut down, stopping when it starts to.
 	work      context.Context
 	stopping  chan struct{}
@@ -118,6 +119,7 @@
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
 	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
+	d.clients = newClients(d)
 	d.loop.cancel = d.cancels.stop
 	d.spread = newSpread(d, seed)
 	d.table.Store(steerer.NewTable(nil, nil))
@@ -166,6 +168,7 @@
 	background, _ := errgroup.WithContext(work)
 	background.Go(func() error { d.loop.run(work); return nil })
 	background.Go(func() error { d.spread.run(work); return nil })
+	background.Go(func() error { d.clients.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
 
 	servers := []*server{
--- a/seamd/daemon/lookups.go
+++ b/seamd/daemon/lookups.go
@@ -28,7 +28,7 @@
 	table := d.table.Load()
 	region := ctx.URLParam("region")
 	if region == "" {
-		region = table.Region(clientAddress(ctx))
+		region = d.clients.region(clientAddress(ctx))
 	}
 	if region == "" {
 		region = d.settings.Instance.Region
--- a/seamd/daemon/relaycodec.go
+++ b/seamd/daemon/relaycodec.go
@@ -28,6 +28,7 @@
 		Positions: encodePositions(a.Positions), Incarnation: a.Incarnation, Serial: a.Serial,
 		Objects: encodeObjects(a.Objects), WaitedMs: uint32(a.Waited.Milliseconds()),
 		KeyEvidenceAgeMs: a.EvidenceAge.Milliseconds() + 1, StoreUnreachable: a.StoreUnreachable,
+		More: a.More,
 	}
 }
 
@@ -36,6 +37,7 @@
 		Positions: decodePositions(m.GetPositions()), Incarnation: m.GetIncarnation(), Serial: m.GetSerial(),
 		Objects: decodeObjects(m.GetObjects()), Waited: milliseconds(int64(m.GetWaitedMs())),
 		EvidenceAge: max(0, milliseconds(m.GetKeyEvidenceAgeMs())), StoreUnreachable: m.GetStoreUnreachable(),
+		More: m.GetMore(),
 	}
 }
 
--- a/seamd/daemon/status.go
+++ b/seamd/daemon/status.go
@@ -45,6 +45,7 @@
 		KeyEvidenceAgeMS: spread.evidenceAge.Milliseconds(),
 		StoreReachable:   spread.storeReachable,
 		Watcher:          spread.watching,
+		ClientMapVersion: d.clients.version.Load(),
 	}
 	if now.config != nil {
 		s.ConfigVersion = now.config.Version()
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -36,6 +36,7 @@
 		}
 	}
 	d.takeKeys(keys)
+	d.takeClients(objects)
 	for _, o := range objects {
 		if o.Kind == storer.KindConfig && o.Name == storer.ConfigName {
 			d.takeConfig(o)
@@ -50,6 +51,7 @@
 		return
 	}
 	d.config.Store(c)
+	d.clients.wakeUp()
 	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
 		d.configInForce(c)
 		d.log.Info("config: in force", zap.Int64("version", o.Version), zap.String("change", c.Change().ID))
