--- a/seam/decider/config.go
+++ b/seam/decider/config.go
@@ -56,3 +56,6 @@
 	}
 	return m.config.Services()
 }
+
+// Config returns the configuration in force, or nil.
+func (m *Model) Config() *configurer.Config { return m.config }
--- /dev/null
+++ b/seam/decider/keys_test.go
@@ -0,0 +1,85 @@
+package decider_test
+
+import (
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/decider"
+)
+
+func TestKeysWithoutFreshEvidenceAreNotTrusted(t *testing.T) {
+	m := newModel(t, 9)
+	m.Update(start, decider.KeyEvidence{At: start})
+	only[decider.Forward](t, m.Update(start.Add(configurer.DefaultKeyFreshness), arrival(1)))
+	late := start.Add(configurer.DefaultKeyFreshness + time.Millisecond)
+	if r := only[decider.Refuse](t, m.Update(late, arrival(2))); r.Code != coder.KeyEvidenceStale || r.Ran != coder.NotRun {
+		t.Fatalf("got %#v", r)
+	}
+	m.Update(late, decider.KeyEvidence{At: late})
+	only[decider.Forward](t, m.Update(late, arrival(3)))
+}
+
+func TestWithdrawalRefusesWaitingRequestsAndCutsForwardedOnes(t *testing.T) {
+	m := newModel(t, 1)
+	sent := only[decider.Forward](t, m.Update(start, arrival(1)))
+	only[decider.Forward](t, m.Update(start, arrival(2)))
+	m.Update(start, arrival(3)) // waits
+	r := only[decider.Refuse](t, m.Update(start, decider.KeysChanged{Keys: authenticator.NewKeyring(nil)}))
+	if r.ID != 3 || r.Code != coder.KeyUnknown || r.Ran != coder.NotRun {
+		t.Fatalf("got %#v", r)
+	}
+	for _, cmd := range m.Update(start.Add(time.Second), decider.Ticked{}) {
+		if _, ok := cmd.(decider.Cancel); ok {
+			t.Fatal("cut before the grace was over")
+		}
+	}
+	cuts := 0
+	for _, cmd := range m.Update(start.Add(2*time.Second), decider.Ticked{}) {
+		if _, ok := cmd.(decider.Cancel); ok {
+			cuts++
+		}
+	}
+	if cuts != 2 {
+		t.Fatalf("%d of 2 forwarded requests were cut", cuts)
+	}
+	cut := decider.AnswerEnded{ID: 1, Endpoint: sent.Endpoint, Result: coder.CallerGone, Ran: coder.NotRun}
+	if r := only[decider.Refuse](t, m.Update(start.Add(2*time.Second), cut)); r.Code != coder.KeyUnknown {
+		t.Fatalf("a cut request was tried again: %#v", r)
+	}
+}
+
+func TestKeyWorksUntilItExpires(t *testing.T) {
+	m := newModel(t, 9)
+	expires := start.Add(time.Hour)
+	record := authenticator.Record{Digest: authenticator.DigestOf(testKey), Team: "crew", Expires: &expires}
+	m.Update(start, decider.KeysChanged{Keys: authenticator.NewKeyring([]authenticator.Record{record})})
+	only[decider.Forward](t, m.Update(expires.Add(-time.Millisecond), arrival(1)))
+	if r := only[decider.Refuse](t, m.Update(expires, arrival(2))); r.Code != coder.KeyUnknown {
+		t.Fatalf("got %#v", r)
+	}
+}
+
+func TestExceptionExpiresWhenItsTimeComes(t *testing.T) {
+	m := newModel(t, 9)
+	on, expires := true, start.Add(time.Minute)
+	doc := m.Config().Document()
+	doc.Exceptions = []configurer.Exception{
+		{Reason: "a", Scope: configurer.Scope{Endpoint: "10.0.0.1:9000"}, Set: configurer.ExceptionSet{Draining: &on}, Expires: &expires},
+		{Reason: "b", Scope: configurer.Scope{Endpoint: "10.0.0.2:9000"}, Set: configurer.ExceptionSet{Draining: &on}, Expires: &expires},
+	}
+	c, err := configurer.New(doc, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Update(start, decider.ConfigChanged{Config: c})
+	if r := only[decider.Refuse](t, m.Update(start, arrival(1))); r.Code != coder.NoUpstream {
+		t.Fatalf("got %#v", r)
+	}
+	m.Update(expires.Add(-time.Millisecond), decider.Ticked{})
+	only[decider.Refuse](t, m.Update(expires.Add(-time.Millisecond), arrival(2)))
+	m.Update(expires, decider.Ticked{})
+	only[decider.Forward](t, m.Update(expires, arrival(3)))
+}
--- a/seam/spreader/schedule_test.go
+++ b/seam/spreader/schedule_test.go
@@ -358,6 +358,8 @@
 	}
 }
 
+func offered(o storer.Object) spreader.Msg { return spreader.Offered{Objects: []storer.Object{o}} }
+
 func document() configurer.Document {
 	return configurer.Document{Defaults: configurer.Defaults{
 		FleetSize: 9,
--- a/standin/storekeeper/storekeeper.go
+++ b/standin/storekeeper/storekeeper.go
@@ -57,6 +57,8 @@
 	down        bool
 	delay       time.Duration
 	loseAnswers int
+	// downAfter counts the writes until the store goes down; 0 is off.
+	downAfter int
 }
 
 // instanceChange is an entry of the list and when it becomes visible.
@@ -121,6 +123,13 @@
 	k.faults.loseAnswers = n
 }
 
+// DownAfterWrites lets the next n writes through and is down then.
+func (k *Keeper) DownAfterWrites(n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults.downAfter = n
+}
+
 // Calls returns the number of calls so far.
 func (k *Keeper) Calls() Calls {
 	k.mu.Lock()
@@ -160,6 +169,10 @@
 	if len(k.changes) > k.history {
 		k.changes = k.changes[len(k.changes)-k.history:]
 	}
+	if k.faults.downAfter > 0 {
+		k.faults.downAfter--
+		k.faults.down = k.faults.downAfter == 0
+	}
 	k.wakeWatches()
 	return o, true
 }
