--- /dev/null
+++ b/seam/schemer/schemer.go
@@ -0,0 +1,44 @@
+// Package schemer describes the configuration as a JSON Schema, for editors and
+// other tools. The schema covers form; seamctl config check covers the rest.
+//
+// # Usage
+//
+//	data, err := schemer.Configuration()
+package schemer
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"time"
+
+	"github.com/invopop/jsonschema"
+
+	"primroseseam.org/seam/configurer"
+)
+
+// durationPattern matches Go durations such as "1.5s" and "1m30s".
+const durationPattern = `^-?([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$|^0$`
+
+// Configuration returns the schema of the configuration as indented JSON.
+func Configuration() ([]byte, error) {
+	reflector := &jsonschema.Reflector{Anonymous: true, Mapper: mapType}
+	schema := reflector.Reflect(configurer.Stored{})
+	schema.Title = "primroseseam configuration"
+	data, err := json.MarshalIndent(schema, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode schema: %w", err)
+	}
+	return append(data, '\n'), nil
+}
+
+// mapType describes types that encode themselves.
+func mapType(t reflect.Type) *jsonschema.Schema {
+	switch t {
+	case reflect.TypeFor[configurer.Duration]():
+		return &jsonschema.Schema{Type: "string", Pattern: durationPattern}
+	case reflect.TypeFor[time.Time]():
+		return &jsonschema.Schema{Type: "string", Format: "date-time"}
+	}
+	return nil
+}
--- a/seamctl/commander/config.go
+++ b/seamctl/commander/config.go
@@ -14,6 +14,7 @@
 
 	"primroseseam.org/seam/applier"
 	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/schemer"
 	"primroseseam.org/seam/storer"
 )
 
@@ -21,7 +22,7 @@
 	parent := &cobra.Command{Use: "config", Short: "Check, change and follow the fleet's configuration"}
 	parent.AddCommand(
 		configCheckCommand(), configShowCommand(), configDiffCommand(), configApplyCommand(),
-		configStatusCommand(), configHistoryCommand(), configExplainCommand(),
+		configStatusCommand(), configHistoryCommand(), configExplainCommand(), configSchemaCommand(),
 	)
 	return parent
 }
@@ -55,6 +56,19 @@
 	}
 }
 
+func configSchemaCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "schema",
+		Short: "Print the JSON Schema of a configuration file",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			data, err := schemer.Configuration()
+			printf(cmd.OutOrStdout(), "%s", data)
+			return err
+		},
+	}
+}
+
 func configShowCommand() *cobra.Command {
 	var p platform
 	cmd := &cobra.Command{
--- /dev/null
+++ b/seamd/daemon/fuzz_test.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "primroseseam.org/seam/gen/peer/v1"
+	"primroseseam.org/seam/spreader"
+	"primroseseam.org/seam/storer"
+)
+
+// FuzzRelayMessages feeds any message of a peer to an instance.
+func FuzzRelayMessages(f *testing.F) {
+	answer := spreader.Answer{
+		Positions:   map[storer.Kind]int64{storer.KindKey: 7, storer.KindConfig: 9},
+		Incarnation: 1, Serial: 2, EvidenceAge: time.Second, Waited: time.Second,
+		Objects: []storer.Object{{Kind: storer.KindConfig, Name: storer.ConfigName, Version: 9, Value: []byte("{}")}},
+	}
+	for _, m := range []proto.Message{encodeAnswer(answer), encodeFollow(spreader.Request{Wait: time.Second})} {
+		data, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+		model := spreader.New(spreader.WithSelf("a", "west"))
+		peer := spreader.Watcher{ID: "b", Region: "west"}
+		model.Update(now, spreader.WatchersChanged{Watchers: []spreader.Watcher{peer}})
+		held := storer.Object{Kind: storer.KindConfig, Name: storer.ConfigName, Version: 5}
+		model.Update(now, spreader.Offered{Objects: []storer.Object{held}})
+		var response peerv1.FollowResponse
+		if proto.Unmarshal(data, &response) == nil {
+			msg := spreader.PeerAnswered{Call: spreader.Follow{Peer: peer}, Sent: now, Answer: decodeAnswer(&response)}
+			model.Update(now.Add(time.Second), msg)
+			if v := model.Version(storer.KindConfig, storer.ConfigName); v < held.Version {
+				t.Fatalf("went back to version %d", v)
+			}
+			if model.KeyEvidence().After(now.Add(time.Second)) {
+				t.Fatalf("evidence of the future: %v", model.KeyEvidence())
+			}
+		}
+		var request peerv1.FollowRequest
+		if proto.Unmarshal(data, &request) == nil {
+			decoded := decodeFollow(&request)
+			if news := model.HasNews(decoded); news != (len(model.Answer(now, decoded, 0).Objects) > 0) {
+				t.Fatalf("news %t, but the answer differs", news)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/seamd/loader/fuzz_test.go
@@ -0,0 +1,33 @@
+package loader_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seamd/loader"
+)
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"instance":{"id":"a","region":"west","failureDomain":"west-a"},
+		"listen":{"callers":"10.0.0.1:8080","lookups":"10.0.0.1:8081","peers":"10.0.0.1:8082","metrics":"10.0.0.1:8083"},
+		"platform":{"address":"https://10.0.0.9:7000"},"shutdown":{"linger":"2s"},
+		"security":{"peers":{"certFile":"a.pem","keyFile":"a.key","caFile":"ca.pem"}}}`))
+	f.Add([]byte(`{"security":{"unauthenticatedPeers":true}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := loader.Parse(data)
+		if err != nil {
+			if coder.Of(err) != coder.SettingsInvalid {
+				t.Fatalf("an error without its code: %v", err)
+			}
+			return
+		}
+		again, err := json.Marshal(s)
+		if err != nil {
+			t.Fatalf("valid settings can't be written: %v", err)
+		}
+		if _, err := loader.Parse(again); err != nil {
+			t.Fatalf("what was written is not valid: %v", err)
+		}
+	})
+}
