Measure what spreading costs, and let watchers grow with their region

Cause: two watchers for each region would serve 27 followers each at 440 instances, 13 KB/s at the 512 B/s that one follower cost.

Change: a watcher for every nine instances of a region, followers shared by rank, a hold of 2 s instead of 1.5 s. Store calls are counted as metrics. seamctl measure spread, withdrawal and cost run the measurements.

--- a/seam/spreader/calls.go
+++ b/seam/spreader/calls.go
@@ -36,6 +36,17 @@
 	return near
 }
 
+// choose returns the watcher whose turn it is: first each one of this region,
+// starting at this instance's rank, then the others.
+func (m *Model) choose(list []Watcher) Watcher {
+	near := len(m.nearWatchers())
+	turn := m.follow.next % len(list)
+	if turn < near {
+		return list[(m.follow.rank+turn)%near]
+	}
+	return list[turn]
+}
+
 // candidates returns the watchers to follow, those of this region first.
 func (m *Model) candidates() []Watcher {
 	list := m.nearWatchers()
@@ -109,7 +120,7 @@
 		return nil
 	}
 	m.follow.busy = true
-	peer := list[m.follow.next%len(list)]
+	peer := m.choose(list)
 	return []Cmd{Follow{Peer: peer, Request: m.request(peer, relayWait)}}
 }
 
--- a/seam/spreader/messages.go
+++ b/seam/spreader/messages.go
@@ -10,7 +10,12 @@
 type Msg interface{ isMsg() }
 
 // WatchersChanged brings the watchers of all regions.
-type WatchersChanged struct{ Watchers []Watcher }
+type WatchersChanged struct {
+	Watchers []Watcher
+	// Rank is the place of this instance among its region's followers, by
+	// which they share the watchers evenly.
+	Rank int
+}
 
 // StoreAnswered carries the answer to a ReadStore.
 type StoreAnswered struct {
--- a/seam/spreader/spreader.go
+++ b/seam/spreader/spreader.go
@@ -39,7 +39,7 @@
 	// configWait is how long a watch of another kind waits at the store.
 	configWait = 10 * time.Second
 	// relayWait is how long a watcher holds a follower's call.
-	relayWait = 1500 * time.Millisecond
+	relayWait = 2 * time.Second
 	// answerBytes is the size at which an answer to a follower ends; the rest
 	// follows in its next call.
 	answerBytes = 2 << 20
@@ -98,8 +98,9 @@
 	busy     bool
 	notUntil time.Time
 	failures int
-	// next counts the watchers tried.
+	// next counts the watchers tried, starting at rank.
 	next  int
+	rank  int
 	peers map[string]answered
 }
 
@@ -175,19 +176,24 @@
 	return append(cmds, m.next(now)...)
 }
 
-// watchersChanged takes another list of watchers, ordered so that followers
-// spread over those of their region.
+// watchersChanged takes another list of watchers. Followers start at their rank
+// among those of their region, and turn to the rest in random order.
 func (m *Model) watchersChanged(msg WatchersChanged) {
-	m.follow.next = 0
 	m.follow.notUntil = time.Time{}
 	for _, c := range m.store {
 		c.notUntil = time.Time{}
 	}
 	m.watchers = slices.Clone(msg.Watchers)
-	slices.SortFunc(m.watchers, func(a, b Watcher) int { return cmp.Compare(a.ID, b.ID) })
 	m.rng.Shuffle(len(m.watchers), func(i, j int) {
 		m.watchers[i], m.watchers[j] = m.watchers[j], m.watchers[i]
 	})
+	slices.SortStableFunc(m.watchers, func(a, b Watcher) int {
+		if a.Region != m.region || b.Region != m.region {
+			return 0
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	m.follow.next, m.follow.rank = 0, msg.Rank
 }
 
 // Watching reports whether this instance is a watcher.
--- a/seam/spreader/watchers.go
+++ b/seam/spreader/watchers.go
@@ -9,13 +9,18 @@
 	"primroseseam.org/seam/storer"
 )
 
-// watchersPerRegion is the number of instances of a region that follow the
-// store.
-const watchersPerRegion = 2
+const (
+	// minWatchers is the least number of a region's instances that follow the
+	// store, so that one may fail.
+	minWatchers = 2
+	// followersPerWatcher bounds the calls that a watcher holds open, and by
+	// them its bytes a second.
+	followersPerWatcher = 8
+)
 
 // ChooseWatchers picks the watchers of every region from the platform's list:
-// those with the greatest hash, from different failure domains if there are
-// any. Lists that differ give more watchers for a while, never a wrong one.
+// those with the greatest hash, spread evenly over the failure domains. Lists
+// that differ give more watchers for a while, never a wrong one.
 func ChooseWatchers(list []storer.Instance) []Watcher {
 	live := slices.DeleteFunc(slices.Clone(list), func(i storer.Instance) bool {
 		return i.State != storer.InstanceLive
@@ -23,27 +28,55 @@
 	slices.SortFunc(live, func(a, b storer.Instance) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(b.ID), xxhash.Sum64String(a.ID)), cmp.Compare(a.ID, b.ID))
 	})
+	want := wantedWatchers(live)
 	chosen := map[string]int{}
-	domains := map[string]bool{}
 	var watchers []Watcher
-	var spare []storer.Instance
-	choose := func(i storer.Instance) {
-		chosen[i.Region]++
-		watchers = append(watchers, Watcher{ID: i.ID, Region: i.Region, Address: i.PeerAddress})
+	for len(live) > 0 {
+		perDomain := map[string]int{}
+		var rest []storer.Instance
+		for _, i := range live {
+			domain := i.Region + "/" + i.FailureDomain
+			switch {
+			case chosen[i.Region] == want[i.Region]:
+			case perDomain[domain] > 0:
+				rest = append(rest, i)
+			default:
+				perDomain[domain]++
+				chosen[i.Region]++
+				watchers = append(watchers, Watcher{ID: i.ID, Region: i.Region, Address: i.PeerAddress})
+			}
+		}
+		live = rest
 	}
+	return watchers
+}
+
+// wantedWatchers returns the number of watchers for each region.
+func wantedWatchers(live []storer.Instance) map[string]int {
+	count := map[string]int{}
 	for _, i := range live {
-		domain := i.Region + "/" + i.FailureDomain
-		if domains[domain] || chosen[i.Region] == watchersPerRegion {
-			spare = append(spare, i)
-			continue
-		}
-		domains[domain] = true
-		choose(i)
+		count[i.Region]++
 	}
-	for _, i := range spare {
-		if chosen[i.Region] < watchersPerRegion {
-			choose(i)
+	want := map[string]int{}
+	for region, n := range count {
+		const share = followersPerWatcher + 1
+		want[region] = max(minWatchers, (n+share-1)/share)
+	}
+	return want
+}
+
+// RankOf returns the place of an instance among the followers of its region.
+func RankOf(self string, list []storer.Instance, watchers []Watcher) int {
+	i := slices.IndexFunc(list, func(i storer.Instance) bool { return i.ID == self })
+	if i < 0 {
+		return 0
+	}
+	rank := 0
+	for _, other := range list {
+		watching := slices.ContainsFunc(watchers, func(w Watcher) bool { return w.ID == other.ID })
+		if other.Region == list[i].Region && other.ID < self && !watching {
+			rank++
 		}
 	}
-	return watchers
+	return rank
 }
--- /dev/null
+++ b/seam/spreader/watchers_test.go
@@ -0,0 +1,38 @@
+package spreader_test
+
+import (
+	"fmt"
+	"testing"
+
+	"primroseseam.org/seam/spreader"
+	"primroseseam.org/seam/storer"
+)
+
+func TestWatchersSpreadOverFailureDomainsAndGrowWithTheRegion(t *testing.T) {
+	for _, c := range []struct{ instances, want int }{{1, 1}, {2, 2}, {10, 2}, {55, 7}} {
+		var list []storer.Instance
+		for i := range c.instances {
+			list = append(list, storer.Instance{
+				ID: fmt.Sprintf("i%d", i), Region: "west", FailureDomain: fmt.Sprintf("west-%d", i%3), State: storer.InstanceLive,
+			})
+		}
+		list = append(list, storer.Instance{ID: "leaving", Region: "west", FailureDomain: "west-9", State: storer.InstanceLeaving})
+		domains := map[string]int{}
+		watchers := spreader.ChooseWatchers(list)
+		for _, w := range watchers {
+			for _, i := range list {
+				if i.ID == w.ID {
+					domains[i.FailureDomain]++
+				}
+			}
+		}
+		if len(watchers) != c.want || domains["west-9"] != 0 {
+			t.Errorf("%d watchers of %d instances, by domain %v", len(watchers), c.instances, domains)
+		}
+		for domain, n := range domains {
+			if n > (c.want+len(domains)-1)/len(domains) {
+				t.Errorf("%d of %d watchers are in %s", n, c.want, domain)
+			}
+		}
+	}
+}
--- a/seamctl/commander/commander.go
+++ b/seamctl/commander/commander.go
@@ -32,7 +32,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(demoCommand())
-	root.AddCommand(configCommand(), keyCommand(), upstreamCommand(), clientsCommand())
+	root.AddCommand(configCommand(), keyCommand(), upstreamCommand(), clientsCommand(), measureCommand())
 	root.AddCommand(traceCommand(), replayCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(stderr, "seamctl:", err)
--- /dev/null
+++ b/seamctl/commander/measure.go
@@ -0,0 +1,77 @@
+package commander
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"primroseseam.org/seamctl/measurer"
+)
+
+func measureCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "measure", Short: "Measure a small fleet in this process"}
+	parent.AddCommand(measureSpreadCommand(), measureWithdrawalCommand(), measureCostCommand())
+	return parent
+}
+
+func measureSpreadCommand() *cobra.Command {
+	var plan measurer.SpreadPlan
+	cmd := &cobra.Command{
+		Use:   "spread",
+		Short: "Measure how soon changes of the configuration are in force",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			report, err := measurer.Spread(cmd.Context(), plan)
+			if err != nil {
+				return err
+			}
+			return writeIndented(cmd.OutOrStdout(), report)
+		},
+	}
+	cmd.Flags().IntVar(&plan.Instances, "instances", 10, "number of instances")
+	cmd.Flags().IntVar(&plan.Changes, "changes", 200, "number of changes")
+	cmd.Flags().BoolVar(&plan.SilenceWatchers, "silence-watchers", false, "let one watcher of every region fall silent")
+	cmd.Flags().IntVar(&plan.History, "history", 0, "changes that the store keeps for watches; 0 means many")
+	return cmd
+}
+
+func measureWithdrawalCommand() *cobra.Command {
+	plan := measurer.WithdrawalPlan{Watch: 6 * time.Second}
+	cmd := &cobra.Command{
+		Use:   "withdrawal",
+		Short: "Measure how soon a withdrawn key stops working on open connections",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			report, err := measurer.Withdrawal(cmd.Context(), plan)
+			if err != nil {
+				return err
+			}
+			return writeIndented(cmd.OutOrStdout(), report)
+		},
+	}
+	cmd.Flags().IntVar(&plan.Instances, "instances", 10, "number of instances")
+	cmd.Flags().IntVar(&plan.Connections, "connections", 50, "number of connections")
+	cmd.Flags().BoolVar(&plan.StoreDown, "store-down", false, "let the store fail right after it accepted")
+	cmd.Flags().DurationVar(&plan.Work, "work", 5*time.Millisecond, "how long the upstreams take")
+	return cmd
+}
+
+func measureCostCommand() *cobra.Command {
+	var plan measurer.CostPlan
+	cmd := &cobra.Command{
+		Use:   "cost",
+		Short: "Measure what spreading costs at rest and for each change",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			report, err := measurer.Cost(cmd.Context(), plan)
+			if err != nil {
+				return err
+			}
+			return writeIndented(cmd.OutOrStdout(), report)
+		},
+	}
+	cmd.Flags().IntVar(&plan.Instances, "instances", 10, "number of instances")
+	cmd.Flags().IntVar(&plan.Changes, "changes", 50, "number of changes")
+	cmd.Flags().DurationVar(&plan.Idle, "idle", 15*time.Second, "how long the fleet is watched at rest")
+	return cmd
+}
--- a/seamctl/measurer/fleet.go
+++ b/seamctl/measurer/fleet.go
@@ -90,12 +90,13 @@
 }
 
 // startFleet starts instances and waits until all run the configuration.
-func startFleet(ctx context.Context, instances int, work time.Duration) (*fleet, error) {
+func startFleet(ctx context.Context, instances int, work time.Duration, keeper ...storekeeper.Option) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "seam-measure-")
 	if err != nil {
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
-	f := &fleet{dir: dir, work: work, secret: []byte(rand.Text() + rand.Text())}
+	keeper = append(keeper, storekeeper.WithListLag(100*time.Millisecond))
+	f := &fleet{dir: dir, keeper: storekeeper.New(keeper...), work: work, secret: []byte(rand.Text() + rand.Text())}
 	if err := f.start(ctx, instances); err != nil {
 		f.stop()
 		return nil, err
@@ -107,7 +108,6 @@
 	if err := os.WriteFile(f.secretFile(), f.secret, 0o600); err != nil {
 		return fmt.Errorf("write secret: %w", err)
 	}
-	f.keeper = storekeeper.New(storekeeper.WithListLag(100 * time.Millisecond))
 	address, err := f.serve(f.keeper)
 	if err != nil {
 		return err
--- a/seamctl/measurer/gate.go
+++ b/seamctl/measurer/gate.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // gate passes connections on to one address. Once it is silent nothing passes
@@ -12,6 +13,7 @@
 type gate struct {
 	target string
 	socket net.Listener
+	bytes  atomic.Int64
 
 	mu     sync.Mutex
 	silent bool
@@ -60,6 +62,7 @@
 			_, _ = io.Copy(io.Discard, from)
 			return
 		}
+		g.bytes.Add(int64(n))
 		if n > 0 {
 			_, _ = to.Write(buffer[:n])
 		}
--- a/seamctl/measurer/measurer_test.go
+++ b/seamctl/measurer/measurer_test.go
@@ -21,14 +21,16 @@
 	for _, c := range []struct {
 		name    string
 		silence bool
+		history int
 		limit   time.Duration
 	}{
-		{"storeUp", false, 2 * time.Second},
-		{"halfOfTheWatchersSilent", true, 5 * time.Second},
+		{"storeUp", false, 0, 2 * time.Second},
+		{"watchesCompacted", false, 1, 2 * time.Second},
+		{"halfOfTheWatchersSilent", true, 0, 5 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			report, err := measurer.Spread(context.Background(), measurer.SpreadPlan{
-				Instances: 10, Changes: changes(), SilenceWatchers: c.silence,
+				Instances: 10, Changes: changes(), SilenceWatchers: c.silence, History: c.history,
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/seamctl/measurer/spread.go
+++ b/seamctl/measurer/spread.go
@@ -22,6 +22,9 @@
 	SilenceWatchers bool
 	// Pause is the wait between two changes.
 	Pause time.Duration
+	// History is the number of changes that the store keeps for watches; 0
+	// means many. With few of them watches have to start again by lists.
+	History int
 }
 
 // SpreadReport is what was measured, from the proposal of a change to the
@@ -39,7 +42,11 @@
 
 // Spread applies changes one after the other and measures each.
 func Spread(ctx context.Context, plan SpreadPlan) (SpreadReport, error) {
-	f, err := startFleet(ctx, plan.Instances, 0)
+	var keeper []storekeeper.Option
+	if plan.History > 0 {
+		keeper = append(keeper, storekeeper.WithHistory(plan.History))
+	}
+	f, err := startFleet(ctx, plan.Instances, 0, keeper...)
 	if err != nil {
 		return SpreadReport{}, err
 	}
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -108,6 +108,7 @@
 		}
 		d.store = store
 	}
+	d.store = storer.Observe(d.store, d.countStoreCall)
 	if err := d.secure(); err != nil {
 		return nil, err
 	}
--- a/seamd/daemon/relay.go
+++ b/seamd/daemon/relay.go
@@ -130,7 +130,8 @@
 	s.watchers = watchers
 	s.mu.Unlock()
 	if !same {
-		s.update(ctx, spreader.WatchersChanged{Watchers: watchers})
+		rank := spreader.RankOf(s.daemon.settings.Instance.ID, list, watchers)
+		s.update(ctx, spreader.WatchersChanged{Watchers: watchers, Rank: rank})
 	}
 }
 
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"time"
 
@@ -18,6 +19,15 @@
 // instancesEvery is the time between two reads of the instance list.
 const instancesEvery = time.Second
 
+// countStoreCall counts a call to the platform's service.
+func (d *Daemon) countStoreCall(c storer.Call) {
+	labels := fmt.Sprintf(`{method=%q,kind=%q,result=%q}`, c.Method, string(c.Kind), c.Result)
+	d.metrics.GetOrCreateCounter("seam_store_calls_total" + labels).Inc()
+	if c.Method != "watch" {
+		d.metrics.GetOrCreateHistogram("seam_store_call_seconds").Update(c.Took.Seconds())
+	}
+}
+
 // readKind lists a kind or watches it, as the call says.
 func (d *Daemon) readKind(ctx context.Context, call spreader.ReadStore) (storer.Events, error) {
 	if call.Position < 0 {
