Run the demo with faults and a checker at both ends

Cause: the demo sent quiet traffic and checked four promises. Change: nine faults by name, twelve promises checked at callers and upstream stand-ins, measures by team, and mechanisms that tests turn off through a Go-only daemon option. Stand-ins gain cold starts, lying and lagging load reports, connections that go silent for good, late and duplicated answers. A planned stop serves through its linger, then refuses, then closes.

--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -70,6 +70,8 @@
 	ConfigNotInForce Code = 202
 	// SettingsInvalid means that a settings file failed its checks.
 	SettingsInvalid Code = 210
+	// ArgumentInvalid means that a flag or argument has no valid value.
+	ArgumentInvalid Code = 220
 
 	// StoreUnavailable means that the platform's store didn't answer.
 	StoreUnavailable Code = 300
--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -29,6 +29,7 @@
 	_ = x[ConfigConflict-201]
 	_ = x[ConfigNotInForce-202]
 	_ = x[SettingsInvalid-210]
+	_ = x[ArgumentInvalid-220]
 	_ = x[StoreUnavailable-300]
 	_ = x[StoreConflict-301]
 	_ = x[StoreNotFound-302]
@@ -43,7 +44,8 @@
 	_Code_name_3 = "UpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGone"
 	_Code_name_4 = "ConfigInvalidConfigConflictConfigNotInForce"
 	_Code_name_5 = "SettingsInvalid"
-	_Code_name_6 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
+	_Code_name_6 = "ArgumentInvalid"
+	_Code_name_7 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
 )
 
 var (
@@ -51,7 +53,7 @@
 	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72}
 	_Code_index_3 = [...]uint8{0, 14, 29, 45, 59, 69}
 	_Code_index_4 = [...]uint8{0, 13, 27, 43}
-	_Code_index_6 = [...]uint8{0, 16, 29, 42, 56, 75}
+	_Code_index_7 = [...]uint8{0, 16, 29, 42, 56, 75}
 )
 
 func (i Code) String() string {
@@ -72,9 +74,11 @@
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
 	case i == 210:
 		return _Code_name_5
+	case i == 220:
+		return _Code_name_6
 	case 300 <= i && i <= 304:
 		i -= 300
-		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
+		return _Code_name_7[_Code_index_7[i]:_Code_index_7[i+1]]
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/seam/storer/storer.go
+++ b/seam/storer/storer.go
@@ -30,6 +30,9 @@
 	KindStatus Kind = "status"
 )
 
+// ConfigName is the name of the configuration in force.
+const ConfigName = "current"
+
 // Object is a versioned value in the store. Version 0 means that the object
 // does not exist yet.
 type Object struct {
--- a/seamctl/demonstrator/checker.go
+++ b/seamctl/demonstrator/checker.go
@@ -1,41 +1,132 @@
 package demonstrator
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
-	"slices"
 	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
+	"primroseseam.org/seam/coder"
 	"primroseseam.org/standin/responder"
 )
 
-// outcome is what a caller saw of one request.
+// kind says how an attempt of a caller ended.
+type kind int
+
+const (
+	answered kind = iota
+	refused
+	failed
+)
+
+// outcome is what a caller saw of one attempt.
 type outcome struct {
-	team    string
-	path    string
-	latency time.Duration
-	right   bool
-	refused bool
-	notRun  bool
-	failed  bool
+	team     string
+	path     string
+	instance string
+	sentAt   time.Time
+	latency  time.Duration
+	kind     kind
+	// right means that the answer was whole and the request's own.
+	right         bool
+	upstreamError bool
+	code          coder.Code
+	notRun        bool
+	// notSent means that no connection to the instance could be opened.
+	notSent    bool
+	idempotent bool
+	// direct attempts don't follow look-ups.
+	direct bool
+	// final is the last attempt of its request.
+	final bool
+}
+
+// askElsewhere reports whether the request is known not to have run and
+// another instance may take it.
+func (o outcome) askElsewhere() bool {
+	return o.notSent || (o.kind == refused && o.code == coder.Stopping && o.notRun)
 }
 
-// checker compares what callers and upstreams saw. It is safe for concurrent
-// use.
+// arrival is a request that an upstream received.
+type arrival struct {
+	at   time.Time
+	team string
+	// crossed means that it came from another region's instance.
+	crossed bool
+	from    string
+	to      string
+	bytes   int64
+}
+
+// checker keeps what callers and upstreams saw. It is safe for concurrent use.
 type checker struct {
 	mu       sync.Mutex
+	regions  map[string]string // region by instance id
 	outcomes []outcome
-	runs     map[string]int
-	seen     int
-	wrongFor int
-	keysSeen int
+	runs     map[string]int // runs by path
+	arrivals []arrival
+	// transfers are the ends of requests between regions.
+	transfers []arrival
+	crossing  map[string]int // requests in progress from other regions, by region
+	sharing   map[string]int // slots that a region gives to others
+
+	keysSeen     int
+	wrongTeam    int
+	overloads    int
+	cancelled    int
+	withDeadline int
+	shed         int
+
+	drains   map[string]*drain
+	key      withdrawal
+	stop     plannedStop
+	configs  []*acceptedConfig
+	headroom []float64
+}
+
+// drain is an endpoint that leaves.
+type drain struct {
+	service string
+	at      time.Time
+	lastNew time.Time
+	lastEnd time.Time
+	// checked counts the service's requests after the limit, late those that
+	// the leaving endpoint got.
+	checked int
+	late    int
+}
+
+// withdrawal is the key that is taken out of use.
+type withdrawal struct {
+	at       time.Time
+	lastGood time.Time
+	checked  int
+	late     int
+}
+
+// plannedStop is the instance that stops gracefully.
+type plannedStop struct {
+	address string
+	at      time.Time
+	took    time.Duration
+}
+
+// acceptedConfig is a configuration change and where it is known to be in
+// force.
+type acceptedConfig struct {
+	route   string
+	at      time.Time
+	inForce map[string]time.Time
+	checked int
+	late    int
+	reverts int
 }
 
-func newChecker() *checker { return &checker{runs: map[string]int{}} }
+func newChecker() *checker {
+	return &checker{
+		regions: map[string]string{}, runs: map[string]int{}, crossing: map[string]int{},
+		sharing: map[string]int{}, drains: map[string]*drain{},
+	}
+}
 
 func (c *checker) callerSaw(o outcome) {
 	c.mu.Lock()
@@ -43,26 +134,89 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
-func (c *checker) upstreamSaw(s responder.Seen) {
+// upstreamSaw takes both calls of an upstream's observer.
+func (c *checker) upstreamSaw(e *endpoint, s responder.Seen) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seen++
+	a := c.arrivalOf(e, s)
+	if s.Ended {
+		c.requestEnded(e, s, a)
+		return
+	}
+	c.arrivals = append(c.arrivals, a)
 	if s.Ran {
 		c.runs[s.Path]++
+	} else {
+		c.shed++
+	}
+	if s.Deadline > 0 {
+		c.withDeadline++
 	}
 	if !strings.Contains(s.Path, "/"+s.Team+"/") {
-		c.wrongFor++
+		c.wrongTeam++
 	}
 	if carriesKey(s) {
 		c.keysSeen++
 	}
+	if a.crossed {
+		c.crossing[e.region]++
+		if c.crossing[e.region] > c.sharing[e.region] {
+			c.overloads++
+		}
+	}
+	c.checkDrains(e, s)
+}
+
+// arrivalOf finds the instance that sent a request by the request's id.
+func (c *checker) arrivalOf(e *endpoint, s responder.Seen) arrival {
+	a := arrival{at: s.At, team: s.Team, to: e.region, bytes: s.Bytes}
+	if cut := strings.LastIndexByte(s.RequestID, '-'); cut > 0 {
+		a.from = c.regions[s.RequestID[:cut]]
+	}
+	a.crossed = a.from != "" && a.from != e.region
+	return a
+}
+
+func (c *checker) requestEnded(e *endpoint, s responder.Seen, a arrival) {
+	if s.Cancelled {
+		c.cancelled++
+	}
+	if a.crossed {
+		c.crossing[e.region]--
+		c.transfers = append(c.transfers, a)
+	}
+	if d, ok := c.drains[e.address]; ok {
+		d.lastEnd = s.At
+	}
+}
+
+func (c *checker) checkDrains(e *endpoint, s responder.Seen) {
+	for address, d := range c.drains {
+		if d.service != e.service || s.At.Sub(d.at) < 0 {
+			continue
+		}
+		late := s.At.Sub(d.at) > drainLimit
+		if late {
+			d.checked++
+		}
+		if address != e.address {
+			continue
+		}
+		d.lastNew = s.At
+		if late {
+			d.late++
+		}
+	}
 }
 
-// carriesKey looks for a key in any header.
+// carriesKey looks for a key in everything that came with a request.
 func carriesKey(s responder.Seen) bool {
+	if strings.Contains(s.Query, keyPrefix) || strings.Contains(s.Path, keyPrefix) || strings.Contains(s.Body, keyPrefix) {
+		return true
+	}
 	for _, values := range s.Headers {
 		for _, v := range values {
-			if strings.Contains(v, "seam_") {
+			if strings.Contains(v, keyPrefix) {
 				return true
 			}
 		}
@@ -70,109 +224,82 @@
 	return false
 }
 
-// Promise counts the checks of one promise.
-type Promise struct {
-	Name       string `json:"name"`
-	Checked    int    `json:"checked"`
-	Violations int    `json:"violations"`
+func (c *checker) drainBegan(e *endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.drains[e.address] = &drain{service: e.service, at: now, lastNew: now, lastEnd: now}
 }
 
-// Report is the result of a run.
-type Report struct {
-	Deployment string             `json:"deployment"`
-	Seed       uint64             `json:"seed"`
-	Promises   []Promise          `json:"promises"`
-	Measures   map[string]float64 `json:"measures"`
+func (c *checker) keyWithdrawn(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.key.at = at
 }
 
-// Holds reports whether every promise was checked and none was violated.
-func (r Report) Holds() bool {
-	for _, p := range r.Promises {
-		if p.Checked == 0 || p.Violations > 0 {
-			return false
-		}
+// keyUsed takes an attempt with the key that is withdrawn during the run.
+func (c *checker) keyUsed(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.key.at.IsZero() || o.sentAt.Before(c.key.at) || o.kind == failed {
+		return
 	}
-	return true
-}
-
-// WriteTable prints the report for people.
-func (r Report) WriteTable(w io.Writer) error {
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintf(t, "deployment\t%s\nseed\t%d\n\npromise\tchecked\tviolations\n", r.Deployment, r.Seed)
-	for _, p := range r.Promises {
-		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\n", p.Name, p.Checked, p.Violations)
+	if o.kind == answered {
+		c.key.lastGood = o.sentAt
 	}
-	_, _ = fmt.Fprintf(t, "\nmeasure\tvalue\n")
-	names := make([]string, 0, len(r.Measures))
-	for name := range r.Measures {
-		names = append(names, name)
+	if o.sentAt.Sub(c.key.at) <= withdrawalLimit {
+		return
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		_, _ = fmt.Fprintf(t, "%s\t%.2f\n", name, r.Measures[name])
+	c.key.checked++
+	if o.kind == answered || o.code != coder.KeyUnknown && !o.notRun {
+		c.key.late++
 	}
-	return t.Flush()
 }
 
-// WriteJSON prints the report for programs.
-func (r Report) WriteJSON(w io.Writer) error {
-	enc := json.NewEncoder(w)
-	enc.SetIndent("", "  ")
-	return enc.Encode(r)
+func (c *checker) stopBegan(address string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stop.address, c.stop.at = address, at
+}
+
+func (c *checker) stopEnded(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stop.took = took
 }
 
-func (c *checker) report(deployment string, seed uint64) Report {
+func (c *checker) configAccepted(route string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	whole := Promise{Name: "wholeAnswers"}
-	notRun := Promise{Name: "notRunIsTrue"}
-	var latencies []time.Duration
-	var refused, failed int
-	for _, o := range c.outcomes {
+	c.configs = append(c.configs, &acceptedConfig{route: route, at: at, inForce: map[string]time.Time{}})
+}
+
+// probed takes whether a route was in force at an instance.
+func (c *checker) probed(instance, route string, sentAt time.Time, inForce bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.configs {
+		if a.route != route {
+			continue
+		}
+		since, seen := a.inForce[instance]
+		late := sentAt.Sub(a.at) > configLimit
+		if late || seen {
+			a.checked++
+		}
 		switch {
-		case o.failed:
-			failed++
-		case o.refused:
-			refused++
-			notRun.Checked++
-			if o.notRun && c.runs[o.path] > 0 {
-				notRun.Violations++
-			}
-		default:
-			whole.Checked++
-			latencies = append(latencies, o.latency)
-			if !o.right {
-				whole.Violations++
-			}
+		case inForce && (!seen || sentAt.Before(since)):
+			a.inForce[instance] = sentAt
+		case !inForce && seen && sentAt.After(since):
+			a.reverts++
+		case !inForce && late:
+			a.late++
 		}
 	}
-	slices.Sort(latencies)
-	promises := []Promise{
-		whole,
-		{Name: "runsForItsTeam", Checked: c.seen, Violations: c.wrongFor},
-		{Name: "noKeyUpstream", Checked: c.seen, Violations: c.keysSeen},
-	}
-	if notRun.Checked > 0 {
-		promises = append(promises, notRun)
-	}
-	return Report{
-		Deployment: deployment,
-		Seed:       seed,
-		Promises:   promises,
-		Measures: map[string]float64{
-			"requests":     float64(len(c.outcomes)),
-			"refused":      float64(refused),
-			"failed":       float64(failed),
-			"latencyP50Ms": quantileMS(latencies, 0.50),
-			"latencyP99Ms": quantileMS(latencies, 0.99),
-		},
-	}
 }
 
-func quantileMS(sorted []time.Duration, q float64) float64 {
-	if len(sorted) == 0 {
-		return 0
-	}
-	i := int(q * float64(len(sorted)-1))
-	return float64(sorted[i]) / float64(time.Millisecond)
+func (c *checker) sampledHeadroom(part float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headroom = append(c.headroom, part)
 }
--- a/seamctl/demonstrator/demonstrator.go
+++ b/seamctl/demonstrator/demonstrator.go
@@ -14,25 +14,23 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"primroseseam.org/seam/authenticator"
-	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/storer"
 	"primroseseam.org/seamd/daemon"
-	"primroseseam.org/seamd/loader"
-	"primroseseam.org/standin/responder"
 	"primroseseam.org/standin/storekeeper"
 )
 
 const (
 	defaultDuration = 20 * time.Second
-	// readyTimeout bounds how long daemons may take until they are in look-ups.
+	// readyTimeout bounds how long daemons may take until they serve.
 	readyTimeout = 10 * time.Second
 	readyPoll    = 20 * time.Millisecond
 	loopback     = "127.0.0.1:0"
@@ -43,16 +41,22 @@
 	deployment string
 	seed       uint64
 	duration   time.Duration
+	faults     []Fault
+	broken     daemon.Mechanism
 	log        *zap.Logger
-
-	shape    Shape
-	keeper   *storekeeper.Keeper
-	store    storer.Store
-	storeURL string
-	daemons  []*daemon.Daemon
-	secrets  []string
-	checker  *checker
-	cleanups []func()
+	progress   func(string)
+
+	shape           Shape
+	keeper          *storekeeper.Keeper
+	operator        operator
+	storeURL        string
+	instances       []*instance
+	endpoints       []*endpoint
+	secrets         []string
+	withdrawnRecord authenticator.Record
+	prober          *prober
+	checker         *checker
+	cleanups        []func()
 }
 
 // Option changes a demo at its creation.
@@ -67,12 +71,24 @@
 // WithDuration sets how long callers send requests.
 func WithDuration(t time.Duration) Option { return func(d *Demo) { d.duration = t } }
 
+// WithFaults sets the faults of the run; the default is none.
+func WithFaults(faults ...Fault) Option { return func(d *Demo) { d.faults = faults } }
+
+// WithBroken turns a mechanism of the daemons off.
+func WithBroken(m daemon.Mechanism) Option { return func(d *Demo) { d.broken = m } }
+
 // WithLogger sets the daemons' logger.
 func WithLogger(log *zap.Logger) Option { return func(d *Demo) { d.log = log } }
 
+// WithProgress sets who is told what the run does.
+func WithProgress(tell func(string)) Option { return func(d *Demo) { d.progress = tell } }
+
 // Run starts the deployment, drives it and reports what both ends saw.
 func Run(ctx context.Context, opts ...Option) (Report, error) {
-	d := &Demo{deployment: "nathibandh", seed: 1, duration: defaultDuration, log: zap.NewNop()}
+	d := &Demo{
+		deployment: "nathibandh", seed: 1, duration: defaultDuration,
+		log: zap.NewNop(), progress: func(string) {}, checker: newChecker(),
+	}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -81,15 +97,14 @@
 		return Report{}, err
 	}
 	d.shape = shape
-	d.checker = newChecker()
-	ctx, cancel := context.WithCancel(ctx)
 	defer d.cleanUp()
-	defer cancel()
 	if err := d.start(ctx); err != nil {
 		return Report{}, err
 	}
+	d.progress(fmt.Sprintf("%d instances and %d endpoints are up", len(d.instances), len(d.endpoints)))
 	d.drive(ctx)
-	return d.checker.report(d.deployment, d.seed), nil
+	d.progress("all requests have ended")
+	return d.checker.report(d), ctx.Err()
 }
 
 func (d *Demo) cleanUp() {
@@ -98,6 +113,13 @@
 	}
 }
 
+// note tells of a step that failed.
+func (d *Demo) note(what string, err error) {
+	if err != nil {
+		d.progress(what + ": " + err.Error())
+	}
+}
+
 func (d *Demo) start(ctx context.Context) error {
 	d.keeper = storekeeper.New()
 	address, err := d.serve(d.keeper)
@@ -105,18 +127,21 @@
 		return err
 	}
 	d.storeURL = "http://" + address
-	d.store = storer.NewHTTP(d.storeURL)
+	d.operator = operator{store: storer.NewHTTP(d.storeURL)}
 	if err := d.writeConfig(ctx); err != nil {
 		return err
 	}
 	if err := d.issueKeys(ctx); err != nil {
 		return err
 	}
-	for i := range d.shape.Instances {
-		if err := d.startDaemon(ctx, i); err != nil {
+	for n := range d.shape.Instances {
+		if err := d.startInstance(ctx, n); err != nil {
 			return err
 		}
 	}
+	for _, i := range d.instances {
+		d.checker.regions[i.id] = i.region
+	}
 	return d.awaitReady(ctx)
 }
 
@@ -133,120 +158,79 @@
 }
 
 func (d *Demo) writeConfig(ctx context.Context) error {
-	endpoints := map[string][]configurer.Endpoint{}
-	for _, svc := range d.shape.Services {
-		for i := range svc.Endpoints {
-			upstream := responder.New(
-				responder.WithSlots(svc.Slots),
-				responder.WithWork(svc.Work),
-				responder.WithSeed(d.seed+uint64(i)),
-				responder.WithObserver(d.checker.upstreamSaw),
-			)
-			address, err := d.serve(upstream)
-			if err != nil {
-				return err
-			}
-			region := d.shape.Regions[i%len(d.shape.Regions)]
-			endpoints[svc.Name] = append(endpoints[svc.Name], configurer.Endpoint{
-				Address: address, Region: region,
-				FailureDomain: domainName(region, i/len(d.shape.Regions)),
-				Slots:         svc.Slots, MaxConnections: svc.Conns,
-			})
-		}
+	endpoints, err := d.startUpstreams()
+	if err != nil {
+		return err
 	}
-	value, err := json.Marshal(d.shape.document(endpoints))
+	doc := d.shape.document(endpoints)
+	for _, r := range doc.Defaults.Regions {
+		d.checker.sharing[r.Name] = r.SlotsForOthers
+	}
+	value, err := json.Marshal(doc)
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
-	_, err = d.store.Put(ctx, storer.Object{Kind: storer.KindConfig, Name: "current", Value: value})
-	return err
+	return d.operator.write(ctx, storer.Object{Kind: storer.KindConfig, Name: storer.ConfigName, Value: value})
 }
 
+// issueKeys makes a key for each team, one for probes and one to withdraw.
 func (d *Demo) issueKeys(ctx context.Context) error {
-	for i := range d.shape.Teams {
-		secret, record, err := authenticator.Issue(teamName(i), time.Now())
+	for n := range d.shape.Teams {
+		secret, _, err := d.operator.issueKey(ctx, teamName(n))
 		if err != nil {
 			return err
 		}
-		value, err := json.Marshal(record)
-		if err != nil {
-			return fmt.Errorf("encode key: %w", err)
-		}
-		if _, err := d.store.Put(ctx, storer.Object{Kind: storer.KindKey, Name: record.Digest.String(), Value: value}); err != nil {
-			return err
-		}
 		d.secrets = append(d.secrets, secret)
 	}
-	return nil
-}
-
-func (d *Demo) startDaemon(ctx context.Context, i int) error {
-	region := d.shape.Regions[i%len(d.shape.Regions)]
-	settings := loader.Settings{
-		Instance: loader.Instance{
-			ID: fmt.Sprintf("seamd-%d", i+1), Region: region,
-			FailureDomain: domainName(region, i/len(d.shape.Regions)),
-		},
-		Listen:   loader.Listen{Callers: loopback, Lookups: loopback, Peers: loopback, Metrics: loopback},
-		Platform: loader.Platform{Address: d.storeURL},
-		Shutdown: loader.Shutdown{Timeout: configurer.Duration(readyTimeout)},
-		Seed:     d.seed + uint64(i),
-	}
-	instance, err := daemon.New(settings, daemon.WithLogger(d.log))
+	secret, _, err := d.operator.issueKey(ctx, probeTeam)
 	if err != nil {
 		return err
 	}
-	d.daemons = append(d.daemons, instance)
-	d.keeper.SetInstance(storer.Instance{
-		ID: settings.Instance.ID, Region: region, FailureDomain: settings.Instance.FailureDomain,
-		CallerAddress: instance.CallerAddress(), LookupAddress: instance.LookupAddress(),
-		PeerAddress: instance.PeerAddress(), State: storer.InstanceLive,
-	})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = instance.Run(ctx)
-	}()
-	d.cleanups = append(d.cleanups, func() { <-done })
-	return nil
+	d.prober = &prober{demo: d, secret: secret, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	if slices.Contains(d.faults, FaultKeyWithdrawal) {
+		d.prober.withdrawn, d.withdrawnRecord, err = d.operator.issueKey(ctx, teamName(keyTeam))
+	}
+	return err
 }
 
-// awaitReady waits until every daemon's look-up lists every instance.
+// awaitReady waits until every look-up lists every instance and every instance
+// takes requests.
 func (d *Demo) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, instance := range d.daemons {
-		for {
-			answer, err := lookUp(ctx, instance.LookupAddress(), d.shape.Regions[0])
-			if err == nil && len(answer.Instances) == len(d.daemons) {
-				break
-			}
-			select {
-			case <-ctx.Done():
+	for _, i := range d.instances {
+		for !d.ready(ctx, i) {
+			if ctx.Err() != nil {
 				return fmt.Errorf("instances are not ready: %w", ctx.Err())
-			case <-time.After(readyPoll):
 			}
+			pause(ctx, readyPoll)
 		}
 	}
 	return nil
 }
 
-// drive lets every team's callers send requests for the run's duration.
+func (d *Demo) ready(ctx context.Context, i *instance) bool {
+	answer, err := lookUp(ctx, i.daemon.LookupAddress(), d.shape.Regions[0])
+	if err != nil || len(answer.Instances) != len(d.instances) {
+		return false
+	}
+	path := fmt.Sprintf("/%s/%s/ready", d.shape.Services[0].Name, probeTeam)
+	result := exchange(ctx, d.prober.client, i.daemon.CallerAddress(), d.prober.secret, outgoing{path: path})
+	return result.kind == answered
+}
+
+// drive lets every team's callers send requests for the run's duration while
+// the faults happen.
 func (d *Demo) drive(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.duration)
 	defer cancel()
-	done := make(chan struct{})
-	for i := range d.shape.Teams {
-		c := &caller{
-			demo: d, team: teamName(i), secret: d.secrets[i], region: d.shape.Regions[i%len(d.shape.Regions)],
-			rate: teamRate(i) / 3, rng: rand.New(rand.NewPCG(d.seed, uint64(i))), client: &http.Client{},
-		}
-		go func() {
-			defer func() { done <- struct{}{} }()
-			c.run(ctx)
-		}()
-	}
-	for range d.shape.Teams {
-		<-done
-	}
+	var open sync.WaitGroup
+	for n := range d.shape.Teams {
+		c := d.newCaller(n, "", teamRate(n)/3)
+		open.Go(func() { c.run(ctx) })
+	}
+	open.Go(func() { d.prober.run(ctx) })
+	open.Go(func() { d.sampleHeadroom(ctx) })
+	open.Go(func() { d.runSteps(ctx) })
+	open.Wait()
 }
--- a/seamctl/demonstrator/demonstrator_test.go
+++ b/seamctl/demonstrator/demonstrator_test.go
@@ -2,21 +2,83 @@
 
 import (
 	"context"
+	"os"
 	"testing"
 	"time"
 
 	"primroseseam.org/seamctl/demonstrator"
 )
 
+// variableLong makes the tests run every fault and mechanism.
+const variableLong = "SEAM_LONG_TESTS"
+
+func run(t *testing.T, opts ...demonstrator.Option) demonstrator.Report {
+	t.Helper()
+	opts = append(opts, demonstrator.WithProgress(func(line string) { t.Log(line) }))
+	report, err := demonstrator.Run(context.Background(), opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
 func TestQuietRunKeepsItsPromises(t *testing.T) {
 	for _, deployment := range []string{"nathibandh", "lonestar"} {
-		report, err := demonstrator.Run(context.Background(),
-			demonstrator.WithDeployment(deployment), demonstrator.WithDuration(2*time.Second))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if !report.Holds() {
-			t.Errorf("%s: %+v", deployment, report.Promises)
+		t.Run(deployment, func(t *testing.T) {
+			t.Parallel()
+			report := run(t, demonstrator.WithDeployment(deployment), demonstrator.WithDuration(2*time.Second))
+			if !report.Holds() {
+				t.Errorf("%+v", report.Promises)
+			}
+		})
+	}
+}
+
+// TestCheckerNoticesABrokenMechanism turns mechanisms off one at a time; the
+// promise that each keeps must be seen to be violated.
+func TestCheckerNoticesABrokenMechanism(t *testing.T) {
+	cases := []struct {
+		broken   string
+		faults   string
+		duration time.Duration
+		promise  string
+		long     bool
+	}{
+		{"keyStripping", "none", time.Second, "noKeyUpstream", false},
+		{"echoCheck", "answers", 6 * time.Second, "wholeAnswers", false},
+		{"keyWithdrawal", "keyWithdrawal", 5 * time.Second, "withdrawnKeyDies", false},
+		{"atMostOnce", "answers", 8 * time.Second, "atMostOnce", true},
+		{"rateLedger", "surge", 6 * time.Second, "rateAndBurst", true},
+		{"gracefulStop", "gracefulStop", 4 * time.Second, "plannedStopCutsNothing", true},
+		{"upstreamDrain", "upstreamDrain", 8 * time.Second, "leavingUpstreamIdle", true},
+	}
+	for _, c := range cases {
+		t.Run(c.broken, func(t *testing.T) {
+			if c.long && os.Getenv(variableLong) == "" {
+				t.Skipf("set %s to run it", variableLong)
+			}
+			t.Parallel()
+			broken, err := demonstrator.ParseBreak(c.broken)
+			if err != nil {
+				t.Fatal(err)
+			}
+			faults, err := demonstrator.ParseFaults(c.faults)
+			if err != nil {
+				t.Fatal(err)
+			}
+			report := run(t, demonstrator.WithBroken(broken), demonstrator.WithFaults(faults...), demonstrator.WithDuration(c.duration))
+			if violations(report, c.promise) == 0 {
+				t.Errorf("not noticed: %+v", report.Promises)
+			}
+		})
+	}
+}
+
+func violations(r demonstrator.Report, promise string) int {
+	for _, p := range r.Promises {
+		if p.Name == promise {
+			return p.Violations
 		}
 	}
+	return 0
 }
--- a/seamctl/demonstrator/deployment.go
+++ b/seamctl/demonstrator/deployment.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 )
 
@@ -51,9 +52,12 @@
 			},
 		}, nil
 	}
-	return Shape{}, fmt.Errorf("no deployment %q; use nathibandh or lonestar", name)
+	return Shape{}, coder.Errorf(coder.ArgumentInvalid, "--deployment", "no deployment %q; use nathibandh or lonestar", name)
 }
 
+// slotsForOthers is the number of a region's slots that other regions may use.
+const slotsForOthers = 4
+
 // domainsPerRegion is the number of failure domains in each region.
 const domainsPerRegion = 2
 
@@ -71,6 +75,19 @@
 	return 40
 }
 
+// linkBurst returns the bytes that a link takes at once.
+func (s Shape) linkBurst() float64 { return float64(s.LinkBytes / 10) }
+
+// teams returns the teams of the deployment and the prober's own.
+func (s Shape) teams() []configurer.Team {
+	var teams []configurer.Team
+	for i := range s.Teams {
+		rate := teamRate(i)
+		teams = append(teams, configurer.Team{Name: teamName(i), RatePerSecond: rate, Burst: rate, Weight: 1})
+	}
+	return append(teams, configurer.Team{Name: probeTeam, RatePerSecond: 1000, Burst: 1000, Weight: 1})
+}
+
 // document builds the fleet's configuration for running upstreams.
 func (s Shape) document(endpoints map[string][]configurer.Endpoint) configurer.Document {
 	d := configurer.Defaults{FleetSize: s.Instances}
@@ -79,10 +96,11 @@
 			Name:           region,
 			FailureDomains: []string{domainName(region, 0), domainName(region, 1)},
 			ClientBlocks:   []string{fmt.Sprintf("10.%d.0.0/16", i+1)},
+			SlotsForOthers: slotsForOthers,
 		})
 		for _, to := range s.Regions {
 			if to != region {
-				d.Links = append(d.Links, configurer.Link{From: region, To: to, CapBytesPerSecond: s.LinkBytes, BurstBytes: s.LinkBytes / 10})
+				d.Links = append(d.Links, configurer.Link{From: region, To: to, CapBytesPerSecond: s.LinkBytes, BurstBytes: int64(s.linkBurst())})
 			}
 		}
 	}
@@ -94,9 +112,6 @@
 			PathPrefix: "/" + svc.Name + "/", Service: svc.Name, Idempotent: svc.Idempotent, OpenToAll: true,
 		})
 	}
-	for i := range s.Teams {
-		rate := teamRate(i)
-		d.Teams = append(d.Teams, configurer.Team{Name: teamName(i), RatePerSecond: rate, Burst: rate, Weight: 1})
-	}
+	d.Teams = s.teams()
 	return configurer.Document{Defaults: d}
 }
--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -107,7 +107,7 @@
 		Committed: result.Committed,
 	})
 	if result.Load >= 0 {
-		d.loop.send(decider.LoadReported{Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load, Draining: result.Draining})
+		d.loop.send(decider.LoadReported{Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load, Draining: result.Draining && d.without != UpstreamDrain})
 	}
 	return result
 }
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,8 +52,16 @@
 	incarnation uint64
 	nextID      atomic.Uint64
 	listeners   listeners
+	// without is the mechanism that a test turned off, or 0.
+	without  Mechanism
+	peerDial PeerDial
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
+// PeerDial opens a connection to another instance.
+type PeerDial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // listeners holds the bound sockets.
 type listeners struct {
 	callers net.Listener
@@ -73,6 +82,9 @@
 // WithStore sets the platform's object service.
 func WithStore(s storer.Store) Option { return func(d *Daemon) { d.store = s } }
 
+// WithPeerDial sets how connections to other instances are opened.
+func WithPeerDial(dial PeerDial) Option { return func(d *Daemon) { d.peerDial = dial } }
+
 // New binds the listeners of an instance. Errors say which address failed.
 func New(settings loader.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
@@ -84,6 +96,8 @@
 		metrics:   metrics.NewSet(),
 
 		keyRecords: map[string]authenticator.Record{},
+		peerDial:   (&net.Dialer{}).DialContext,
+		killed:     make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -141,7 +155,7 @@
 	background.Go(func() error { d.watchInstances(work); return nil })
 
 	servers := []*server{
-		{"callers", d.listeners.callers, d.callerServer()},
+		{"callers", newBacklogListener(d.listeners.callers), d.callerServer()},
 		{"lookups", d.listeners.lookups, &http.Server{Handler: d.lookupHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 		{"peers", d.listeners.peers, &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 		{"metrics", d.listeners.metrics, &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout}},
@@ -155,9 +169,16 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		if d.without == GracefulStop {
+			cutAll(servers)
+			break
+		}
+		err = d.shutDown(servers)
+	case <-d.killed:
+		cutAll(servers)
 	case err = <-failed:
+		err = errors.Join(err, d.shutDown(servers))
 	}
-	err = errors.Join(err, d.shutDown(servers))
 	stopWork()
 	_ = background.Wait()
 	d.forwarder.Close()
@@ -165,29 +186,8 @@
 	return err
 }
 
-// shutDown lets callers learn of the stop, then waits for open requests.
-func (d *Daemon) shutDown(servers []*server) error {
-	d.leaving.Store(true)
-	d.loop.send(decider.StopRequested{})
-	d.clock.Sleep(time.Duration(d.settings.Shutdown.Linger))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
-	defer cancel()
-	var errs []error
-	for _, s := range servers {
-		if err := s.http.Shutdown(ctx); err != nil {
-			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
-		}
-	}
-	return errors.Join(errs...)
-}
-
 // Kill ends the instance at once, as a crash would. For tests of failures.
-func (d *Daemon) Kill() {
-	_ = d.listeners.callers.Close()
-	_ = d.listeners.lookups.Close()
-	_ = d.listeners.peers.Close()
-	_ = d.listeners.metrics.Close()
-}
+func (d *Daemon) Kill() { d.killOnce.Do(func() { close(d.killed) }) }
 
 // server is one HTTP listener.
 type server struct {
--- /dev/null
+++ b/seamd/daemon/shutdown.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseseam.org/seam/decider"
+)
+
+// backlogGrace is how long a closing listener still accepts connections that
+// were opened before it closed.
+const backlogGrace = 100 * time.Millisecond
+
+// shutDown ends the instance without cutting a request:
+//
+//  1. Look-ups and heartbeats say that it leaves. For the linger it goes on
+//     serving callers whose look-up answer is older, and asks each of them to
+//     close its connection.
+//  2. New requests are refused as not run; open ones go on.
+//  3. The sockets close when the last open request has its answer.
+func (d *Daemon) shutDown(servers []*server) error {
+	started := d.clock.Now()
+	d.leaving.Store(true)
+	d.log.Info("daemon: leaving", zap.Duration("linger", time.Duration(d.settings.Shutdown.Linger)))
+	select {
+	case <-d.clock.After(time.Duration(d.settings.Shutdown.Linger)):
+	case <-d.killed:
+		cutAll(servers)
+		return nil
+	}
+	d.loop.send(decider.StopRequested{})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
+	defer cancel()
+	var errs []error
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
+		}
+	}
+	d.log.Info("daemon: drained", zap.Duration("took", d.clock.Since(started)), zap.Int("cut", len(errs)))
+	return errors.Join(errs...)
+}
+
+// cutAll closes every socket at once.
+func cutAll(servers []*server) {
+	for _, s := range servers {
+		_ = s.http.Close()
+	}
+}
+
+// backlogListener accepts what waits in the backlog before it closes, since
+// the kernel resets connections that were never accepted.
+type backlogListener struct{ net.Listener }
+
+func newBacklogListener(inner net.Listener) net.Listener { return &backlogListener{Listener: inner} }
+
+// Close implements net.Listener. The accept loop ends with a timeout.
+func (l *backlogListener) Close() error {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok {
+		return l.Listener.Close()
+	}
+	err := tcp.SetDeadline(time.Now().Add(backlogGrace))
+	time.AfterFunc(2*backlogGrace, func() { _ = tcp.Close() })
+	return err
+}
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -62,6 +62,7 @@
 			d.log.Error("config: ignored an invalid version", zap.Int64("version", o.Version), zap.Error(err))
 			continue
 		}
+		c = d.weakened(c)
 		d.log.Info("config: in force", zap.Int64("version", o.Version))
 		d.config.Store(c)
 		d.loop.send(decider.ConfigChanged{Config: c})
@@ -79,6 +80,7 @@
 			d.log.Error("key: ignored an invalid record", zap.String("name", o.Name), zap.Error(err))
 			continue
 		}
+		r.Withdrawn = r.Withdrawn && d.without != KeyWithdrawal
 		d.keyRecords[o.Name] = r
 	}
 	records := make([]authenticator.Record, 0, len(d.keyRecords))
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -81,16 +81,33 @@
 // Forwarder keeps connections to endpoints. It is safe for concurrent use.
 type Forwarder struct {
 	transport *http.Transport
+	passKeys  bool
+	skipEcho  bool
 }
 
+// Option changes a forwarder at its creation.
+type Option func(*Forwarder)
+
+// WithKeysPassedOn leaves callers' keys in requests to upstreams. It breaks a
+// promise and is for tests of the checks alone.
+func WithKeysPassedOn() Option { return func(f *Forwarder) { f.passKeys = true } }
+
+// WithoutEchoCheck passes on answers to other requests. It breaks a promise
+// and is for tests of the checks alone.
+func WithoutEchoCheck() Option { return func(f *Forwarder) { f.skipEcho = true } }
+
 // New returns a forwarder without connections.
-func New() *Forwarder {
-	return &Forwarder{transport: &http.Transport{
+func New(opts ...Option) *Forwarder {
+	f := &Forwarder{transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // Close closes idle connections.
@@ -103,6 +120,9 @@
 	if err != nil {
 		return Result{Code: coder.RequestMalformed, Ran: coder.NotRun, Load: -1}
 	}
+	if f.passKeys {
+		req.Header["Authorization"] = out.Header["Authorization"]
+	}
 	resp, err := f.transport.RoundTrip(req)
 	if err != nil {
 		return failure(ctx, err)
@@ -113,7 +133,7 @@
 	case resp.Header.Get(headerUpstreamNotRun) == "true":
 		result.Code, result.Ran = coder.UpstreamFailed, coder.NotRun
 		return result
-	case resp.Header.Get(HeaderRequestID) != out.ID:
+	case resp.Header.Get(HeaderRequestID) != out.ID && !f.skipEcho:
 		result.Code, result.Ran = coder.AnswerMismatched, coder.MayHaveRun
 		return result
 	}
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -28,7 +28,7 @@
 
 // Defaults for settings that may be left out.
 const (
-	defaultShutdownLinger  = 2 * time.Second
+	defaultShutdownLinger  = 10 * time.Second // outlives callers' cached look-up answers
 	defaultShutdownTimeout = 30 * time.Second
 	defaultLogLevel        = "info"
 )
@@ -66,8 +66,8 @@
 
 // Shutdown bounds a graceful shutdown.
 type Shutdown struct {
-	// Linger is how long new requests are still refused politely, so that
-	// callers with cached look-up answers learn of the stop.
+	// Linger is how long new requests are still served, so that callers with
+	// cached look-up answers learn of the stop.
 	Linger configurer.Duration `json:"linger,omitempty"`
 	// Timeout is how long requests in progress may go on.
 	Timeout configurer.Duration `json:"timeout,omitempty"`
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -9,9 +9,6 @@
 package responder
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -29,6 +26,10 @@
 	HeaderRequestID = "Seam-Request-Id"
 	// HeaderTeam names the team for which the request runs.
 	HeaderTeam = "Seam-Team"
+	// HeaderName is a caller's name for a non-idempotent request.
+	HeaderName = "Seam-Name"
+	// HeaderDeadline is the time that a request may still take.
+	HeaderDeadline = "Seam-Deadline"
 	// HeaderLoad is the number of requests that the upstream works on.
 	HeaderLoad = "Upstream-Load"
 	// HeaderNotRun marks an answer to a request that did not run.
@@ -53,20 +54,39 @@
 	FaultError
 	// FaultLost runs the request and drops the connection.
 	FaultLost
+	// FaultLate answers long after the work is done.
+	FaultLate
+	// FaultDuplicated sends the answer twice. It needs a connection of package
+	// disruptor; on others it answers properly.
+	FaultDuplicated
 )
 
+// lateBy is how long a late answer is held back.
+const lateBy = 3 * time.Second
+
 // Seen is a request as the upstream received it.
 type Seen struct {
 	Team      string
 	RequestID string
 	Path      string
+	Query     string
 	Name      string
 	Headers   http.Header
-	At        time.Time
-	Ran       bool
-}
-
-// Observer is told of every request that reaches the upstream.
+	Body      string
+	// Deadline is the time that the request may still take, or 0 if not given.
+	Deadline time.Duration
+	At       time.Time
+	Ran      bool
+	// Ended marks the second call of the observer, when the request is over.
+	Ended bool
+	// Cancelled means that the connection or the request was ended by its
+	// sender before the answer.
+	Cancelled bool
+	// Bytes is the size of the request's and the answer's body.
+	Bytes int64
+}
+
+// Observer is told of every request twice: when it arrives and when it ends.
 type Observer func(Seen)
 
 // Answer is the body of a proper answer. It repeats what identifies the
@@ -86,6 +106,8 @@
 	work     time.Duration
 	padding  string
 	observer Observer
+	cold     coldStart
+	report   Report
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -94,6 +116,7 @@
 	fault    Fault
 	chance   float64
 	last     Answer
+	loads    []loadAt
 }
 
 // Option changes a responder at its creation.
@@ -108,6 +131,15 @@
 // WithWork sets how long a request takes.
 func WithWork(d time.Duration) Option { return func(r *Responder) { r.work = d } }
 
+// WithColdStart makes requests take factor times as long at first and less and
+// less for the time that warming takes.
+func WithColdStart(factor float64, warming time.Duration) Option {
+	return func(r *Responder) { r.cold = coldStart{factor: factor, warming: warming} }
+}
+
+// WithReport sets how far the reported load can be trusted.
+func WithReport(report Report) Option { return func(r *Responder) { r.report = report } }
+
 // WithPadding sets the number of filler bytes in every answer.
 func WithPadding(n int) Option {
 	return func(r *Responder) { r.padding = strings.Repeat("x", n) }
@@ -132,6 +164,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.cold.began = r.clock.Now()
 	return r
 }
 
@@ -149,6 +182,13 @@
 	r.draining = on
 }
 
+// Cool makes the responder cold again, as after a restart.
+func (r *Responder) Cool() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cold.began = r.clock.Now()
+}
+
 // InUse returns the number of requests in progress.
 func (r *Responder) InUse() int {
 	r.mu.Lock()
@@ -156,33 +196,6 @@
 	return r.inUse
 }
 
-// ServeHTTP implements http.Handler.
-func (r *Responder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(req.Body)
-	if err != nil {
-		return
-	}
-	fault, ok := r.enter()
-	r.observe(req, ok)
-	r.describe(w, req)
-	if !ok {
-		w.Header().Set(HeaderNotRun, "true")
-		http.Error(w, "no free slot", http.StatusServiceUnavailable)
-		return
-	}
-	defer r.leave()
-	if !r.pause(req, fault) {
-		return
-	}
-	answer := Answer{
-		RequestID: req.Header.Get(HeaderRequestID),
-		Path:      req.URL.Path,
-		Echo:      string(body),
-		Padding:   r.padding,
-	}
-	r.answer(w, r.remember(answer, fault), fault)
-}
-
 // enter takes a slot; it reports false if the request is shed.
 func (r *Responder) enter() (Fault, bool) {
 	r.mu.Lock()
@@ -203,42 +216,6 @@
 	r.inUse--
 }
 
-func (r *Responder) observe(req *http.Request, ran bool) {
-	r.observer(Seen{
-		Team:      req.Header.Get(HeaderTeam),
-		RequestID: req.Header.Get(HeaderRequestID),
-		Path:      req.URL.Path,
-		Name:      req.Header.Get("Seam-Name"),
-		Headers:   req.Header.Clone(),
-		At:        r.clock.Now(),
-		Ran:       ran,
-	})
-}
-
-func (r *Responder) describe(w http.ResponseWriter, req *http.Request) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	w.Header().Set(HeaderLoad, fmt.Sprint(r.inUse))
-	w.Header().Set(HeaderRequestID, req.Header.Get(HeaderRequestID))
-	if r.draining {
-		w.Header().Set(HeaderDraining, "true")
-	}
-}
-
-// pause does the work; it reports false if the answer is never sent.
-func (r *Responder) pause(req *http.Request, fault Fault) bool {
-	if fault == FaultSilent {
-		<-req.Context().Done()
-		return false
-	}
-	select {
-	case <-r.clock.After(r.work):
-		return true
-	case <-req.Context().Done():
-		return false
-	}
-}
-
 // remember returns the answer to send: the previous request's if crossed.
 func (r *Responder) remember(answer Answer, fault Fault) Answer {
 	r.mu.Lock()
@@ -250,28 +227,3 @@
 	}
 	return answer
 }
-
-func (r *Responder) answer(w http.ResponseWriter, answer Answer, fault Fault) {
-	body, err := json.Marshal(answer)
-	if err != nil {
-		http.Error(w, "encode answer", http.StatusInternalServerError)
-		return
-	}
-	switch fault {
-	case FaultLost:
-		panic(http.ErrAbortHandler)
-	case FaultError:
-		http.Error(w, "failed", http.StatusInternalServerError)
-		return
-	case FaultCrossed:
-		w.Header().Set(HeaderRequestID, answer.RequestID)
-	case FaultTruncated:
-		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-		_, _ = w.Write(body[:len(body)/2])
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	_, _ = w.Write(body)
-}
--- a/standin/responder/responder_string.go
+++ b/standin/responder/responder_string.go
@@ -14,11 +14,13 @@
 	_ = x[FaultSilent-3]
 	_ = x[FaultError-4]
 	_ = x[FaultLost-5]
+	_ = x[FaultLate-6]
+	_ = x[FaultDuplicated-7]
 }
 
-const _Fault_name = "FaultNoneFaultCrossedFaultTruncatedFaultSilentFaultErrorFaultLost"
+const _Fault_name = "FaultNoneFaultCrossedFaultTruncatedFaultSilentFaultErrorFaultLostFaultLateFaultDuplicated"
 
-var _Fault_index = [...]uint8{0, 9, 21, 35, 46, 56, 65}
+var _Fault_index = [...]uint8{0, 9, 21, 35, 46, 56, 65, 74, 89}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
