--- /dev/null
+++ b/seamd/loader/check.go
@@ -0,0 +1,139 @@
+package loader
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+
+	"go.uber.org/zap/zapcore"
+
+	"primroseseam.org/seam/coder"
+)
+
+// nameLimit is the greatest length of a name in bytes.
+const nameLimit = 100
+
+// check returns the first fault of the settings.
+func (s Settings) check() error {
+	checks := []func() error{
+		s.checkInstance, s.checkListen, s.checkPlatform, s.checkTLS, s.checkPeers, s.checkShutdown, s.checkLog,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func invalid(path, format string, args ...any) error {
+	return coder.Errorf(coder.SettingsInvalid, path, format, args...)
+}
+
+func (s Settings) checkInstance() error {
+	names := []struct{ path, value string }{
+		{"instance.id", s.Instance.ID},
+		{"instance.region", s.Instance.Region},
+		{"instance.failureDomain", s.Instance.FailureDomain},
+	}
+	for _, n := range names {
+		switch {
+		case n.value == "":
+			return invalid(n.path, "must not be empty; give it a name")
+		case len(n.value) > nameLimit:
+			return invalid(n.path, "is longer than %d bytes; shorten it", nameLimit)
+		case strings.ContainsFunc(n.value, func(r rune) bool { return r <= ' ' || r == '/' || r > '~' }):
+			return invalid(n.path, "%q holds a character that names don't have; use letters, digits, '-', '_' and '.'", n.value)
+		}
+	}
+	return nil
+}
+
+func (s Settings) checkListen() error {
+	addresses := []struct{ path, value string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.lookups", s.Listen.Lookups},
+		{"listen.peers", s.Listen.Peers},
+		{"listen.metrics", s.Listen.Metrics},
+	}
+	seen := map[netip.AddrPort]string{}
+	for _, a := range addresses {
+		address, err := netip.ParseAddrPort(a.value)
+		if err != nil {
+			return invalid(a.path, `%q is not an IP address with a port; write it as "10.0.0.1:8000"`, a.value)
+		}
+		if other, taken := seen[address]; taken && address.Port() != 0 {
+			return invalid(a.path, "%q is also %s; each listener needs its own address", a.value, other)
+		}
+		seen[address] = a.path
+	}
+	return nil
+}
+
+func (s Settings) checkPlatform() error {
+	u, err := url.Parse(s.Platform.Address)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return invalid("platform.address", `%q is not an http or https address; write it as "http://10.0.0.1:7000"`, s.Platform.Address)
+	}
+	if s.Platform.CAFile != "" {
+		if err := readable("platform.caFile", s.Platform.CAFile); err != nil {
+			return err
+		}
+	}
+	return s.Platform.Token.check("platform.token")
+}
+
+func (s Settings) checkTLS() error {
+	certificates := []struct {
+		path string
+		c    *Certificate
+	}{
+		{"tls.callers", s.TLS.Callers},
+		{"tls.lookups", s.TLS.Lookups},
+		{"tls.peers", s.TLS.Peers},
+		{"tls.metrics", s.TLS.Metrics},
+	}
+	for _, c := range certificates {
+		if c.c == nil {
+			continue
+		}
+		if _, err := c.c.Config(c.path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s Settings) checkPeers() error { return s.Peers.Secret.check("peers.secret") }
+
+func (s Settings) checkShutdown() error {
+	if s.Shutdown.Linger < 0 {
+		return invalid("shutdown.linger", `must not be negative; write it as "10s"`)
+	}
+	if s.Shutdown.Timeout < 0 {
+		return invalid("shutdown.timeout", `must not be negative; write it as "30s"`)
+	}
+	return nil
+}
+
+func (s Settings) checkLog() error {
+	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
+		return invalid("log.level", "%q is not a level; use debug, info, warn or error", s.Log.Level)
+	}
+	if s.Log.Sampling.First < 0 {
+		return invalid("log.sampling.first", "must not be negative; 0 takes the default")
+	}
+	if s.Log.Sampling.Thereafter < 0 {
+		return invalid("log.sampling.thereafter", "must not be negative; 0 takes the default")
+	}
+	return nil
+}
+
+func readable(path, file string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return invalid(path, "can't be read: %w; check the file's name and rights", err)
+	}
+	return f.Close()
+}
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -7,37 +7,37 @@
 //
 //	settings, err := loader.Load("seamd.json")
 //
-// Errors carry [coder.SettingsInvalid] and the path of the field at fault.
+// Errors carry [coder.SettingsInvalid], the path of the field at fault and a
+// hint how to mend it.
 package loader
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"io"
-	"net/netip"
-	"net/url"
 	"os"
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 )
 
+// maxBytes is the greatest size of a settings file.
+const maxBytes = 1 << 20
+
 // Defaults for settings that may be left out.
 const (
 	defaultShutdownLinger  = 10 * time.Second // outlives callers' cached look-up answers
 	defaultShutdownTimeout = 30 * time.Second
 	defaultLogLevel        = "info"
+	defaultLogFirst        = 100
+	defaultLogThereafter   = 100
 )
 
 // Settings is a daemon's settings file.
 type Settings struct {
 	Instance Instance `json:"instance"`
 	Listen   Listen   `json:"listen"`
+	TLS      TLS      `json:"tls"`
 	Platform Platform `json:"platform"`
+	Peers    Peers    `json:"peers"`
 	Shutdown Shutdown `json:"shutdown"`
 	Log      Log      `json:"log"`
 	// Seed seeds random choices; 0 takes the time of the start.
@@ -59,9 +59,37 @@
 	Metrics string `json:"metrics"`
 }
 
+// TLS holds the certificate of each listener that speaks TLS.
+type TLS struct {
+	Callers *Certificate `json:"callers,omitempty"`
+	Lookups *Certificate `json:"lookups,omitempty"`
+	Peers   *Certificate `json:"peers,omitempty"`
+	Metrics *Certificate `json:"metrics,omitempty"`
+}
+
+// Certificate names the PEM files of a listener.
+type Certificate struct {
+	CertificateFile string `json:"certificateFile"`
+	KeyFile         string `json:"keyFile"`
+	// ClientCAFile makes clients prove themselves by a certificate of this
+	// authority. Instances also use it to check each other.
+	ClientCAFile string `json:"clientCaFile,omitempty"`
+}
+
 // Platform says where the platform's object service answers.
 type Platform struct {
 	Address string `json:"address"`
+	// CAFile is the authority of the service's certificate; by default the
+	// system's.
+	CAFile string `json:"caFile,omitempty"`
+	// Token is sent to the service as a bearer token.
+	Token *Secret `json:"token,omitempty"`
+}
+
+// Peers says how instances prove themselves to each other.
+type Peers struct {
+	// Secret is shared by all instances of the fleet.
+	Secret *Secret `json:"secret,omitempty"`
 }
 
 // Shutdown bounds a graceful shutdown.
@@ -69,13 +97,23 @@
 	// Linger is how long new requests are still served, so that callers with
 	// cached look-up answers learn of the stop.
 	Linger configurer.Duration `json:"linger,omitempty"`
-	// Timeout is how long requests in progress may go on.
+	// Timeout is how long requests in progress may go on after it.
 	Timeout configurer.Duration `json:"timeout,omitempty"`
 }
 
 // Log sets what is logged.
 type Log struct {
+	// Level is debug, info, warn or error. Decision lines are of level info.
 	Level string `json:"level,omitempty"`
+	// Sampling thins out the decision lines.
+	Sampling Sampling `json:"sampling"`
+}
+
+// Sampling keeps the first decision lines of a kind in each second, and of
+// those that follow every n-th.
+type Sampling struct {
+	First      int `json:"first,omitempty"`
+	Thereafter int `json:"thereafter,omitempty"`
 }
 
 // Load reads and checks the settings in a file.
@@ -90,13 +128,11 @@
 // Parse decodes and checks settings and fills in defaults.
 func Parse(data []byte) (Settings, error) {
 	var s Settings
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Settings{}, coder.Errorf(coder.SettingsInvalid, "", "not settings: %w", err)
+	if len(data) > maxBytes {
+		return s, invalid("", "larger than %d bytes; check that it is a settings file", maxBytes)
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return Settings{}, coder.Errorf(coder.SettingsInvalid, "", "data after the settings")
+	if err := decode(data, &s); err != nil {
+		return Settings{}, err
 	}
 	s = s.withDefaults()
 	return s, s.check()
@@ -112,39 +148,11 @@
 	if s.Log.Level == "" {
 		s.Log.Level = defaultLogLevel
 	}
-	return s
-}
-
-func (s Settings) check() error {
-	required := []struct{ path, value string }{
-		{"instance.id", s.Instance.ID},
-		{"instance.region", s.Instance.Region},
-		{"instance.failureDomain", s.Instance.FailureDomain},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			return coder.Errorf(coder.SettingsInvalid, r.path, "must not be empty")
-		}
-	}
-	addresses := []struct{ path, value string }{
-		{"listen.callers", s.Listen.Callers},
-		{"listen.lookups", s.Listen.Lookups},
-		{"listen.peers", s.Listen.Peers},
-		{"listen.metrics", s.Listen.Metrics},
+	if s.Log.Sampling.First == 0 {
+		s.Log.Sampling.First = defaultLogFirst
 	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			return coder.Errorf(coder.SettingsInvalid, a.path, "%q is not an IP address with a port", a.value)
-		}
+	if s.Log.Sampling.Thereafter == 0 {
+		s.Log.Sampling.Thereafter = defaultLogThereafter
 	}
-	if u, err := url.Parse(s.Platform.Address); err != nil || u.Host == "" {
-		return coder.Errorf(coder.SettingsInvalid, "platform.address", "%q is not an http or https address", s.Platform.Address)
-	}
-	if s.Shutdown.Linger < 0 || s.Shutdown.Timeout < 0 {
-		return coder.Errorf(coder.SettingsInvalid, "shutdown", "durations must not be negative")
-	}
-	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
-		return coder.Errorf(coder.SettingsInvalid, "log.level", "%q is not a level", s.Log.Level)
-	}
-	return nil
+	return s
 }
--- /dev/null
+++ b/seamd/loader/settings_test.go
@@ -0,0 +1,82 @@
+package loader_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seamd/loader"
+)
+
+const valid = `{
+	"instance": {"id": "a", "region": "west", "failureDomain": "west-a"},
+	"listen": {"callers": "127.0.0.1:1", "lookups": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4"},
+	"platform": {"address": "http://127.0.0.1:7000"},
+	"shutdown": {"linger": "5s"},
+	"log": {"level": "warn"}
+}`
+
+func TestDefaultsFillWhatIsLeftOut(t *testing.T) {
+	s, err := loader.Parse([]byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Shutdown.Timeout == 0 || s.Log.Sampling.First == 0 || s.Log.Level != "warn" {
+		t.Fatalf("got %+v", s)
+	}
+}
+
+// TestFaultsNameTheirPathAndAHint damages the valid settings in one place.
+func TestFaultsNameTheirPathAndAHint(t *testing.T) {
+	cases := []struct{ path, old, new string }{
+		{"surprise", `"log":`, `"surprise": 1, "log":`},
+		{"instance.id", `"id": "a"`, `"id": ""`},
+		{"instance.id", `"id": "a"`, `"id": 7`},
+		{"instance.ID", `"id": "a"`, `"id": "a", "ID": "b"`},
+		{"instance.region", `"west"`, `"we st"`},
+		{"listen.peers", `127.0.0.1:3`, `127.0.0.1`},
+		{"listen.peers", `127.0.0.1:3`, `127.0.0.1:2`},
+		{"listen.metrics", `127.0.0.1:4`, `host:4`},
+		{"platform.address", `http://127`, `ftp://127`},
+		{"platform.caFile", `7000"`, `7000", "caFile": "/does/not/exist"`},
+		{"platform.token", `7000"`, `7000", "token": {}`},
+		{"platform.token", `7000"`, `7000", "token": {"environment": "SEAM_NOT_SET"}`},
+		{"tls.peers", `"log":`, `"tls": {"peers": {"certificateFile": "a", "keyFile": "b"}}, "log":`},
+		{"peers.secret.file", `"log":`, `"peers": {"secret": {"file": "/does/not/exist"}}, "log":`},
+		{"shutdown.linger", `"5s"`, `"-5s"`},
+		{"log.level", `warn`, `loud`},
+		{"log.sampling.first", `"warn"`, `"warn", "sampling": {"first": -1}`},
+		{"log", `"log": {`, `"log": {}, "log": {`},
+	}
+	for _, c := range cases {
+		damaged := strings.Replace(valid, c.old, c.new, 1)
+		_, err := loader.Parse([]byte(damaged))
+		var coded *coder.Error
+		if !errors.As(err, &coded) || coded.Code() != coder.SettingsInvalid || coded.Path() != c.path {
+			t.Errorf("%s: %s: got %v", c.path, c.new, err)
+		}
+	}
+}
+
+func TestTruncatedSettingsAreRefused(t *testing.T) {
+	for n := range len(valid) {
+		if _, err := loader.Parse([]byte(valid[:n])); coder.Of(err) != coder.SettingsInvalid {
+			t.Fatalf("%d bytes: got %v", n, err)
+		}
+	}
+	if _, err := loader.Parse([]byte(valid + "{}")); coder.Of(err) != coder.SettingsInvalid {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`{"tls":{"callers":{}},"log":{"sampling":{"first":1e9}}}`))
+	f.Add([]byte(`[[[`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := loader.Parse(data); err != nil && coder.Of(err) != coder.SettingsInvalid {
+			t.Fatalf("an error without its code: %v", err)
+		}
+	})
+}
