--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -35,6 +35,7 @@
 	_ = x[StoreNotFound-302]
 	_ = x[StoreCompacted-303]
 	_ = x[StoreOutcomeUnknown-304]
+	_ = x[PeerUnauthenticated-400]
 }
 
 const (
@@ -46,6 +47,7 @@
 	_Code_name_5 = "SettingsInvalid"
 	_Code_name_6 = "ArgumentInvalid"
 	_Code_name_7 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
+	_Code_name_8 = "PeerUnauthenticated"
 )
 
 var (
@@ -79,6 +81,8 @@
 	case 300 <= i && i <= 304:
 		i -= 300
 		return _Code_name_7[_Code_index_7[i]:_Code_index_7[i+1]]
+	case i == 400:
+		return _Code_name_8
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/seamctl/commander/commander.go
+++ b/seamctl/commander/commander.go
@@ -13,12 +13,6 @@
 	"github.com/spf13/cobra"
 )
 
-// Exit codes of the client.
-const (
-	exitOK     = 0
-	exitFailed = 1
-)
-
 // Execute runs the command line and returns the process's exit code.
 func Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	root := &cobra.Command{
@@ -31,9 +25,10 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(demoCommand())
+	root.AddCommand(configCommand(), keyCommand(), upstreamCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(stderr, "seamctl:", err)
-		return exitFailed
+		return exitCode(err)
 	}
 	return exitOK
 }
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -45,9 +45,18 @@
 	metrics   *metrics.Set
 	table     atomic.Pointer[steerer.Table]
 	config    atomic.Pointer[configurer.Config]
-	// keyRecords belongs to the goroutine that watches keys.
-	keyRecords map[string]authenticator.Record
-	leaving    atomic.Bool
+	inForce   atomic.Pointer[inForce]
+	spread    *spread
+	// keyRecords and keyVersions are guarded by the spread's lock.
+	keyRecords  map[string]authenticator.Record
+	keyVersions map[string]int64
+	peerClient  *http.Client
+	security    security
+	// work ends when the daemon has shut down, stopping when it starts to.
+	work      context.Context
+	stopping  chan struct{}
+	leaving   atomic.Bool
+	directory directory
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
@@ -91,17 +100,29 @@
 		settings:  settings,
 		clock:     clockwork.NewRealClock(),
 		log:       zap.NewNop(),
-		store:     storer.NewHTTP(settings.Platform.Address),
 		forwarder: forwarder.New(),
 		metrics:   metrics.NewSet(),
 
-		keyRecords: map[string]authenticator.Record{},
-		peerDial:   (&net.Dialer{}).DialContext,
-		killed:     make(chan struct{}),
+		keyRecords:  map[string]authenticator.Record{},
+		keyVersions: map[string]int64{},
+		stopping:    make(chan struct{}),
+		peerDial:    (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		killed:      make(chan struct{}),
 	}
+	d.inForce.Store(&inForce{})
 	for _, opt := range opts {
 		opt(d)
 	}
+	if d.store == nil {
+		store, err := newStore(settings)
+		if err != nil {
+			return nil, err
+		}
+		d.store = store
+	}
+	if err := d.secure(); err != nil {
+		return nil, err
+	}
 	d.incarnation = uint64(d.clock.Now().UnixNano())
 	seed := settings.Seed
 	if seed == 0 {
@@ -110,6 +131,7 @@
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
 	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
+	d.spread = newSpread(d, seed)
 	d.table.Store(steerer.NewTable(nil, nil))
 	return d, d.bind()
 }
@@ -130,7 +152,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", s.name, err)
 		}
-		*s.socket = l
+		*s.socket = d.secureListener(s.name, newBacklogListener(l))
 	}
 	return nil
 }
@@ -149,13 +171,14 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
+	d.work = work
 	background, _ := errgroup.WithContext(work)
 	background.Go(func() error { d.loop.run(work); return nil })
-	background.Go(func() error { d.watchStore(work); return nil })
+	background.Go(func() error { d.spread.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
 
 	servers := []*server{
-		{"callers", newBacklogListener(d.listeners.callers), d.callerServer()},
+		{"callers", d.listeners.callers, d.callerServer()},
 		{"lookups", d.listeners.lookups, &http.Server{Handler: d.lookupHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 		{"peers", d.listeners.peers, &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}},
 		{"metrics", d.listeners.metrics, &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout}},
--- a/seamd/daemon/shutdown.go
+++ b/seamd/daemon/shutdown.go
@@ -26,6 +26,7 @@
 func (d *Daemon) shutDown(servers []*server) error {
 	started := d.clock.Now()
 	d.leaving.Store(true)
+	close(d.stopping)
 	d.log.Info("daemon: leaving", zap.Duration("linger", time.Duration(d.settings.Shutdown.Linger)))
 	select {
 	case <-d.clock.After(time.Duration(d.settings.Shutdown.Linger)):
--- a/seamd/loader/check.go
+++ b/seamd/loader/check.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"net/url"
-	"os"
 	"strings"
 
 	"go.uber.org/zap/zapcore"
@@ -17,7 +16,7 @@
 // check returns the first fault of the settings.
 func (s Settings) check() error {
 	checks := []func() error{
-		s.checkInstance, s.checkListen, s.checkPlatform, s.checkTLS, s.checkPeers, s.checkShutdown, s.checkLog,
+		s.checkInstance, s.checkListen, s.checkPlatform, s.checkShutdown, s.checkLog, s.Security.check,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -76,37 +75,9 @@
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		return invalid("platform.address", `%q is not an http or https address; write it as "http://10.0.0.1:7000"`, s.Platform.Address)
 	}
-	if s.Platform.CAFile != "" {
-		if err := readable("platform.caFile", s.Platform.CAFile); err != nil {
-			return err
-		}
-	}
-	return s.Platform.Token.check("platform.token")
-}
-
-func (s Settings) checkTLS() error {
-	certificates := []struct {
-		path string
-		c    *Certificate
-	}{
-		{"tls.callers", s.TLS.Callers},
-		{"tls.lookups", s.TLS.Lookups},
-		{"tls.peers", s.TLS.Peers},
-		{"tls.metrics", s.TLS.Metrics},
-	}
-	for _, c := range certificates {
-		if c.c == nil {
-			continue
-		}
-		if _, err := c.c.Config(c.path); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
-func (s Settings) checkPeers() error { return s.Peers.Secret.check("peers.secret") }
-
 func (s Settings) checkShutdown() error {
 	if s.Shutdown.Linger < 0 {
 		return invalid("shutdown.linger", `must not be negative; write it as "10s"`)
@@ -129,11 +100,3 @@
 	}
 	return nil
 }
-
-func readable(path, file string) error {
-	f, err := os.Open(file)
-	if err != nil {
-		return invalid(path, "can't be read: %w; check the file's name and rights", err)
-	}
-	return f.Close()
-}
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -35,11 +35,10 @@
 type Settings struct {
 	Instance Instance `json:"instance"`
 	Listen   Listen   `json:"listen"`
-	TLS      TLS      `json:"tls"`
 	Platform Platform `json:"platform"`
-	Peers    Peers    `json:"peers"`
 	Shutdown Shutdown `json:"shutdown"`
 	Log      Log      `json:"log"`
+	Security Security `json:"security"`
 	// Seed seeds random choices; 0 takes the time of the start.
 	Seed uint64 `json:"seed,omitempty"`
 }
@@ -59,37 +58,9 @@
 	Metrics string `json:"metrics"`
 }
 
-// TLS holds the certificate of each listener that speaks TLS.
-type TLS struct {
-	Callers *Certificate `json:"callers,omitempty"`
-	Lookups *Certificate `json:"lookups,omitempty"`
-	Peers   *Certificate `json:"peers,omitempty"`
-	Metrics *Certificate `json:"metrics,omitempty"`
-}
-
-// Certificate names the PEM files of a listener.
-type Certificate struct {
-	CertificateFile string `json:"certificateFile"`
-	KeyFile         string `json:"keyFile"`
-	// ClientCAFile makes clients prove themselves by a certificate of this
-	// authority. Instances also use it to check each other.
-	ClientCAFile string `json:"clientCaFile,omitempty"`
-}
-
 // Platform says where the platform's object service answers.
 type Platform struct {
 	Address string `json:"address"`
-	// CAFile is the authority of the service's certificate; by default the
-	// system's.
-	CAFile string `json:"caFile,omitempty"`
-	// Token is sent to the service as a bearer token.
-	Token *Secret `json:"token,omitempty"`
-}
-
-// Peers says how instances prove themselves to each other.
-type Peers struct {
-	// Secret is shared by all instances of the fleet.
-	Secret *Secret `json:"secret,omitempty"`
 }
 
 // Shutdown bounds a graceful shutdown.
