--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -36,6 +36,8 @@
 	_ = x[StoreCompacted-303]
 	_ = x[StoreOutcomeUnknown-304]
 	_ = x[PeerUnauthenticated-400]
+	_ = x[TraceInvalid-500]
+	_ = x[OutcomeMissed-501]
 }
 
 const (
@@ -48,6 +50,7 @@
 	_Code_name_6 = "ArgumentInvalid"
 	_Code_name_7 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
 	_Code_name_8 = "PeerUnauthenticated"
+	_Code_name_9 = "TraceInvalidOutcomeMissed"
 )
 
 var (
@@ -56,6 +59,7 @@
 	_Code_index_3 = [...]uint8{0, 14, 29, 45, 59, 69}
 	_Code_index_4 = [...]uint8{0, 13, 27, 43}
 	_Code_index_7 = [...]uint8{0, 16, 29, 42, 56, 75}
+	_Code_index_9 = [...]uint8{0, 12, 25}
 )
 
 func (i Code) String() string {
@@ -83,6 +87,9 @@
 		return _Code_name_7[_Code_index_7[i]:_Code_index_7[i+1]]
 	case i == 400:
 		return _Code_name_8
+	case 500 <= i && i <= 501:
+		i -= 500
+		return _Code_name_9[_Code_index_9[i]:_Code_index_9[i+1]]
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/seamctl/commander/exit.go
+++ b/seamctl/commander/exit.go
@@ -6,13 +6,14 @@
 const (
 	exitOK              = 0
 	exitFailed          = 1
-	exitUsage           = 2
+	exitTraceInvalid    = 2
 	exitInvalid         = 3
 	exitConflict        = 4
 	exitNotInForce      = 5
 	exitOutcomeUnknown  = 6
 	exitStoreDown       = 7
 	exitNothingWithName = 8
+	exitUsage           = 9
 )
 
 // exitCode returns the exit code for an error.
@@ -21,6 +22,8 @@
 		return exitOK
 	}
 	switch coder.Of(err) {
+	case coder.TraceInvalid:
+		return exitTraceInvalid
 	case coder.ArgumentInvalid:
 		return exitUsage
 	case coder.ConfigInvalid:
