--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -40,9 +40,14 @@
 	if d.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if !d.intake.enter() {
+		refuse(w, decider.Refuse{Code: coder.Stopping})
+		return
+	}
 	id := d.nextID.Add(1)
 	content, err := forwarder.ReadContent(r.Body, r.ContentLength)
 	if err != nil {
+		d.intake.leave()
 		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
 		return
 	}
@@ -61,6 +66,7 @@
 // answer follows the loop's commands until the request has its final answer.
 func (d *Daemon) answer(ctx context.Context, w http.ResponseWriter, msg decider.RequestArrived, out forwarder.Outgoing) {
 	cmds := d.loop.request(msg)
+	d.intake.leave()
 	defer d.loop.forget(msg.ID)
 	left := ctx.Done()
 	for {
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -56,6 +56,7 @@
 	work      context.Context
 	stopping  chan struct{}
 	leaving   atomic.Bool
+	intake    intake
 	directory directory
 	// incarnation orders the starts of this instance.
 	incarnation uint64
--- a/seamd/daemon/shutdown.go
+++ b/seamd/daemon/shutdown.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,12 +17,16 @@
 // were opened before it closed.
 const backlogGrace = 100 * time.Millisecond
 
+// intakePoll is the time between two looks at requests that are arriving.
+const intakePoll = 5 * time.Millisecond
+
 // shutDown ends the instance without cutting a request:
 //
 //  1. Look-ups and heartbeats say that it leaves. For the linger it goes on
 //     serving callers whose look-up answer is older, and asks each of them to
 //     close its connection.
-//  2. New requests are refused as not run; open ones go on.
+//  2. New requests are refused as not run. Those whose body is still arriving
+//     are taken, and open ones go on.
 //  3. The sockets close when the last open request has its answer.
 func (d *Daemon) shutDown(servers []*server) error {
 	started := d.clock.Now()
@@ -34,9 +39,11 @@
 		cutAll(servers)
 		return nil
 	}
-	d.loop.send(decider.StopRequested{})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
 	defer cancel()
+	d.intake.close()
+	d.awaitIntake(ctx)
+	d.loop.send(decider.StopRequested{})
 	var errs []error
 	for _, s := range servers {
 		if err := s.http.Shutdown(ctx); err != nil {
@@ -47,6 +54,48 @@
 	return errors.Join(errs...)
 }
 
+// awaitIntake waits until no request is between its headers and the loop.
+func (d *Daemon) awaitIntake(ctx context.Context) {
+	for ctx.Err() == nil && d.intake.entering() > 0 {
+		d.sleep(ctx, intakePoll)
+	}
+}
+
+// intake counts requests whose body is still arriving, and can be closed.
+type intake struct {
+	mu     sync.Mutex
+	count  int
+	closed bool
+}
+
+// enter counts a request, or reports false once the intake is closed.
+func (i *intake) enter() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.closed {
+		i.count++
+	}
+	return !i.closed
+}
+
+func (i *intake) leave() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.count--
+}
+
+func (i *intake) close() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.closed = true
+}
+
+func (i *intake) entering() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.count
+}
+
 // cutAll closes every socket at once.
 func cutAll(servers []*server) {
 	for _, s := range servers {
--- /dev/null
+++ b/seamd/daemon/shutdown_test.go
@@ -0,0 +1,93 @@
+package daemon_test
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"primroseseam.org/standin/responder"
+)
+
+const (
+	// linger is the daemon's; callers use a look-up answer for less than it.
+	linger    = 500 * time.Millisecond
+	answerTTL = 300 * time.Millisecond
+)
+
+// slowBody is a body that arrives in pieces.
+type slowBody struct {
+	pieces int
+	pause  time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.pieces == 0 {
+		return 0, io.EOF
+	}
+	b.pieces--
+	time.Sleep(b.pause)
+	return copy(p, strings.Repeat("x", 4096)), nil
+}
+
+// TestPlannedStopCutsNoRequest stops a daemon under callers that keep their
+// connections, callers that open new ones, and callers whose bodies and
+// answers take longer than the linger.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	w := newWorld(t, responder.New(
+		responder.WithSlots(1000), responder.WithWork(3*time.Millisecond), responder.WithPadding(20<<10)))
+	var sent, cut atomic.Int64
+	var stopAt atomic.Int64
+	var callers sync.WaitGroup
+	send := func(client *http.Client, body io.Reader) bool {
+		sent.Add(1)
+		resp, err := w.send(client, body)
+		switch {
+		case err != nil:
+			cut.Add(1)
+			t.Errorf("cut: %v", err)
+			return false
+		case resp.StatusCode != http.StatusOK:
+			t.Errorf("status %d, code %s", resp.StatusCode, resp.Header.Get("Seam-Code"))
+		}
+		// An answer that closes the connection says: look up again.
+		return !resp.Close
+	}
+	fresh := func() bool {
+		at := stopAt.Load()
+		return at == 0 || time.Now().UnixNano() < at+int64(answerTTL)
+	}
+	for n := range 32 {
+		callers.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(n)))
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: n%4 == 0}}
+			told := false
+			for fresh() && (!told || n%4 == 0) {
+				told = !send(client, strings.NewReader("short"))
+				time.Sleep(time.Duration(rng.IntN(5)) * time.Millisecond)
+			}
+		})
+	}
+	for range 8 {
+		callers.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			time.Sleep(100 * time.Millisecond)
+			send(client, &slowBody{pieces: 40, pause: 40 * time.Millisecond})
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopAt.Store(time.Now().UnixNano())
+	w.stop()
+	callers.Wait()
+	if err := <-w.stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	if sent.Load() < 300 {
+		t.Errorf("only %d requests were sent", sent.Load())
+	}
+	t.Logf("%d requests, %d cut", sent.Load(), cut.Load())
+}
--- /dev/null
+++ b/seamd/daemon/world_test.go
@@ -0,0 +1,123 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/storer"
+	"primroseseam.org/seamd/daemon"
+	"primroseseam.org/seamd/loader"
+	"primroseseam.org/standin/responder"
+	"primroseseam.org/standin/storekeeper"
+)
+
+const loopback = "127.0.0.1:0"
+
+// world is one daemon between its callers, one upstream and the platform.
+type world struct {
+	daemon   *daemon.Daemon
+	upstream string
+	secret   string
+	stop     context.CancelFunc
+	stopped  chan error
+}
+
+func newWorld(t testing.TB, upstream *responder.Responder, opts ...daemon.Option) *world {
+	t.Helper()
+	platform := httptest.NewServer(storekeeper.New())
+	t.Cleanup(platform.Close)
+	server := httptest.NewServer(upstream)
+	t.Cleanup(server.Close)
+	w := &world{upstream: server.Listener.Addr().String(), stopped: make(chan error, 1)}
+	w.fill(t, storer.NewHTTP(platform.URL))
+	settings := loader.Settings{
+		Instance: loader.Instance{ID: "a", Region: "west", FailureDomain: "west-a"},
+		Listen:   loader.Listen{Callers: loopback, Lookups: loopback, Peers: loopback, Metrics: loopback},
+		Platform: loader.Platform{Address: platform.URL},
+		Shutdown: loader.Shutdown{Linger: configurer.Duration(linger), Timeout: configurer.Duration(10 * time.Second)},
+		Seed:     1,
+	}
+	d, err := daemon.New(settings, append([]daemon.Option{daemon.WithLogger(zap.NewNop())}, opts...)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.daemon = d
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() { w.stopped <- d.Run(ctx) }()
+	t.Cleanup(d.Kill)
+	w.awaitReady(t)
+	return w
+}
+
+// fill writes the configuration and a key to the platform.
+func (w *world) fill(t testing.TB, store storer.Store) {
+	t.Helper()
+	endpoint := configurer.Endpoint{Address: w.upstream, Region: "west", FailureDomain: "west-a", Slots: 1000, MaxConnections: 1000}
+	doc := configurer.Document{Defaults: configurer.Defaults{
+		FleetSize: 1,
+		Regions:   []configurer.Region{{Name: "west", FailureDomains: []string{"west-a"}}},
+		Services:  []configurer.Service{{Name: "lessons", Timeout: configurer.Duration(10 * time.Second), Endpoints: []configurer.Endpoint{endpoint}}},
+		Routes:    []configurer.Route{{PathPrefix: "/lessons/", Service: "lessons", OpenToAll: true}},
+		Teams:     []configurer.Team{{Name: "crew", RatePerSecond: 1e6, Burst: 1e6, Weight: 1}},
+	}}
+	secret, record, err := authenticator.Issue("crew", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.secret = secret
+	put(t, store, storer.KindConfig, storer.ConfigName, doc)
+	put(t, store, storer.KindKey, record.Digest.String(), record)
+}
+
+func put(t testing.TB, store storer.Store, kind storer.Kind, name string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Put(context.Background(), storer.Object{Kind: kind, Name: name, Value: data}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (w *world) awaitReady(t testing.TB) {
+	t.Helper()
+	for range 500 {
+		if resp, err := w.send(http.DefaultClient, strings.NewReader("ready")); err == nil && resp.StatusCode == http.StatusOK {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the daemon never became ready")
+}
+
+// send makes one request and reads the whole answer.
+func (w *world) send(client *http.Client, body io.Reader) (*http.Response, error) {
+	return exchange(client, "http://"+w.daemon.CallerAddress()+"/lessons/1", w.secret, body)
+}
+
+func exchange(client *http.Client, url, secret string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, url, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+secret)
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
