Log a line and count metrics for each routing decision

Cause: decision lines lacked the candidates and the reason code, and two counters stood for all promises.

--- /dev/null
+++ b/seamd/daemon/bench_test.go
@@ -0,0 +1,93 @@
+package daemon_test
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"primroseseam.org/standin/responder"
+)
+
+// BenchmarkHop compares a request through the daemon with the same request to
+// the upstream directly, over kept connections, turn by turn in one run.
+func BenchmarkHop(b *testing.B) {
+	w := newWorld(b, responder.New(responder.WithSlots(1000)))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	body := strings.Repeat("x", 512)
+	var direct, through []time.Duration
+	measure := func(address string) time.Duration {
+		started := time.Now()
+		resp, err := exchange(client, "http://"+address+"/lessons/1", w.secret, strings.NewReader(body))
+		if err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatal(resp, err)
+		}
+		return time.Since(started)
+	}
+	for b.Loop() {
+		direct = append(direct, measure(w.upstream))
+		through = append(through, measure(w.daemon.CallerAddress()))
+	}
+	slices.Sort(direct)
+	slices.Sort(through)
+	for _, q := range []struct {
+		name string
+		part float64
+	}{{"p50", 0.50}, {"p99", 0.99}} {
+		d, t := quantile(direct, q.part), quantile(through, q.part)
+		b.ReportMetric(float64(d.Microseconds()), q.name+"-direct-µs")
+		b.ReportMetric(float64(t.Microseconds()), q.name+"-daemon-µs")
+		b.ReportMetric(float64(t)/float64(d), q.name+"-ratio")
+	}
+}
+
+func quantile(sorted []time.Duration, part float64) time.Duration {
+	return sorted[int(part*float64(len(sorted)-1))]
+}
+
+// BenchmarkOpenConnection measures the daemon's memory for each connection
+// that a caller keeps open. Callers are bare sockets, so that little of the
+// memory is theirs.
+func BenchmarkOpenConnection(b *testing.B) {
+	w := newWorld(b, responder.New(responder.WithSlots(1000)))
+	const connections = 2000
+	request := "POST /lessons/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + w.secret + "\r\nContent-Length: 0\r\n\r\n"
+	for b.Loop() {
+		before := heapAndStacks()
+		open := make([]net.Conn, connections)
+		for i := range open {
+			open[i] = openConnection(b, w.daemon.CallerAddress(), request)
+		}
+		b.ReportMetric(float64(heapAndStacks()-before)/connections, "B/conn")
+		for _, c := range open {
+			_ = c.Close()
+		}
+	}
+}
+
+func openConnection(b *testing.B, address, request string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := c.Write([]byte(request)); err != nil {
+		b.Fatal(err)
+	}
+	answer := make([]byte, 4096)
+	if n, err := c.Read(answer); err != nil || !bytes.HasPrefix(answer[:n], []byte("HTTP/1.1 200")) {
+		b.Fatal(err, string(answer[:n]))
+	}
+	return c
+}
+
+func heapAndStacks() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -33,6 +33,7 @@
 		Handler:           http.HandlerFunc(d.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         d.meters.connState,
 	}
 }
 
@@ -44,6 +45,8 @@
 		refuse(w, decider.Refuse{Code: coder.Stopping})
 		return
 	}
+	d.meters.requests.Add(1)
+	defer d.meters.requests.Add(-1)
 	id := d.nextID.Add(1)
 	content, err := forwarder.ReadContent(r.Body, r.ContentLength)
 	if err != nil {
@@ -65,6 +68,7 @@
 
 // answer follows the loop's commands until the request has its final answer.
 func (d *Daemon) answer(ctx context.Context, w http.ResponseWriter, msg decider.RequestArrived, out forwarder.Outgoing) {
+	started := d.clock.Now()
 	cmds := d.loop.request(msg)
 	d.intake.leave()
 	defer d.loop.forget(msg.ID)
@@ -85,6 +89,7 @@
 			case decider.Forward:
 				out.Team = c.Decision.Team
 				if result := d.attempt(ctx, w, c, out); final(result) {
+					d.meters.answered(out.Team, d.clock.Since(started))
 					return
 				}
 			}
@@ -105,6 +110,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	result := d.forwarder.Attempt(ctx, w, out, c.Endpoint)
+	d.meters.attempted(result)
 	d.loop.send(decider.AnswerEnded{
 		ID:        c.ID,
 		Endpoint:  c.Endpoint,
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -43,6 +43,7 @@
 	forwarder *forwarder.Forwarder
 	loop      *loop
 	metrics   *metrics.Set
+	meters    *meters
 	table     atomic.Pointer[steerer.Table]
 	config    atomic.Pointer[configurer.Config]
 	inForce   atomic.Pointer[inForce]
@@ -131,8 +132,10 @@
 	}
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
-	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
+	d.meters = newMeters(d.metrics)
+	d.loop = newLoop(model, d.clock, newDecisionLog(d.log, settings.Log.Sampling), d.meters)
 	d.spread = newSpread(d, seed)
+	d.meters.addState(d)
 	d.table.Store(steerer.NewTable(nil, nil))
 	return d, d.bind()
 }
--- /dev/null
+++ b/seamd/daemon/logs_test.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/decider"
+	"primroseseam.org/seamd/loader"
+)
+
+func jsonLogger(w zapcore.WriteSyncer) *zap.Logger {
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), w, zapcore.InfoLevel))
+}
+
+var forwardDecision = decider.Forward{
+	ID: 7, Endpoint: "10.0.0.7:9000", Attempt: 1,
+	Decision: decider.Decision{Team: "clerks", Service: "index", Candidates: 12, Waited: time.Millisecond},
+}
+
+func TestDecisionLinesSayWhoWhatAndWhy(t *testing.T) {
+	var out bytes.Buffer
+	l := newDecisionLog(jsonLogger(zapcore.AddSync(&out)), loader.Sampling{})
+	l.forwarded(forwardDecision)
+	l.refused(decider.Refuse{ID: 8, Code: coder.TeamOverRate, Decision: forwardDecision.Decision})
+	fields := []string{"request", "team", "service", "candidates", "code"}
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	if len(lines) != 2 {
+		t.Fatalf("got %s", out.Bytes())
+	}
+	for _, line := range lines {
+		var entry map[string]any
+		if err := json.Unmarshal(line, &entry); err != nil {
+			t.Fatal(err)
+		}
+		for _, field := range fields {
+			if _, ok := entry[field]; !ok {
+				t.Errorf("no %s in %s", field, line)
+			}
+		}
+	}
+}
+
+func TestSamplingThinsOutDecisionLines(t *testing.T) {
+	var out bytes.Buffer
+	l := newDecisionLog(jsonLogger(zapcore.AddSync(&out)), loader.Sampling{First: 2, Thereafter: 10})
+	for range 22 {
+		l.forwarded(forwardDecision)
+	}
+	if n := bytes.Count(out.Bytes(), []byte("\n")); n != 4 {
+		t.Fatalf("%d lines instead of 4", n)
+	}
+}
+
+// BenchmarkDecisionLineAlone measures one line: off by its level, thinned out,
+// and written.
+func BenchmarkDecisionLineAlone(b *testing.B) {
+	drop := zapcore.AddSync(&dropWriter{})
+	quiet := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), drop, zapcore.WarnLevel))
+	cases := []struct {
+		name string
+		log  decisionLog
+	}{
+		{"off", newDecisionLog(quiet, loader.Sampling{})},
+		{"thinned", newDecisionLog(jsonLogger(drop), loader.Sampling{First: 100, Thereafter: 100})},
+		{"written", newDecisionLog(jsonLogger(drop), loader.Sampling{})},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c.log.forwarded(forwardDecision)
+			}
+		})
+	}
+}
+
+type dropWriter struct{}
+
+func (dropWriter) Write(p []byte) (int, error) { return len(p), nil }
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 
 	"primroseseam.org/seam/decider"
 )
@@ -24,12 +22,11 @@
 type loop struct {
 	model   *decider.Model
 	clock   clockwork.Clock
-	log     *zap.Logger
+	log     decisionLog
+	meters  *meters
 	inbox   chan envelope
 	done    chan struct{}
 	replies map[uint64]chan decider.Cmd
-	forward *metrics.Counter
-	refuse  *metrics.Counter
 }
 
 // envelope is a message and, for a new request, where its commands go.
@@ -41,16 +38,15 @@
 	after func()
 }
 
-func newLoop(m *decider.Model, c clockwork.Clock, log *zap.Logger, set *metrics.Set) *loop {
+func newLoop(m *decider.Model, c clockwork.Clock, log decisionLog, meters *meters) *loop {
 	return &loop{
 		model:   m,
 		clock:   c,
 		log:     log,
+		meters:  meters,
 		inbox:   make(chan envelope, inboxSize),
 		done:    make(chan struct{}),
 		replies: map[uint64]chan decider.Cmd{},
-		forward: set.NewCounter("seam_forwards_total"),
-		refuse:  set.NewCounter("seam_refusals_total"),
 	}
 }
 
@@ -117,17 +113,14 @@
 func (l *loop) carryOut(cmd decider.Cmd) {
 	switch c := cmd.(type) {
 	case decider.Forward:
-		l.forward.Inc()
-		l.log.Info("route: forwarded", zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team),
-			zap.String("service", c.Decision.Service), zap.String("endpoint", c.Endpoint),
-			zap.Int("attempt", c.Attempt), zap.Duration("waited", c.Decision.Waited))
 		l.deliver(c.ID, c)
+		l.meters.forwarded(c)
+		l.log.forwarded(c)
 	case decider.Refuse:
-		l.refuse.Inc()
-		l.log.Info("route: refused", zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team),
-			zap.String("service", c.Decision.Service), zap.Stringer("code", c.Code), zap.Stringer("ran", c.Ran))
 		l.deliver(c.ID, c)
 		delete(l.replies, c.ID)
+		l.meters.refused(c.Code)
+		l.log.refused(c)
 	case decider.Cancel:
 		l.deliver(c.ID, c)
 	}
--- /dev/null
+++ b/seamd/daemon/metrics_test.go
@@ -0,0 +1,42 @@
+package daemon_test
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// TestEveryMetricIsDocumented holds the table of the docs to the names in the
+// code.
+func TestEveryMetricIsDocumented(t *testing.T) {
+	inCode := map[string]bool{}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		if !strings.HasSuffix(file, "_test.go") {
+			collect(t, inCode, file, regexp.MustCompile(`"(seam_[a-z_]+)["{]`))
+		}
+	}
+	inDocs := map[string]bool{}
+	collect(t, inDocs, "../../docs/LOGS-AND-METRICS.md", regexp.MustCompile("(?m)^\\| `(seam_[a-z_]+)`"))
+	if !maps.Equal(inCode, inDocs) {
+		t.Errorf("code: %v\ndocs: %v", slices.Sorted(maps.Keys(inCode)), slices.Sorted(maps.Keys(inDocs)))
+	}
+}
+
+func collect(t *testing.T, into map[string]bool, file string, pattern *regexp.Regexp) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, match := range pattern.FindAllStringSubmatch(string(data), -1) {
+		into[match[1]] = true
+	}
+}
