--- a/seamd/loader/decode.go
+++ b/seamd/loader/decode.go
@@ -70,11 +70,11 @@
 		name := fmt.Sprint(token)
 		inner := strings.TrimPrefix(path+"."+name, ".")
 		// Field names match in any case, so they clash in any case.
-		if folded := strings.ToLower(name); seen[folded] {
+		folded := strings.ToLower(name)
+		if seen[folded] {
 			return inner, nil
-		} else {
-			seen[folded] = true
 		}
+		seen[folded] = true
 		if found, err := findDuplicate(dec, inner); found != "" || err != nil {
 			return found, err
 		}
