--- a/seamctl/commander/exit.go
+++ b/seamctl/commander/exit.go
@@ -13,6 +13,7 @@
 	exitOutcomeUnknown  = 6
 	exitStoreDown       = 7
 	exitNothingWithName = 8
+	exitUsage           = 9
 )
 
 // exitCode returns the exit code for an error.
@@ -23,6 +24,8 @@
 	switch coder.Of(err) {
 	case coder.TraceInvalid:
 		return exitTraceInvalid
+	case coder.ArgumentInvalid:
+		return exitUsage
 	case coder.ConfigInvalid:
 		return exitInvalid
 	case coder.ConfigConflict:
--- a/seamd/daemon/relay.go
+++ b/seamd/daemon/relay.go
@@ -86,14 +86,20 @@
 	}
 }
 
+// carryOut starts no call once ctx has ended, so that a stop can wait for the
+// calls that are open.
 func (s *spread) carryOut(ctx context.Context, cmd spreader.Cmd) {
 	switch c := cmd.(type) {
 	case spreader.Install:
 		s.daemon.install(c.Objects)
 	case spreader.ReadStore:
-		s.calls.Go(func() { s.readStore(ctx, c) })
+		if ctx.Err() == nil {
+			s.calls.Go(func() { s.readStore(ctx, c) })
+		}
 	case spreader.Follow:
-		s.calls.Go(func() { s.follow(ctx, c) })
+		if ctx.Err() == nil {
+			s.calls.Go(func() { s.follow(ctx, c) })
+		}
 	}
 }
 
@@ -109,17 +115,17 @@
 }
 
 func (s *spread) follow(ctx context.Context, call spreader.Follow) {
-	ctx, cancel := context.WithTimeout(ctx, call.Request.Wait+followTimeout)
+	limited, cancel := context.WithTimeout(ctx, call.Request.Wait+followTimeout)
 	defer cancel()
 	sent := s.daemon.clock.Now()
 	client := peerv1connect.NewRelayServiceClient(s.daemon.peerClient, s.daemon.peerURL(call.Peer.Address))
-	resp, err := client.Follow(ctx, connect.NewRequest(encodeFollow(call.Request)))
+	resp, err := client.Follow(limited, connect.NewRequest(encodeFollow(call.Request)))
 	if err != nil {
 		s.daemon.log.Debug("relay: no answer", zap.String("peer", call.Peer.ID), zap.Error(err))
-		s.update(context.WithoutCancel(ctx), spreader.PeerFailed{Call: call})
+		s.update(ctx, spreader.PeerFailed{Call: call})
 		return
 	}
-	s.update(context.WithoutCancel(ctx), spreader.PeerAnswered{Call: call, Sent: sent, Answer: decodeAnswer(resp.Msg)})
+	s.update(ctx, spreader.PeerAnswered{Call: call, Sent: sent, Answer: decodeAnswer(resp.Msg)})
 }
 
 // setInstances takes the platform's list of instances.
