--- a/seam/storer/storer.go
+++ b/seam/storer/storer.go
@@ -28,8 +28,10 @@
 	// KindConfigHistory holds replaced configurations in a ring of slots.
 	KindConfigHistory Kind = "configHistory"
 	KindKey           Kind = "key"
-	KindSeat          Kind = "seat"
-	KindStatus        Kind = "status"
+	// KindClientMap holds the shards of the client map and their manifest.
+	KindClientMap Kind = "clientMap"
+	KindSeat      Kind = "seat"
+	KindStatus    Kind = "status"
 )
 
 // ConfigName is the name of the configuration in force.
@@ -54,6 +56,12 @@
 	return o
 }
 
+// WithVersion returns a copy of the object with another version.
+func (o Object) WithVersion(version int64) Object {
+	o.Version = version
+	return o
+}
+
 // Events is the answer to a watch: changes after a position, oldest first.
 type Events struct {
 	// Position is where the next watch should start.
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -53,6 +53,8 @@
 	keyVersions map[string]int64
 	peerClient  *http.Client
 	security    security
+	cancels     cancels
+	clients     *clients
 	// work ends when the daemon has shut down, stopping when it starts to.
 	work      context.Context
 	stopping  chan struct{}
@@ -134,6 +136,8 @@
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
 	d.meters = newMeters(d.metrics)
 	d.loop = newLoop(model, d.clock, newDecisionLog(d.log, settings.Log.Sampling), d.meters)
+	d.clients = newClients(d)
+	d.loop.cancel = d.cancels.stop
 	d.spread = newSpread(d, seed)
 	d.meters.addState(d)
 	d.table.Store(steerer.NewTable(nil, nil))
@@ -170,6 +174,9 @@
 // PeerAddress returns the bound address for other instances.
 func (d *Daemon) PeerAddress() string { return d.listeners.peers.Addr().String() }
 
+// MetricsAddress returns the bound address for metrics.
+func (d *Daemon) MetricsAddress() string { return d.listeners.metrics.Addr().String() }
+
 // Run serves until ctx ends, then shuts down gracefully: requests in progress
 // go on, new ones are refused, and nothing is cut.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -179,6 +186,7 @@
 	background, _ := errgroup.WithContext(work)
 	background.Go(func() error { d.loop.run(work); return nil })
 	background.Go(func() error { d.spread.run(work); return nil })
+	background.Go(func() error { d.clients.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
 
 	servers := []*server{
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -27,6 +27,8 @@
 	inbox   chan envelope
 	done    chan struct{}
 	replies map[uint64]chan decider.Cmd
+	// cancel stops an attempt that is under way.
+	cancel func(decider.Cancel)
 }
 
 // envelope is a message and, for a new request, where its commands go.
@@ -47,6 +49,7 @@
 		inbox:   make(chan envelope, inboxSize),
 		done:    make(chan struct{}),
 		replies: map[uint64]chan decider.Cmd{},
+		cancel:  func(decider.Cancel) {},
 	}
 }
 
@@ -122,6 +125,7 @@
 		l.meters.refused(c.Code)
 		l.log.refused(c)
 	case decider.Cancel:
+		l.cancel(c)
 		l.deliver(c.ID, c)
 	}
 }
