--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -33,6 +33,7 @@
 		Handler:           http.HandlerFunc(d.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         d.meters.connState,
 	}
 }
 
@@ -40,9 +41,16 @@
 	if d.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if !d.intake.enter() {
+		refuse(w, decider.Refuse{Code: coder.Stopping})
+		return
+	}
+	d.meters.requests.Add(1)
+	defer d.meters.requests.Add(-1)
 	id := d.nextID.Add(1)
 	content, err := forwarder.ReadContent(r.Body, r.ContentLength)
 	if err != nil {
+		d.intake.leave()
 		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
 		return
 	}
@@ -60,7 +68,9 @@
 
 // answer follows the loop's commands until the request has its final answer.
 func (d *Daemon) answer(ctx context.Context, w http.ResponseWriter, msg decider.RequestArrived, out forwarder.Outgoing) {
+	started := d.clock.Now()
 	cmds := d.loop.request(msg)
+	d.intake.leave()
 	defer d.loop.forget(msg.ID)
 	left := ctx.Done()
 	for {
@@ -79,6 +89,7 @@
 			case decider.Forward:
 				out.Team = c.Decision.Team
 				if result := d.attempt(ctx, w, c, out); final(result) {
+					d.meters.answered(out.Team, d.clock.Since(started))
 					return
 				}
 			}
@@ -100,6 +111,7 @@
 	defer cancel()
 	defer d.cancels.add(c.ID, c.Endpoint, cancel)()
 	result := d.forwarder.Attempt(ctx, w, out, c.Endpoint)
+	d.meters.attempted(result)
 	d.loop.send(decider.AnswerEnded{
 		ID:        c.ID,
 		Endpoint:  c.Endpoint,
@@ -108,7 +120,7 @@
 		Committed: result.Committed,
 	})
 	if result.Load >= 0 {
-		d.loop.send(decider.LoadReported{Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load, Draining: result.Draining})
+		d.loop.send(decider.LoadReported{Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load, Draining: result.Draining && d.without != UpstreamDrain})
 	}
 	return result
 }
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,7 @@
 	forwarder *forwarder.Forwarder
 	loop      *loop
 	metrics   *metrics.Set
+	meters    *meters
 	table     atomic.Pointer[steerer.Table]
 	config    atomic.Pointer[configurer.Config]
 	inForce   atomic.Pointer[inForce]
@@ -57,13 +59,22 @@
 	work      context.Context
 	stopping  chan struct{}
 	leaving   atomic.Bool
+	intake    intake
 	directory directory
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
 	listeners   listeners
+	// without is the mechanism that a test turned off, or 0.
+	without  Mechanism
+	peerDial PeerDial
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
+// PeerDial opens a connection to another instance.
+type PeerDial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // listeners holds the bound sockets.
 type listeners struct {
 	callers net.Listener
@@ -84,6 +95,9 @@
 // WithStore sets the platform's object service.
 func WithStore(s storer.Store) Option { return func(d *Daemon) { d.store = s } }
 
+// WithPeerDial sets how connections to other instances are opened.
+func WithPeerDial(dial PeerDial) Option { return func(d *Daemon) { d.peerDial = dial } }
+
 // New binds the listeners of an instance. Errors say which address failed.
 func New(settings loader.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
@@ -96,6 +110,8 @@
 		keyRecords:  map[string]authenticator.Record{},
 		keyVersions: map[string]int64{},
 		stopping:    make(chan struct{}),
+		peerDial:    (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		killed:      make(chan struct{}),
 	}
 	d.inForce.Store(&inForce{})
 	for _, opt := range opts {
@@ -119,10 +135,12 @@
 	}
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
-	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
+	d.meters = newMeters(d.metrics)
+	d.loop = newLoop(model, d.clock, newDecisionLog(d.log, settings.Log.Sampling), d.meters)
 	d.clients = newClients(d)
 	d.loop.cancel = d.cancels.stop
 	d.spread = newSpread(d, seed)
+	d.meters.addState(d)
 	d.table.Store(steerer.NewTable(nil, nil))
 	return d, d.bind()
 }
@@ -143,7 +161,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", s.name, err)
 		}
-		*s.socket = d.secureListener(s.name, l)
+		*s.socket = d.secureListener(s.name, newBacklogListener(l))
 	}
 	return nil
 }
@@ -187,9 +205,16 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		if d.without == GracefulStop {
+			cutAll(servers)
+			break
+		}
+		err = d.shutDown(servers)
+	case <-d.killed:
+		cutAll(servers)
 	case err = <-failed:
+		err = errors.Join(err, d.shutDown(servers))
 	}
-	err = errors.Join(err, d.shutDown(servers))
 	stopWork()
 	_ = background.Wait()
 	d.forwarder.Close()
@@ -197,30 +222,8 @@
 	return err
 }
 
-// shutDown lets callers learn of the stop, then waits for open requests.
-func (d *Daemon) shutDown(servers []*server) error {
-	d.leaving.Store(true)
-	close(d.stopping)
-	d.loop.send(decider.StopRequested{})
-	d.clock.Sleep(time.Duration(d.settings.Shutdown.Linger))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
-	defer cancel()
-	var errs []error
-	for _, s := range servers {
-		if err := s.http.Shutdown(ctx); err != nil {
-			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
-		}
-	}
-	return errors.Join(errs...)
-}
-
 // Kill ends the instance at once, as a crash would. For tests of failures.
-func (d *Daemon) Kill() {
-	_ = d.listeners.callers.Close()
-	_ = d.listeners.lookups.Close()
-	_ = d.listeners.peers.Close()
-	_ = d.listeners.metrics.Close()
-}
+func (d *Daemon) Kill() { d.killOnce.Do(func() { close(d.killed) }) }
 
 // server is one HTTP listener.
 type server struct {
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -60,6 +60,7 @@
 		d.log.Error("config: ignored an invalid version", zap.Int64("version", o.Version), zap.Error(err))
 		return
 	}
+	c = d.weakened(c)
 	d.config.Store(c)
 	d.clients.wakeUp()
 	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
@@ -79,6 +80,7 @@
 			d.log.Error("key: ignored an invalid record", zap.String("name", o.Name), zap.Error(err))
 			continue
 		}
+		r.Withdrawn = r.Withdrawn && d.without != KeyWithdrawal
 		d.keyRecords[o.Name] = r
 		d.keyVersions[o.Name] = o.Version
 	}
--- a/seamd/daemon/tls.go
+++ b/seamd/daemon/tls.go
@@ -74,7 +74,7 @@
 // peerTransport connects to peers as the settings say.
 func (d *Daemon) peerTransport() http.RoundTripper {
 	base := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		DialContext:         d.peerDial,
 		MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout:     peerIdleTimeout,
 	}
