--- a/seam/spreader/calls.go
+++ b/seam/spreader/calls.go
@@ -25,7 +25,7 @@
 // that the store has to be read directly.
 func (m *Model) abandoned() bool { return m.follow.failures >= len(m.nearWatchers()) }
 
-// nearWatchers returns the other watchers of this region.
+// nearWatchers returns the other watchers of this region, ordered by id.
 func (m *Model) nearWatchers() []Watcher {
 	var near []Watcher
 	for _, w := range m.watchers {
@@ -33,6 +33,7 @@
 			near = append(near, w)
 		}
 	}
+	slices.SortFunc(near, func(a, b Watcher) int { return cmp.Compare(a.ID, b.ID) })
 	return near
 }
 
--- a/seam/spreader/spreader.go
+++ b/seam/spreader/spreader.go
@@ -179,6 +179,10 @@
 // watchersChanged takes another list of watchers. Followers start at their rank
 // among those of their region, and turn to the rest in random order.
 func (m *Model) watchersChanged(msg WatchersChanged) {
+	m.follow.rank = msg.Rank
+	if sameWatchers(m.watchers, msg.Watchers) {
+		return
+	}
 	m.follow.notUntil = time.Time{}
 	for _, c := range m.store {
 		c.notUntil = time.Time{}
@@ -187,13 +191,12 @@
 	m.rng.Shuffle(len(m.watchers), func(i, j int) {
 		m.watchers[i], m.watchers[j] = m.watchers[j], m.watchers[i]
 	})
-	slices.SortStableFunc(m.watchers, func(a, b Watcher) int {
-		if a.Region != m.region || b.Region != m.region {
-			return 0
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
-	m.follow.next, m.follow.rank = 0, msg.Rank
+	m.follow.next = 0
+}
+
+// sameWatchers reports whether two lists hold the same in any order.
+func sameWatchers(a, b []Watcher) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(w Watcher) bool { return !slices.Contains(b, w) })
 }
 
 // Watching reports whether this instance is a watcher.
--- a/seam/spreader/watchers_test.go
+++ b/seam/spreader/watchers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"primroseseam.org/seam/faker"
 	"primroseseam.org/seam/spreader"
 	"primroseseam.org/seam/storer"
 )
@@ -36,3 +37,29 @@
 		}
 	}
 }
+
+func TestFollowersShareTheWatchersEvenly(t *testing.T) {
+	var list []storer.Instance
+	for i := range 55 {
+		list = append(list, storer.Instance{ID: fmt.Sprintf("i%02d", i), Region: "west", State: storer.InstanceLive})
+	}
+	watchers := spreader.ChooseWatchers(list)
+	followers := map[string]int{}
+	for i, instance := range list {
+		m := spreader.New(spreader.WithSelf(instance.ID, "west"), spreader.WithSeed(uint64(i)))
+		rank := spreader.RankOf(instance.ID, list, watchers)
+		for _, cmd := range m.Update(faker.Epoch, spreader.WatchersChanged{Watchers: watchers, Rank: rank}) {
+			if f, ok := cmd.(spreader.Follow); ok && !f.Ask {
+				followers[f.Peer.ID]++
+			}
+		}
+	}
+	for id, n := range followers {
+		if n > 7 { // 48 followers of 7 watchers
+			t.Errorf("%s has %d followers", id, n)
+		}
+	}
+	if len(followers) != len(watchers) {
+		t.Errorf("%d of %d watchers are followed", len(followers), len(watchers))
+	}
+}
--- a/seamd/daemon/metrics.go
+++ b/seamd/daemon/metrics.go
@@ -30,6 +30,8 @@
 	metricKeys            = "seam_keys"
 	metricKeyEvidenceAge  = "seam_key_evidence_age_seconds"
 	metricStoreReachable  = "seam_store_reachable"
+	metricStoreCalls      = "seam_store_calls_total"
+	metricStoreSeconds    = "seam_store_call_seconds"
 	metricLeaving         = "seam_leaving"
 )
 
--- a/seamd/daemon/relay.go
+++ b/seamd/daemon/relay.go
@@ -36,6 +36,7 @@
 	model    *spreader.Model
 	changed  chan struct{}
 	watchers []spreader.Watcher
+	rank     int
 	evidence time.Time
 
 	calls sync.WaitGroup
@@ -131,12 +132,12 @@
 // setInstances takes the platform's list of instances.
 func (s *spread) setInstances(ctx context.Context, list []storer.Instance) {
 	watchers := spreader.ChooseWatchers(list)
+	rank := spreader.RankOf(s.daemon.settings.Instance.ID, list, watchers)
 	s.mu.Lock()
-	same := slices.Equal(watchers, s.watchers)
-	s.watchers = watchers
+	same := slices.Equal(watchers, s.watchers) && rank == s.rank
+	s.watchers, s.rank = watchers, rank
 	s.mu.Unlock()
 	if !same {
-		rank := spreader.RankOf(s.daemon.settings.Instance.ID, list, watchers)
 		s.update(ctx, spreader.WatchersChanged{Watchers: watchers, Rank: rank})
 	}
 }
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -22,9 +22,9 @@
 // countStoreCall counts a call to the platform's service.
 func (d *Daemon) countStoreCall(c storer.Call) {
 	labels := fmt.Sprintf(`{method=%q,kind=%q,result=%q}`, c.Method, string(c.Kind), c.Result)
-	d.metrics.GetOrCreateCounter("seam_store_calls_total" + labels).Inc()
+	d.metrics.GetOrCreateCounter(metricStoreCalls + labels).Inc()
 	if c.Method != "watch" {
-		d.metrics.GetOrCreateHistogram("seam_store_call_seconds").Update(c.Took.Seconds())
+		d.metrics.GetOrCreateHistogram(metricStoreSeconds).Update(c.Took.Seconds())
 	}
 }
 
