--- a/seamctl/commander/measure.go
+++ b/seamctl/commander/measure.go
@@ -10,7 +10,7 @@
 
 func measureCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "measure", Short: "Measure a small fleet in this process"}
-	parent.AddCommand(measureSpreadCommand(), measureWithdrawalCommand(), measureCostCommand())
+	parent.AddCommand(measureSpreadCommand(), measureWithdrawalCommand(), measureCostCommand(), measureCutOffCommand())
 	return parent
 }
 
@@ -75,3 +75,21 @@
 	cmd.Flags().DurationVar(&plan.Idle, "idle", 15*time.Second, "how long the fleet is watched at rest")
 	return cmd
 }
+
+func measureCutOffCommand() *cobra.Command {
+	var freshness time.Duration
+	cmd := &cobra.Command{
+		Use:   "cutoff",
+		Short: "Measure how long an instance that is cut off trusts its keys",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			report, err := measurer.CutOff(cmd.Context(), freshness)
+			if err != nil {
+				return err
+			}
+			return writeIndented(cmd.OutOrStdout(), report)
+		},
+	}
+	cmd.Flags().DurationVar(&freshness, "key-freshness", 5*time.Second, "keyFreshness of the configuration")
+	return cmd
+}
--- a/seamctl/measurer/fleet.go
+++ b/seamctl/measurer/fleet.go
@@ -60,11 +60,14 @@
 	secret  []byte
 	daemons []*daemon.Daemon
 	gates   []*gate
-	logs    lockedBuffer
-	seen    lockedBuffer
-	work    time.Duration
-	stops   []func()
-	running sync.WaitGroup
+	// storeGates stand between each instance and the store.
+	storeGates []*gate
+	freshness  time.Duration
+	logs       lockedBuffer
+	seen       lockedBuffer
+	work       time.Duration
+	stops      []func()
+	running    sync.WaitGroup
 	// wanted is the configuration that stands in the store.
 	wanted configurer.Document
 }
@@ -91,12 +94,17 @@
 
 // startFleet starts instances and waits until all run the configuration.
 func startFleet(ctx context.Context, instances int, work time.Duration, keeper ...storekeeper.Option) (*fleet, error) {
+	return startFleetWith(ctx, instances, &fleet{work: work}, keeper...)
+}
+
+// startFleetWith starts a fleet whose fields are partly set.
+func startFleetWith(ctx context.Context, instances int, f *fleet, keeper ...storekeeper.Option) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "seam-measure-")
 	if err != nil {
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
 	keeper = append(keeper, storekeeper.WithListLag(100*time.Millisecond))
-	f := &fleet{dir: dir, keeper: storekeeper.New(keeper...), work: work, secret: []byte(rand.Text() + rand.Text())}
+	f.dir, f.keeper, f.secret = dir, storekeeper.New(keeper...), []byte(rand.Text()+rand.Text())
 	if err := f.start(ctx, instances); err != nil {
 		f.stop()
 		return nil, err
@@ -145,9 +153,9 @@
 // document describes the fleet and its upstreams.
 func (f *fleet) document(instances int) (configurer.Document, error) {
 	d := configurer.Defaults{
-		FleetSize: instances,
-		Teams:     []configurer.Team{{Name: team, RatePerSecond: teamRate, Burst: teamRate, Weight: 1}},
-		Routes:    []configurer.Route{{PathPrefix: "/index/", Service: "index", OpenToAll: true, Idempotent: true}},
+		FleetSize: instances, KeyFreshness: configurer.Duration(f.freshness),
+		Teams:  []configurer.Team{{Name: team, RatePerSecond: teamRate, Burst: teamRate, Weight: 1}},
+		Routes: []configurer.Route{{PathPrefix: "/index/", Service: "index", OpenToAll: true, Idempotent: true}},
 	}
 	for _, region := range regions {
 		d.Regions = append(d.Regions, configurer.Region{Name: region, FailureDomains: []string{region + "-a", region + "-b"}})
@@ -175,10 +183,16 @@
 func (f *fleet) startDaemon(i int) error {
 	region := regions[i%len(regions)]
 	domain := fmt.Sprintf("%s-%c", region, 'a'+rune(i/len(regions)%domainsPer))
+	toStore, err := newGate(strings.TrimPrefix(f.address, "http://"))
+	if err != nil {
+		return err
+	}
+	f.storeGates = append(f.storeGates, toStore)
+	f.stops = append(f.stops, toStore.close)
 	settings := loader.Settings{
 		Instance: loader.Instance{ID: fmt.Sprintf("seamd-%d", i+1), Region: region, FailureDomain: domain},
 		Listen:   loader.Listen{Callers: loopback, Lookups: loopback, Peers: loopback, Metrics: loopback},
-		Platform: loader.Platform{Address: f.address},
+		Platform: loader.Platform{Address: "http://" + toStore.address()},
 		Shutdown: loader.Shutdown{Linger: configurer.Duration(time.Millisecond), Timeout: configurer.Duration(time.Second)},
 		Security: loader.Security{PeerSecretFile: f.secretFile()},
 		Seed:     uint64(i + 1),
--- a/seamctl/measurer/measurer_test.go
+++ b/seamctl/measurer/measurer_test.go
@@ -75,3 +75,19 @@
 		})
 	}
 }
+
+func TestAnInstanceThatIsCutOffStopsTrustingItsKeys(t *testing.T) {
+	t.Parallel()
+	const freshness = 5 * time.Second
+	report, err := measurer.CutOff(context.Background(), freshness)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", report)
+	if report.StaleAfter <= 0 || report.StaleAfter > freshness+time.Second || report.ServedAfterwards != 0 {
+		t.Errorf("refused after %v, then served %d", report.StaleAfter, report.ServedAfterwards)
+	}
+	if report.OthersRefused != 0 || report.OthersServed == 0 {
+		t.Errorf("the others served %d and refused %d", report.OthersServed, report.OthersRefused)
+	}
+}
--- a/seamctl/measurer/withdrawal.go
+++ b/seamctl/measurer/withdrawal.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,8 @@
 
 	"primroseseam.org/seam/applier"
 	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seamd/forwarder"
 )
 
 // WithdrawalPlan says what is measured.
@@ -160,6 +163,9 @@
 	}
 }
 
+// statusStale stands for a refusal by an instance that doesn't trust its keys.
+const statusStale = -1
+
 func get(ctx context.Context, client *http.Client, target, secret string) (int, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
@@ -172,6 +178,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, err = io.Copy(io.Discard, resp.Body)
+	if code, _ := strconv.Atoi(resp.Header.Get(forwarder.HeaderCode)); coder.Code(code) == coder.KeyEvidenceStale &&
+		resp.Header.Get(forwarder.HeaderNotRun) == "true" {
+		return statusStale, err
+	}
 	return resp.StatusCode, err
 }
 
