--- /dev/null
+++ b/seam/allocator/harness_test.go
@@ -0,0 +1,230 @@
+package allocator
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/faker"
+	"primroseseam.org/seam/storer"
+)
+
+// rosterName is the roster's name among the seats in the store.
+const rosterName = "roster"
+
+// fleet drives ledgers over the fakes.
+type fleet struct {
+	world   *faker.World
+	network *faker.Network
+	store   *faker.Store
+	domains []Domain
+	nodes   []*node
+	plan    *Plan
+	plants  plants
+	checks  map[Resource]*windowCheck
+	bytes   int
+	asks    int
+}
+
+// node is one instance.
+type node struct {
+	fleet  *fleet
+	name   string
+	domain Domain
+	offset time.Duration
+	ledger *Ledger
+	dead   bool
+}
+
+// windowCheck finds the greatest, over all windows, of what was granted minus
+// the rate times the window. It is exact: a window's start that was best stays
+// best until another start gives zero.
+type windowCheck struct {
+	capacity Capacity
+	level    float64
+	worst    float64
+	last     time.Time
+	granted  float64
+}
+
+func (c *windowCheck) add(now time.Time, amount float64) {
+	elapsed := math.Max(0, now.Sub(c.last).Seconds())
+	c.level = math.Max(0, c.level-c.capacity.Rate*elapsed) + amount
+	c.last = now
+	c.worst = math.Max(c.worst, c.level)
+	c.granted += amount
+}
+
+func (c *windowCheck) broken() bool { return c.worst > c.capacity.Burst+1e-3 }
+
+// newFleet starts instances spread over regions with two domains each.
+func newFleet(seed uint64, instances, regions int, capacities []Capacity, opts ...faker.NetworkOption) *fleet {
+	f := &fleet{world: faker.NewWorld(seed), checks: map[Resource]*windowCheck{}}
+	f.network = faker.NewNetwork(f.world, opts...)
+	f.store = faker.NewStore(f.world, f.network, 2*time.Second)
+	for r := range regions {
+		for _, d := range []string{"a", "b"} {
+			f.domains = append(f.domains, Domain{Name: fmt.Sprintf("r%d-%s", r, d), Region: fmt.Sprintf("r%d", r)})
+		}
+	}
+	f.plan = NewPlan(1, f.domains, capacities)
+	for _, c := range capacities {
+		f.checks[c.Resource] = &windowCheck{capacity: c, last: f.world.Now()}
+	}
+	for i := range instances {
+		d := f.domains[(i%regions)*2+(i/regions)%2]
+		n := &node{fleet: f, name: fmt.Sprintf("i%d", i), domain: d, offset: time.Duration(f.world.Rand().Int64N(int64(time.Hour)))}
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+	return f
+}
+
+func (f *fleet) members() []Member {
+	var members []Member
+	for _, n := range f.nodes {
+		if !n.dead {
+			members = append(members, Member{Instance: n.name, Region: n.domain.Region, FailureDomain: n.domain.Name})
+		}
+	}
+	return members
+}
+
+// start begins a new incarnation.
+func (n *node) start() {
+	n.dead = false
+	p := Peer{Instance: n.name, Incarnation: n.fleet.world.Incarnation(n.name) + 1}
+	n.ledger = New(WithSelf(p, n.domain.Region, n.domain.Name), WithSeed(p.Incarnation))
+	n.ledger.plants = n.fleet.plants
+	n.feed(PlanChanged{Plan: n.fleet.plan})
+	n.tick()
+}
+
+func (n *node) crash() {
+	n.fleet.world.Crash(n.name)
+	n.dead = true
+}
+
+func (n *node) now() time.Time { return n.fleet.world.Now().Add(n.offset) }
+
+func (n *node) tick() {
+	n.ledger.Update(n.now(), MembersChanged{Members: n.fleet.members()})
+	n.feed(Ticked{})
+	n.fleet.world.After(n.name, 50*time.Millisecond, n.tick)
+}
+
+func (n *node) feed(msg Msg) { n.carryOut(n.ledger.Update(n.now(), msg)) }
+
+// send delivers a message to whatever incarnation runs at the other end.
+func (n *node) send(to string, msg Msg) {
+	f := n.fleet
+	f.asks++
+	f.network.Send(n.name, to, func() {
+		i := slices.IndexFunc(f.nodes, func(o *node) bool { return o.name == to })
+		if !f.nodes[i].dead {
+			f.nodes[i].feed(msg)
+		}
+	})
+}
+
+func (n *node) carryOut(cmds []Cmd) {
+	for _, cmd := range cmds {
+		switch c := cmd.(type) {
+		case AskLoan:
+			n.send(c.To, c.Ask)
+		case AnswerLoan:
+			n.send(c.To.Instance, c.Answer)
+		case AskAcknowledgement:
+			n.send(c.To, c.Ask)
+		case AnswerAcknowledgement:
+			n.send(c.To.Instance, c.Answer)
+		case AskWord:
+			n.send(c.To, c.Ask)
+		case AnswerWord:
+			n.send(c.To.Instance, c.Answer)
+		case ListSeats:
+			n.fleet.store.List(n.name, storer.KindSeat, func(e storer.Events, err error) { n.listed(c.Sequence, e, err) })
+		case WriteSeat:
+			n.put(c.Seat.Name, c.Seat.Version, c.Seat.Record, func(r WriteResult, v int64) {
+				n.feed(SeatWritten{Sequence: c.Sequence, Seat: c.Seat.Name, Result: r, Version: v})
+			})
+		case WriteRoster:
+			n.put(rosterName, c.Version, c.Roster, func(r WriteResult, v int64) {
+				n.feed(RosterWritten{Sequence: c.Sequence, Result: r, Version: v})
+			})
+		}
+	}
+}
+
+func (n *node) listed(sequence uint64, e storer.Events, err error) {
+	msg := SeatsListed{Sequence: sequence, Failed: err != nil}
+	for _, o := range e.Objects {
+		if o.Name == rosterName {
+			msg.RosterVersion = o.Version
+			_ = json.Unmarshal(o.Value, &msg.Roster)
+			continue
+		}
+		s := Seat{Name: o.Name, Version: o.Version}
+		_ = json.Unmarshal(o.Value, &s.Record)
+		msg.Seats = append(msg.Seats, s)
+	}
+	n.feed(msg)
+}
+
+func (n *node) put(name string, version int64, value any, done func(WriteResult, int64)) {
+	data, _ := json.Marshal(value)
+	o := storer.Object{Kind: storer.KindSeat, Name: name, Version: version, Value: data}
+	n.fleet.store.Put(n.name, o, func(written storer.Object, err error) {
+		switch coder.Of(err) {
+		case coder.OK:
+			done(WriteApplied, written.Version)
+		case coder.StoreConflict:
+			done(WriteConflicted, 0)
+		default:
+			done(WriteUnknown, 0)
+		}
+	})
+}
+
+// request takes a token if there is one and lets the check see it.
+func (n *node) request(r Resource, amount float64) bool {
+	_, ok := n.ledger.Take(n.now(), r, amount)
+	if ok {
+		n.fleet.checks[r].add(n.fleet.world.Now(), amount)
+	}
+	return ok
+}
+
+// broken returns the resources that were granted too much.
+func (f *fleet) broken() []string {
+	var names []string
+	for r, c := range f.checks {
+		if c.broken() {
+			names = append(names, fmt.Sprintf("%s: %.2f over a burst of %.2f", r.Name, c.worst, c.capacity.Burst))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// usable counts the seats that some instance may spend from.
+func (f *fleet) usable() int {
+	count := 0
+	for _, n := range f.nodes {
+		for _, h := range n.ledger.held {
+			if !n.dead && n.now().Before(h.until) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func team(name string, rate, burst float64) Capacity {
+	return Capacity{Resource: Resource{Kind: TeamRate, Name: name}, Rate: rate, Burst: burst}
+}
