--- a/seam/allocator/harness_test.go
+++ b/seam/allocator/harness_test.go
@@ -61,7 +61,14 @@
 
 // newFleet starts instances spread over regions with two domains each.
 func newFleet(seed uint64, instances, regions int, capacities []Capacity, opts ...faker.NetworkOption) *fleet {
-	f := &fleet{world: faker.NewWorld(seed), checks: map[Resource]*windowCheck{}}
+	return newPlantedFleet(seed, instances, regions, capacities, plants{}, opts...)
+}
+
+// newPlantedFleet is newFleet with faults planted in every ledger.
+func newPlantedFleet(
+	seed uint64, instances, regions int, capacities []Capacity, p plants, opts ...faker.NetworkOption,
+) *fleet {
+	f := &fleet{world: faker.NewWorld(seed), checks: map[Resource]*windowCheck{}, plants: p}
 	f.network = faker.NewNetwork(f.world, opts...)
 	f.store = faker.NewStore(f.world, f.network, 2*time.Second)
 	for r := range regions {
@@ -104,11 +111,6 @@
 	n.tick()
 }
 
-func (n *node) crash() {
-	n.fleet.world.Crash(n.name)
-	n.dead = true
-}
-
 func (n *node) now() time.Time { return n.fleet.world.Now().Add(n.offset) }
 
 func (n *node) tick() {
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -46,7 +46,6 @@
 	config    atomic.Pointer[configurer.Config]
 	inForce   atomic.Pointer[inForce]
 	spread    *spread
-	directory directory
 	ledger    *ledgerCalls
 	// keyRecords and keyVersions are guarded by the spread's lock.
 	keyRecords  map[string]authenticator.Record
@@ -54,9 +53,10 @@
 	peerClient  *http.Client
 	security    security
 	// work ends when the daemon has shut down, stopping when it starts to.
-	work     context.Context
-	stopping chan struct{}
-	leaving  atomic.Bool
+	work      context.Context
+	stopping  chan struct{}
+	leaving   atomic.Bool
+	directory directory
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
--- a/seamd/daemon/ledger.go
+++ b/seamd/daemon/ledger.go
@@ -34,6 +34,8 @@
 	mu     sync.Mutex
 	open   map[any]chan allocator.Cmd
 	calls  sync.WaitGroup
+	// members belongs to the goroutine that reads the instance list.
+	members []allocator.Member
 }
 
 // lendKey, acknowledgeKey and vouchKey tell the calls of peers apart.
@@ -81,12 +83,12 @@
 
 // client returns a client for an instance and a context that bounds one call.
 func (s *ledgerCalls) client(instance string) (peerv1connect.LedgerServiceClient, context.Context, context.CancelFunc, bool) {
-	address, ok := s.daemon.directory.peerAddress(instance)
+	other, ok := s.daemon.Peer(instance)
 	if !ok {
 		return nil, nil, nil, false
 	}
 	ctx, cancel := context.WithTimeout(s.daemon.work, ledgerCallTimeout)
-	return peerv1connect.NewLedgerServiceClient(s.daemon.peerClient, s.daemon.peerURL(address)), ctx, cancel, true
+	return peerv1connect.NewLedgerServiceClient(s.daemon.peerClient, s.daemon.peerURL(other.Address())), ctx, cancel, true
 }
 
 func (s *ledgerCalls) askLoan(c allocator.AskLoan) {
--- a/seamd/daemon/ledgerservice.go
+++ b/seamd/daemon/ledgerservice.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"connectrpc.com/connect"
 
 	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/decider"
 	peerv1 "primroseseam.org/seam/gen/peer/v1"
-	"primroseseam.org/seam/storer"
 )
 
 // ledgerService answers peers' calls about limits.
@@ -71,14 +71,18 @@
 	return connect.NewResponse(&peerv1.VouchResponse{Receiver: start(c.Answer.From), Granted: c.Answer.Granted}), nil
 }
 
-// membersChanged tells the ledger which instances the platform lists as live.
-func (s *ledgerCalls) membersChanged(list []storer.Instance) {
+// membersChanged tells the ledger which instances live, if that has changed.
+func (s *ledgerCalls) membersChanged() {
 	var members []allocator.Member
-	for _, i := range list {
-		if i.State == storer.InstanceLive {
-			members = append(members, allocator.Member{Instance: i.ID, Region: i.Region, FailureDomain: i.FailureDomain})
+	for _, id := range s.daemon.PeerIDs() {
+		if p, ok := s.daemon.Peer(id); ok {
+			members = append(members, allocator.Member{Instance: id, Region: p.Region(), FailureDomain: p.FailureDomain()})
 		}
 	}
+	if slices.Equal(members, s.members) {
+		return
+	}
+	s.members = members
 	s.report(decider.LedgerReported{MembersChanged: &allocator.MembersChanged{Members: members}})
 }
 
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -88,9 +88,8 @@
 		if list, err := d.store.Instances(ctx); err == nil {
 			d.table.Store(d.newTable(list))
 			d.spread.setInstances(ctx, list)
-			if d.directory.set(list) {
-				d.ledger.membersChanged(list)
-			}
+			d.ledger.membersChanged()
+			d.directory.setFromPlatform(list)
 		}
 		d.sleep(ctx, instancesEvery)
 	}
