--- a/seam/allocator/account.go
+++ b/seam/allocator/account.go
@@ -119,13 +119,23 @@
 	free := math.Max(0, a.burst-lentBurst)
 	room := free
 	if a.rate > 0 {
-		room = math.Max(0, free-a.burst*keep/a.rate)
+		own := a.burst * keep / a.rate
+		if keep > 0 {
+			own = math.Max(own, leastBurst)
+		}
+		room = math.Max(0, free-own)
 		g.Burst = math.Min(room, a.burst*g.Rate/a.rate)
 	}
 	room = math.Max(room, held.burst)
 	reserve := math.Min(a.tokens, demand*ownReserve.Seconds())
 	g.Tokens = math.Max(0, math.Min(item.WantTokens, math.Min(a.tokens-reserve, room-held.burst)))
+	if item.WantRate > 0 {
+		g.Burst = math.Max(g.Burst, math.Min(room, leastBurst))
+	}
 	g.Burst = math.Min(room, math.Max(g.Burst, math.Min(item.HeldTokens, held.burst)+g.Tokens))
+	if g.Burst < leastBurst-rounding {
+		g = Grant{Resource: item.Resource}
+	}
 	charge := math.Max(held.burst+g.Tokens, g.Burst)
 	// Tokens that no longer fit beside the loan go with it.
 	surplus := math.Max(0, a.tokens-g.Tokens-math.Max(0, free-charge))
@@ -137,6 +147,10 @@
 	return g
 }
 
+// leastBurst is the least burst of a loan, in tokens: with less, a borrower
+// could never spend a whole one.
+const leastBurst = 1
+
 // ownReserve is how long a holder's own demand could live on what it keeps.
 const ownReserve = 100 * time.Millisecond
 
--- a/seam/allocator/borrower.go
+++ b/seam/allocator/borrower.go
@@ -384,6 +384,9 @@
 // nearest returns the seats: own failure domain, own region, then others in an
 // order that differs between instances.
 func (l *Ledger) nearest() []string {
+	if l.nearFor == l.plan() {
+		return l.near
+	}
 	names := rank(l.self.Instance, l.plan().seats)
 	distance := func(name string) int {
 		switch {
@@ -395,6 +398,7 @@
 		return 2
 	}
 	slices.SortStableFunc(names, func(a, b string) int { return distance(a) - distance(b) })
+	l.near, l.nearFor = names, l.plan()
 	return names
 }
 
--- a/seam/allocator/ledger.go
+++ b/seam/allocator/ledger.go
@@ -60,8 +60,11 @@
 	// plans are the newest plan and older ones that some holder still follows.
 	plans         []*Plan
 	planConfirmed bool
-	members       []Member
-	memberSince   map[string]time.Time
+	// near is the order of the seats for the plan nearFor.
+	near        []string
+	nearFor     *Plan
+	members     []Member
+	memberSince map[string]time.Time
 
 	store   storeView
 	held    map[string]*heldSeat
