--- a/seam/decider/config.go
+++ b/seam/decider/config.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/picker"
 	"primroseseam.org/seam/queuer"
@@ -16,24 +15,9 @@
 	}
 	m.config = msg.Config.At(now)
 	m.expiry, _ = msg.Config.NextExpiry(now)
-	m.resizeBuckets(now)
-	m.configureLimits(now, msg.Config)
+	cmds := m.configureLimits(now)
 	m.updatePools()
-	return nil
-}
-
-// resizeBuckets gives this instance an equal part of every team's rate.
-func (m *Model) resizeBuckets(now time.Time) {
-	part := float64(m.config.FleetSize())
-	for _, t := range m.config.Teams() {
-		rate := allocator.Rate(t.RatePerSecond / part)
-		burst := t.Burst / part
-		if b, ok := m.buckets[t.Name]; ok {
-			b.Resize(now, rate, burst)
-			continue
-		}
-		m.buckets[t.Name] = allocator.NewBucket(rate, burst, burst, now)
-	}
+	return cmds
 }
 
 func (m *Model) updatePools() {
--- a/seam/replayer/instance.go
+++ b/seam/replayer/instance.go
@@ -57,7 +57,7 @@
 func (i *instance) start() {
 	self := decider.NewSelf(i.info.ID, i.info.Region, i.info.FailureDomain)
 	seed := i.replay.world.Rand().Uint64()
-	i.model = decider.New(decider.WithSelf(self), decider.WithSeed(seed))
+	i.model = decider.New(decider.WithSelf(self), decider.WithSeed(seed), decider.WithIncarnation(i.replay.world.Incarnation(i.info.ID)+1))
 	i.calls = map[uint64]*attempts{}
 	i.version = 0
 	i.alive, i.leaving = true, false
@@ -110,6 +110,7 @@
 func (i *instance) readStore() {
 	i.replay.store.List(i.info.ID, storer.KindConfig, i.takeConfig)
 	i.replay.store.List(i.info.ID, storer.KindKey, i.takeKeys)
+	i.tellMembers()
 	i.replay.world.After(i.info.ID, readEvery, i.readStore)
 }
 
@@ -189,6 +190,8 @@
 		i.refuse(c)
 	case decider.Cancel:
 		i.cancel(c.ID)
+	case decider.LedgerCall:
+		i.callLedger(c.Call)
 	}
 }
 
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/decider"
 )
 
@@ -29,6 +30,8 @@
 	replies map[uint64]chan decider.Cmd
 	// cancel stops an attempt that is under way.
 	cancel func(decider.Cancel)
+	// ledger carries out the commands of the fleet-wide ledger.
+	ledger func(allocator.Cmd)
 }
 
 // envelope is a message and, for a new request, where its commands go.
@@ -127,6 +130,8 @@
 	case decider.Cancel:
 		l.cancel(c)
 		l.deliver(c.ID, c)
+	case decider.LedgerCall:
+		l.ledger(c.Call)
 	}
 }
 
