--- /dev/null
+++ b/seam/replayer/ledger.go
@@ -0,0 +1,107 @@
+package replayer
+
+import (
+	"encoding/json"
+
+	"primroseseam.org/seam/allocator"
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/storer"
+)
+
+// rosterName is the roster's name among the seats in the store.
+const rosterName = "roster"
+
+// callLedger carries out a command of the fleet-wide ledger.
+func (i *instance) callLedger(cmd allocator.Cmd) {
+	switch c := cmd.(type) {
+	case allocator.AskLoan:
+		i.tell(c.To, decider.LedgerReported{LoanAsked: &c.Ask})
+	case allocator.AnswerLoan:
+		i.tell(c.To.Instance, decider.LedgerReported{LoanAnswered: &c.Answer})
+	case allocator.AskAcknowledgement:
+		i.tell(c.To, decider.LedgerReported{AcknowledgementAsked: &c.Ask})
+	case allocator.AnswerAcknowledgement:
+		i.tell(c.To.Instance, decider.LedgerReported{AcknowledgementGiven: &c.Answer})
+	case allocator.AskWord:
+		i.tell(c.To, decider.LedgerReported{WordAsked: &c.Ask})
+	case allocator.AnswerWord:
+		i.tell(c.To.Instance, decider.LedgerReported{WordGiven: &c.Answer})
+	case allocator.ListSeats:
+		i.replay.store.List(i.info.ID, storer.KindSeat, func(e storer.Events, err error) { i.seatsListed(c, e, err) })
+	case allocator.WriteSeat:
+		i.writeSeat(c)
+	case allocator.WriteRoster:
+		i.writeRoster(c)
+	}
+}
+
+// tell sends a message to another instance's core.
+func (i *instance) tell(id string, msg decider.LedgerReported) {
+	to, ok := i.replay.instances[id]
+	if !ok {
+		return
+	}
+	i.replay.network.Send(i.info.ID, id, func() {
+		if to.alive {
+			to.update(msg)
+		}
+	})
+}
+
+func (i *instance) seatsListed(c allocator.ListSeats, e storer.Events, err error) {
+	listed := allocator.SeatsListed{Sequence: c.Sequence, Failed: err != nil}
+	for _, o := range e.Objects {
+		if o.Name == rosterName {
+			listed.RosterVersion = o.Version
+			_ = json.Unmarshal(o.Value, &listed.Roster)
+			continue
+		}
+		seat := allocator.Seat{Name: o.Name, Version: o.Version}
+		_ = json.Unmarshal(o.Value, &seat.Record)
+		listed.Seats = append(listed.Seats, seat)
+	}
+	i.update(decider.LedgerReported{SeatsListed: &listed})
+}
+
+func (i *instance) writeSeat(c allocator.WriteSeat) {
+	i.put(c.Seat.Name, c.Seat.Version, c.Seat.Record, func(result allocator.WriteResult, version int64) {
+		written := allocator.SeatWritten{Sequence: c.Sequence, Seat: c.Seat.Name, Result: result, Version: version}
+		i.update(decider.LedgerReported{SeatWritten: &written})
+	})
+}
+
+func (i *instance) writeRoster(c allocator.WriteRoster) {
+	i.put(rosterName, c.Version, c.Roster, func(result allocator.WriteResult, version int64) {
+		written := allocator.RosterWritten{Sequence: c.Sequence, Result: result, Version: version}
+		i.update(decider.LedgerReported{RosterWritten: &written})
+	})
+}
+
+func (i *instance) put(name string, version int64, value any, done func(allocator.WriteResult, int64)) {
+	data, _ := json.Marshal(value)
+	o := storer.Object{Kind: storer.KindSeat, Name: name, Version: version, Value: data}
+	i.replay.store.Put(i.info.ID, o, func(written storer.Object, err error) {
+		switch coder.Of(err) {
+		case coder.OK:
+			done(allocator.WriteApplied, written.Version)
+		case coder.StoreConflict:
+			done(allocator.WriteConflicted, 0)
+		default:
+			done(allocator.WriteUnknown, 0)
+		}
+	})
+}
+
+// tellMembers gives the core the instances that the platform lists.
+func (i *instance) tellMembers() {
+	var members []allocator.Member
+	for _, o := range i.replay.order {
+		if o.alive && !o.leaving {
+			members = append(members, allocator.Member{
+				Instance: o.info.ID, Region: o.info.Region, FailureDomain: o.info.FailureDomain,
+			})
+		}
+	}
+	i.update(decider.LedgerReported{MembersChanged: &allocator.MembersChanged{Members: members}})
+}
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -102,6 +102,7 @@
 		if list, err := d.store.Instances(ctx); err == nil {
 			d.table.Store(d.newTable(list))
 			d.spread.setInstances(ctx, list)
+			d.ledger.membersChanged()
 			d.directory.setFromPlatform(list)
 		}
 		d.sleep(ctx, instancesEvery)
