Add status, instance, explain and a walk-through by hand

Change: seamctl status, instance list and drain, explain; operators' calls on the peers' listener, behind its proof; every answer and refusal carries Seam-Request-Id; standin register; example files; OPERATIONS.md with settings, stop and exit codes. Lines of libraries, which can hold an answer's content, are cut short in the daemon's log.

--- a/seamctl/commander/commander.go
+++ b/seamctl/commander/commander.go
@@ -27,6 +27,7 @@
 	root.AddCommand(demoCommand())
 	root.AddCommand(configCommand(), keyCommand(), upstreamCommand())
 	root.AddCommand(traceCommand(), replayCommand())
+	root.AddCommand(statusCommand(), instanceCommand(), explainCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(stderr, "seamctl:", err)
 		return exitCode(err)
--- a/seamctl/commander/demo.go
+++ b/seamctl/commander/demo.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -52,6 +53,8 @@
 	if err != nil {
 		return err
 	}
+	// Libraries print the content of answers that arrive twice.
+	log.SetOutput(io.Discard)
 	report, err := demonstrator.Run(cmd.Context(), opts...)
 	if err != nil {
 		return err
--- a/seamd/commander/commander.go
+++ b/seamd/commander/commander.go
@@ -9,6 +9,8 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
+	"strings"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -19,7 +21,7 @@
 	"primroseseam.org/seamd/loader"
 )
 
-// Exit codes of the daemon.
+// Exit codes of the daemon; docs/OPERATIONS.md lists them.
 const (
 	exitOK       = 0
 	exitFailed   = 1
@@ -60,7 +62,10 @@
 			if err != nil {
 				return err
 			}
-			d, err := daemon.New(settings, daemon.WithLogger(newLogger(settings, stderr)))
+			logger := newLogger(settings, stderr)
+			log.SetFlags(0)
+			log.SetOutput(libraryLog{log: logger})
+			d, err := daemon.New(settings, daemon.WithLogger(logger))
 			if err != nil {
 				return err
 			}
@@ -98,3 +103,17 @@
 	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
 	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level))
 }
+
+// maxLibraryLine is what is kept of a library's line in bytes. The rest may
+// hold the content of an answer.
+const maxLibraryLine = 48
+
+// libraryLog passes on what libraries write to the standard logger.
+type libraryLog struct{ log *zap.Logger }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(p []byte) (int, error) {
+	line := strings.TrimSpace(string(p[:min(len(p), maxLibraryLine)]))
+	l.log.Warn("daemon: library says", zap.String("line", line))
+	return len(p), nil
+}
--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -48,6 +48,8 @@
 	d.meters.requests.Add(1)
 	defer d.meters.requests.Add(-1)
 	id := d.nextID.Add(1)
+	name := fmt.Sprintf("%s-%d", d.settings.Instance.ID, id)
+	w.Header().Set(forwarder.HeaderRequestID, name)
 	content, err := forwarder.ReadContent(r.Body, r.ContentLength)
 	if err != nil {
 		d.intake.leave()
@@ -57,7 +59,7 @@
 	msg := decider.RequestArrived{ID: id, Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now())}
 	msg.Key, msg.HasKey = callerKey(r)
 	out := forwarder.Outgoing{
-		ID:      fmt.Sprintf("%s-%d", d.settings.Instance.ID, id),
+		ID:      name,
 		Method:  r.Method,
 		URI:     r.URL.RequestURI(),
 		Header:  r.Header,
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -66,8 +66,11 @@
 	// without is the mechanism that a test turned off, or 0.
 	without  Mechanism
 	peerDial PeerDial
-	killed   chan struct{}
-	killOnce sync.Once
+	// drained ends the run as ctx does, when an operator asks for it.
+	drained   chan struct{}
+	drainOnce sync.Once
+	killed    chan struct{}
+	killOnce  sync.Once
 }
 
 // PeerDial opens a connection to another instance.
@@ -110,6 +113,7 @@
 		stopping:    make(chan struct{}),
 		peerDial:    (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 		killed:      make(chan struct{}),
+		drained:     make(chan struct{}),
 	}
 	d.inForce.Store(&inForce{})
 	for _, opt := range opts {
@@ -201,6 +205,8 @@
 			break
 		}
 		err = d.shutDown(servers)
+	case <-d.drained:
+		err = d.shutDown(servers)
 	case <-d.killed:
 		cutAll(servers)
 	case err = <-failed:
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -27,6 +27,8 @@
 	inbox   chan envelope
 	done    chan struct{}
 	replies map[uint64]chan decider.Cmd
+	// decisions are kept for operators who ask why.
+	decisions *decisions
 }
 
 // envelope is a message and, for a new request, where its commands go.
@@ -47,6 +49,8 @@
 		inbox:   make(chan envelope, inboxSize),
 		done:    make(chan struct{}),
 		replies: map[uint64]chan decider.Cmd{},
+
+		decisions: newDecisions(),
 	}
 }
 
@@ -114,11 +118,13 @@
 	switch c := cmd.(type) {
 	case decider.Forward:
 		l.deliver(c.ID, c)
+		l.decisions.add(l.clock.Now(), c)
 		l.meters.forwarded(c)
 		l.log.forwarded(c)
 	case decider.Refuse:
 		l.deliver(c.ID, c)
 		delete(l.replies, c.ID)
+		l.decisions.add(l.clock.Now(), c)
 		l.meters.refused(c.Code)
 		l.log.refused(c)
 	case decider.Cancel:
--- /dev/null
+++ b/seamd/daemon/operators.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/decider"
+)
+
+// explainedDecisions is the number of decisions that can still be explained.
+const explainedDecisions = 8192
+
+// Explanation is a routing decision as operators see it.
+type Explanation struct {
+	Request    string    `json:"request"`
+	At         time.Time `json:"at"`
+	Team       string    `json:"team"`
+	Service    string    `json:"service"`
+	Candidates int       `json:"candidates"`
+	// Choice is the endpoint, or "" for a refusal.
+	Choice   string  `json:"choice"`
+	Attempt  int     `json:"attempt"`
+	Code     int     `json:"code"`
+	Reason   string  `json:"reason"`
+	NotRun   string  `json:"notRun"`
+	WaitedMS float64 `json:"waitedMs"`
+}
+
+// operatorHandler adds the operators' calls to the peers' listener, where
+// callers must prove themselves.
+func (d *Daemon) operatorHandler(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/explain", d.serveExplain)
+	mux.HandleFunc("POST /v1/drain", d.serveDrain)
+}
+
+// serveDrain starts a planned stop.
+func (d *Daemon) serveDrain(w http.ResponseWriter, r *http.Request) {
+	d.log.Info("daemon: drain asked for", zap.String("from", r.RemoteAddr))
+	d.drainOnce.Do(func() { close(d.drained) })
+	writeJSON(w, http.StatusAccepted, map[string]string{"instance": d.settings.Instance.ID})
+}
+
+// serveExplain answers with the decisions of one request.
+func (d *Daemon) serveExplain(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Query().Get("request")
+	number, err := strconv.ParseUint(strings.TrimPrefix(name, d.settings.Instance.ID+"-"), 10, 64)
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, Refusal{Code: int(coder.RequestMalformed), Name: coder.RequestMalformed.String()})
+		return
+	}
+	list := d.loop.decisions.of(number)
+	for i := range list {
+		list[i].Request = name
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// decisions keeps the newest decisions in a ring. It is safe for concurrent
+// use.
+type decisions struct {
+	mu   sync.Mutex
+	ring []decision
+	next int
+}
+
+// decision is a command and when it was given.
+type decision struct {
+	at  time.Time
+	cmd decider.Cmd
+}
+
+func newDecisions() *decisions { return &decisions{ring: make([]decision, explainedDecisions)} }
+
+func (s *decisions) add(at time.Time, cmd decider.Cmd) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ring[s.next] = decision{at: at, cmd: cmd}
+	s.next = (s.next + 1) % len(s.ring)
+}
+
+// of returns the decisions of a request, oldest first.
+func (s *decisions) of(id uint64) []Explanation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := []Explanation{}
+	for i := range s.ring {
+		entry := s.ring[(s.next+i)%len(s.ring)]
+		switch c := entry.cmd.(type) {
+		case decider.Forward:
+			if c.ID == id {
+				list = append(list, explainForward(entry.at, c))
+			}
+		case decider.Refuse:
+			if c.ID == id {
+				list = append(list, explainRefuse(entry.at, c))
+			}
+		}
+	}
+	return list
+}
+
+func explainForward(at time.Time, c decider.Forward) Explanation {
+	e := explain(at, c.Decision)
+	e.Choice, e.Attempt, e.Reason = c.Endpoint, c.Attempt, coder.OK.String()
+	e.NotRun = "false"
+	return e
+}
+
+func explainRefuse(at time.Time, c decider.Refuse) Explanation {
+	e := explain(at, c.Decision)
+	e.Code, e.Reason, e.NotRun = int(c.Code), c.Code.String(), notRun(c.Ran)
+	return e
+}
+
+func explain(at time.Time, d decider.Decision) Explanation {
+	return Explanation{
+		At: at, Team: d.Team, Service: d.Service, Candidates: d.Candidates,
+		WaitedMS: float64(d.Waited) / float64(time.Millisecond),
+	}
+}
--- a/seamd/daemon/peers.go
+++ b/seamd/daemon/peers.go
@@ -15,6 +15,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMembershipServiceHandler(&membershipService{daemon: d}))
 	mux.Handle(peerv1connect.NewRelayServiceHandler(&relayService{daemon: d}))
+	d.operatorHandler(mux)
 	return d.authenticatePeers(mux)
 }
 
--- a/standin/main.go
+++ b/standin/main.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	standin platform --listen 127.0.0.1:7000
+//	standin register --platform http://127.0.0.1:7000 seamd.json
 //	standin upstream --listen 127.0.0.1:9000 --slots 3 --work 20ms
 package main
 
@@ -29,7 +30,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "standin", Short: "standin takes the place of outside systems", SilenceUsage: true}
-	root.AddCommand(platformCommand(), upstreamCommand())
+	root.AddCommand(platformCommand(), upstreamCommand(), registerCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -53,17 +54,23 @@
 		listen string
 		slots  int
 		work   time.Duration
+		cold   float64
+		// warming is how long a cold upstream takes until it is warm.
+		warming time.Duration
 	)
 	cmd := &cobra.Command{
 		Use:   "upstream",
 		Short: "Answer requests as an upstream would",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), listen, responder.New(responder.WithSlots(slots), responder.WithWork(work)))
+			return serve(cmd.Context(), listen, responder.New(
+				responder.WithSlots(slots), responder.WithWork(work), responder.WithColdStart(cold, warming)))
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:9000", "IP address and port")
 	cmd.Flags().IntVar(&slots, "slots", 3, "requests that run at once")
 	cmd.Flags().DurationVar(&work, "work", 20*time.Millisecond, "time that a request takes")
+	cmd.Flags().Float64Var(&cold, "cold", 1, "how many times longer requests take after the start")
+	cmd.Flags().DurationVar(&warming, "warming", 0, "time until requests take as long as --work says")
 	return cmd
 }
 
