--- a/seamctl/demonstrator/checker.go
+++ b/seamctl/demonstrator/checker.go
@@ -134,6 +134,19 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
+// usedSince counts the callers' attempts by instance.
+func (c *checker) usedSince(at time.Time) map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used := map[string]int{}
+	for _, o := range c.outcomes {
+		if !o.direct && o.sentAt.After(at) {
+			used[o.instance]++
+		}
+	}
+	return used
+}
+
 // upstreamSaw takes both calls of an upstream's observer.
 func (c *checker) upstreamSaw(e *endpoint, s responder.Seen) {
 	c.mu.Lock()
--- a/seamctl/demonstrator/demonstrator.go
+++ b/seamctl/demonstrator/demonstrator.go
@@ -34,6 +34,9 @@
 	readyTimeout = 10 * time.Second
 	readyPoll    = 20 * time.Millisecond
 	loopback     = "127.0.0.1:0"
+	// callersPerTeam is the number of a team's callers, each with its own
+	// look-ups and connections.
+	callersPerTeam = 4
 )
 
 // Demo is one run.
@@ -226,8 +229,10 @@
 	defer cancel()
 	var open sync.WaitGroup
 	for n := range d.shape.Teams {
-		c := d.newCaller(n, "", teamRate(n)/3)
-		open.Go(func() { c.run(ctx) })
+		for m := range callersPerTeam {
+			c := d.newCaller(n, fmt.Sprintf("%c", 'a'+m), teamRate(n)/3/callersPerTeam)
+			open.Go(func() { c.run(ctx) })
+		}
 	}
 	open.Go(func() { d.prober.run(ctx) })
 	open.Go(func() { d.sampleHeadroom(ctx) })
--- a/seamctl/demonstrator/fleet.go
+++ b/seamctl/demonstrator/fleet.go
@@ -1,9 +1,11 @@
 package demonstrator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,6 +108,14 @@
 	return live
 }
 
+// busiest returns the live instance that callers used most lately.
+func (d *Demo) busiest() *instance {
+	used := d.checker.usedSince(time.Now().Add(-time.Second))
+	return slices.MaxFunc(d.liveInstances(), func(a, b *instance) int {
+		return cmp.Compare(used[a.daemon.CallerAddress()], used[b.daemon.CallerAddress()])
+	})
+}
+
 // stopInstance stops an instance as planned and measures how long it takes.
 func (d *Demo) stopInstance(i *instance) {
 	i.markEnded()
--- a/seamctl/demonstrator/timeline.go
+++ b/seamctl/demonstrator/timeline.go
@@ -16,9 +16,6 @@
 	// surgeTeam and keyTeam are the indexes of the teams that faults concern.
 	surgeTeam = 1
 	keyTeam   = 2
-	// stoppingInstance and crashingInstance are indexes of instances.
-	stoppingInstance = 1
-	crashingInstance = 5
 	// answerFaultChance is the part of an endpoint's answers that fail.
 	answerFaultChance = 0.1
 	// headroomEvery is the time between two samples of free slots.
@@ -49,9 +46,9 @@
 	case FaultUpstreamDrain:
 		return []step{{0.30, d.drainByConfig}, {0.32, d.drainByUpstream}}
 	case FaultGracefulStop:
-		return []step{{0.25, func(context.Context) { d.stopInstance(d.instances[stoppingInstance]) }}}
+		return []step{{0.25, func(context.Context) { d.stopInstance(d.busiest()) }}}
 	case FaultCrash:
-		return []step{{0.45, func(ctx context.Context) { d.crashInstance(ctx, d.instances[crashingInstance]) }}}
+		return []step{{0.45, func(ctx context.Context) { d.crashInstance(ctx, d.busiest()) }}}
 	case FaultStoreOutage:
 		return []step{{0.50, d.storeOutage}}
 	case FaultLinkCut:
