--- a/seamd/daemon/shutdown_test.go
+++ b/seamd/daemon/shutdown_test.go
@@ -79,7 +79,9 @@
 			send(client, &slowBody{pieces: 40, pause: 40 * time.Millisecond})
 		})
 	}
-	time.Sleep(300 * time.Millisecond)
+	for sent.Load() < 300 {
+		time.Sleep(10 * time.Millisecond)
+	}
 	stopAt.Store(time.Now().UnixNano())
 	w.stop()
 	callers.Wait()
