--- a/seamctl/demonstrator/caller.go
+++ b/seamctl/demonstrator/caller.go
@@ -31,11 +31,18 @@
 	maxTries = 4
 )
 
+// entryAnswer is the answer to a look-up.
+type entryAnswer struct {
+	steerer.Answer
+	// Ticket starts the names of requests that must run at most once.
+	Ticket string `json:"ticket"`
+}
+
 // lookUp asks an instance which instances a caller in region should use.
-func lookUp(ctx context.Context, address, region string) (steerer.Answer, error) {
+func lookUp(ctx context.Context, address, region string) (entryAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
 	defer cancel()
-	var answer steerer.Answer
+	var answer entryAnswer
 	target := "http://" + address + "/v1/entries?region=" + url.QueryEscape(region)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
@@ -61,11 +68,12 @@
 	rng    *rand.Rand
 	client *http.Client
 	sent   atomic.Int64
+	named  atomic.Int64
 
 	mu sync.Mutex
 	// lookUps chooses the instances to ask for look-ups.
 	lookUps *rand.Rand
-	entries steerer.Answer
+	entries entryAnswer
 	expires time.Time
 }
 
@@ -85,6 +93,8 @@
 	path       string
 	body       string
 	idempotent bool
+	// name is the same over all tries of a request that must run at most once.
+	name string
 }
 
 func (c *caller) nextRequest() outgoing {
@@ -101,12 +111,16 @@
 // request is known not to have run.
 func (c *caller) send(o outgoing) {
 	for try := range maxTries {
-		address, ok := c.entry(try)
+		address, ticket, ok := c.entry(try)
 		if !ok {
 			continue
 		}
+		if !o.idempotent && o.name == "" && ticket != "" {
+			o.name = fmt.Sprintf("%s.%d", ticket, c.named.Add(1))
+		}
 		result := c.attempt(address, o)
-		result.final = !result.askElsewhere() || try == maxTries-1
+		again := result.askElsewhere() || (result.unknown() && o.name != "")
+		result.final = !again || try == maxTries-1
 		c.demo.checker.callerSaw(result)
 		if result.kind != answered {
 			c.forgetEntries(result)
@@ -130,19 +144,19 @@
 }
 
 // entry returns the instance to use, from a look-up that is still fresh.
-func (c *caller) entry(try int) (string, bool) {
+func (c *caller) entry(try int) (address, ticket string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Now().After(c.expires) || len(c.entries.Instances) == 0 {
 		from := c.demo.instances[c.lookUps.IntN(len(c.demo.instances))]
 		answer, err := lookUp(context.Background(), from.daemon.LookupAddress(), c.region)
 		if err != nil || len(answer.Instances) == 0 {
-			return "", false
+			return "", "", false
 		}
 		c.entries = answer
 		c.expires = time.Now().Add(answer.TTL)
 	}
-	return c.entries.Instances[try%len(c.entries.Instances)].Address, true
+	return c.entries.Instances[try%len(c.entries.Instances)].Address, c.entries.Ticket, true
 }
 
 // forgetEntries makes the next request look up anew if an instance is gone.
@@ -162,6 +176,9 @@
 		return outcome{kind: failed}
 	}
 	req.Header.Set("Authorization", "Bearer "+secret)
+	if o.name != "" {
+		req.Header.Set(responder.HeaderName, o.name)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		var op *net.OpError
--- a/seamctl/demonstrator/checker.go
+++ b/seamctl/demonstrator/checker.go
@@ -46,6 +46,11 @@
 	return o.notSent || (o.kind == refused && o.code == coder.Stopping && o.notRun)
 }
 
+// unknown reports whether the request may have run without an answer.
+func (o outcome) unknown() bool {
+	return o.kind == failed || (o.kind == refused && !o.notRun)
+}
+
 // arrival is a request that an upstream received.
 type arrival struct {
 	at   time.Time
