--- /dev/null
+++ b/standin/responder/responder_test.go
@@ -0,0 +1,107 @@
+package responder_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"primroseseam.org/standin/disruptor"
+	"primroseseam.org/standin/responder"
+)
+
+// serve starts an upstream whose connections can be disturbed.
+func serve(t *testing.T, r *responder.Responder) (*disruptor.Listener, string) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := disruptor.NewListener(inner)
+	server := &http.Server{Handler: r, ConnContext: responder.ConnContext, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l, "http://" + inner.Addr().String()
+}
+
+func ask(client *http.Client, url string, limit time.Duration) (responder.Answer, http.Header, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var a responder.Answer
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/x", strings.NewReader("body"))
+	if err != nil {
+		return a, nil, err
+	}
+	req.Header.Set(responder.HeaderRequestID, "one")
+	resp, err := client.Do(req)
+	if err != nil {
+		return a, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return a, resp.Header, json.NewDecoder(resp.Body).Decode(&a)
+}
+
+func TestOpenConnectionsStaySilentWhileNewOnesWork(t *testing.T) {
+	l, url := serve(t, responder.New())
+	kept := &http.Client{Transport: &http.Transport{}}
+	if _, _, err := ask(kept, url, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if n := l.SilenceOpen(); n != 1 {
+		t.Fatalf("%d connections were silenced", n)
+	}
+	if _, _, err := ask(kept, url, 200*time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("a silent connection answered: %v", err)
+	}
+	if _, _, err := ask(&http.Client{Transport: &http.Transport{}}, url, time.Second); err != nil {
+		t.Fatalf("a new connection failed: %v", err)
+	}
+}
+
+func TestReportsLieAndRequestsAreSeenTwice(t *testing.T) {
+	for report, want := range map[responder.Report]string{
+		responder.ReportHonest: "1", responder.ReportZero: "0", responder.ReportFull: "3", responder.ReportLagging: "0",
+	} {
+		var seen, ended atomic.Int64
+		_, url := serve(t, responder.New(responder.WithSlots(3), responder.WithReport(report),
+			responder.WithObserver(func(s responder.Seen) {
+				if s.Ended {
+					ended.Add(1)
+				} else {
+					seen.Add(1)
+				}
+			})))
+		_, header, err := ask(http.DefaultClient, url, time.Second)
+		if err != nil || header.Get(responder.HeaderLoad) != want {
+			t.Errorf("%v: reported %q, %v", report, header.Get(responder.HeaderLoad), err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		if seen.Load() != 1 || ended.Load() != 1 {
+			t.Errorf("%v: seen %d, ended %d", report, seen.Load(), ended.Load())
+		}
+	}
+}
+
+func TestColdUpstreamIsSlowerUntilItIsWarm(t *testing.T) {
+	work := 20 * time.Millisecond
+	_, url := serve(t, responder.New(responder.WithWork(work), responder.WithColdStart(10, 300*time.Millisecond)))
+	took := func() time.Duration {
+		started := time.Now()
+		if _, _, err := ask(http.DefaultClient, url, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		return time.Since(started)
+	}
+	if cold := took(); cold < 5*work {
+		t.Errorf("cold: %v", cold)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if warm := took(); warm > 5*work {
+		t.Errorf("warm: %v", warm)
+	}
+}
