--- a/seam/applier/applier.go
+++ b/seam/applier/applier.go
@@ -58,12 +58,16 @@
 	Version int64
 	// Superseded means that a later change has been accepted since.
 	Superseded bool
+	// Object is what was written; its value is empty if the change was found
+	// in the store.
+	Object storer.Object
 }
 
 // Applier changes the configuration. It is safe for concurrent use.
 type Applier struct {
 	store storer.Store
 	clock clockwork.Clock
+	rng   *mathrand.Rand
 }
 
 // Option changes an applier at its creation.
@@ -72,6 +76,12 @@
 // WithClock sets the clock.
 func WithClock(c clockwork.Clock) Option { return func(a *Applier) { a.clock = c } }
 
+// WithSeed seeds the jitter between tries. The applier is then not safe for
+// concurrent use.
+func WithSeed(seed uint64) Option {
+	return func(a *Applier) { a.rng = mathrand.New(mathrand.NewPCG(seed, seed)) }
+}
+
 // New returns an applier for a store.
 func New(store storer.Store, opts ...Option) *Applier {
 	a := &Applier{store: store, clock: clockwork.NewRealClock()}
@@ -154,7 +164,7 @@
 		return Accepted{}, err
 	}
 	if current.Change != nil && current.Change.ID == p.ID {
-		return Accepted{Change: *current.Change, Version: current.Version}, nil
+		return Accepted{Change: *current.Change, Version: current.Version, Object: currentObject(current)}, nil
 	}
 	if current.Sequence() != p.Base {
 		return a.settleRaced(ctx, p, current)
@@ -177,7 +187,7 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	return Accepted{Change: *stored.Change, Version: o.Version}, nil
+	return Accepted{Change: *stored.Change, Version: o.Version, Object: object.WithVersion(o.Version)}, nil
 }
 
 // settleRaced finds out whether the change was accepted and then replaced, or
@@ -189,7 +199,7 @@
 		case transient(err):
 			return Accepted{}, err
 		case err == nil && mine.Change.ID == p.ID:
-			return Accepted{Change: *mine.Change, Version: current.Version, Superseded: true}, nil
+			return Accepted{Change: *mine.Change, Version: current.Version, Superseded: true, Object: currentObject(current)}, nil
 		}
 	}
 	base, err := a.Archived(ctx, p.Base)
@@ -213,7 +223,11 @@
 // pause waits before another try; it reports false if ctx ends first.
 func (a *Applier) pause(ctx context.Context, try int) bool {
 	longest := min(retryAfter<<min(try, 10), maxRetryAfter)
-	wait := longest/2 + mathrand.N(longest/2)
+	jitter := mathrand.Int64N
+	if a.rng != nil {
+		jitter = a.rng.Int64N
+	}
+	wait := longest/2 + time.Duration(jitter(int64(longest/2)))
 	select {
 	case <-ctx.Done():
 		return false
@@ -221,3 +235,8 @@
 		return true
 	}
 }
+
+// currentObject names what stands in the store, without its value.
+func currentObject(current Current) storer.Object {
+	return storer.Object{Kind: storer.KindConfig, Name: storer.ConfigName, Version: current.Version}
+}
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -29,6 +29,8 @@
 	replies map[uint64]chan decider.Cmd
 	// decisions are kept for operators who ask why.
 	decisions *decisions
+	// cancel stops an attempt that is under way.
+	cancel func(decider.Cancel)
 }
 
 // envelope is a message and, for a new request, where its commands go.
@@ -51,6 +53,7 @@
 		replies: map[uint64]chan decider.Cmd{},
 
 		decisions: newDecisions(),
+		cancel:    func(decider.Cancel) {},
 	}
 }
 
@@ -128,6 +131,7 @@
 		l.meters.refused(c.Code)
 		l.log.refused(c)
 	case decider.Cancel:
+		l.cancel(c)
 		l.deliver(c.ID, c)
 	}
 }
