--- a/seamctl/demonstrator/demonstrator_test.go
+++ b/seamctl/demonstrator/demonstrator_test.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// TestUncheckedPromiseFailsTheRun withdraws a key too late for any check.
+func TestUncheckedPromiseFailsTheRun(t *testing.T) {
+	report := run(t, demonstrator.WithFaults(demonstrator.FaultKeyWithdrawal), demonstrator.WithDuration(time.Second))
+	if report.Holds() {
+		t.Errorf("%+v", report.Promises)
+	}
+}
+
 func violations(r demonstrator.Report, promise string) int {
 	for _, p := range r.Promises {
 		if p.Name == promise {
--- a/seamctl/demonstrator/timeline.go
+++ b/seamctl/demonstrator/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -24,13 +25,14 @@
 
 // step is something that happens during a run, at a part of its duration.
 type step struct {
-	at float64
-	do func(context.Context)
+	at   float64
+	name string
+	do   func(context.Context)
 }
 
 // steps returns what the faults of the run do.
 func (d *Demo) steps() []step {
-	list := []step{{0.05, d.changeConfig}}
+	list := []step{{0.05, "change the configuration", d.changeConfig}}
 	for _, f := range d.faults {
 		list = append(list, d.stepsOf(f)...)
 	}
@@ -40,31 +42,31 @@
 func (d *Demo) stepsOf(f Fault) []step {
 	switch f {
 	case FaultSurge:
-		return []step{{0.10, d.surge}}
+		return []step{{0.10, "surge of one team", d.surge}}
 	case FaultKeyWithdrawal:
-		return []step{{0.20, d.withdrawKey}}
+		return []step{{0.20, "withdraw a key", d.withdrawKey}}
 	case FaultUpstreamDrain:
-		return []step{{0.30, d.drainByConfig}, {0.32, d.drainByUpstream}}
+		return []step{{0.30, "drain an endpoint by configuration", d.drainByConfig}, {0.32, "an endpoint announces its drain", d.drainByUpstream}}
 	case FaultGracefulStop:
-		return []step{{0.25, func(context.Context) { d.stopInstance(d.busiest()) }}}
+		return []step{{0.25, "stop an instance as planned", func(context.Context) { d.stopInstance(d.busiest()) }}}
 	case FaultCrash:
-		return []step{{0.45, func(ctx context.Context) { d.crashInstance(ctx, d.busiest()) }}}
+		return []step{{0.45, "crash an instance", func(ctx context.Context) { d.crashInstance(ctx, d.busiest()) }}}
 	case FaultStoreOutage:
-		return []step{{0.50, d.storeOutage}}
+		return []step{{0.50, "store outage, then a lost answer", d.storeOutage}}
 	case FaultLinkCut:
 		return []step{
-			{0.55, func(context.Context) { d.setLinkCut(d.shape.Regions[0], d.shape.Regions[1], true) }},
-			{0.75, func(context.Context) { d.setLinkCut(d.shape.Regions[0], d.shape.Regions[1], false) }},
+			{0.55, "cut the link between two regions", func(context.Context) { d.setLinkCut(d.shape.Regions[0], d.shape.Regions[1], true) }},
+			{0.75, "mend the link", func(context.Context) { d.setLinkCut(d.shape.Regions[0], d.shape.Regions[1], false) }},
 		}
 	case FaultSilentConnections:
 		return []step{
-			{0.35, func(context.Context) { d.silenceConnections(0) }},
-			{0.80, func(context.Context) { d.silenceConnections(1) }},
+			{0.35, "silence open connections to a third of the endpoints", func(context.Context) { d.silenceConnections(0) }},
+			{0.80, "silence open connections to another third", func(context.Context) { d.silenceConnections(1) }},
 		}
 	case FaultAnswers:
 		return []step{
-			{0.05, func(context.Context) { d.setAnswerFaults(answerFaultChance) }},
-			{0.90, func(context.Context) { d.setAnswerFaults(0) }},
+			{0.05, "some answers come late, crossed, twice, cut short or never", func(context.Context) { d.setAnswerFaults(answerFaultChance) }},
+			{0.90, "answers are proper again", func(context.Context) { d.setAnswerFaults(0) }},
 		}
 	}
 	return nil
@@ -75,8 +77,10 @@
 	var open sync.WaitGroup
 	for _, s := range d.steps() {
 		open.Go(func() {
-			pause(ctx, time.Duration(s.at*float64(d.duration)))
+			after := time.Duration(s.at * float64(d.duration))
+			pause(ctx, after)
 			if ctx.Err() == nil {
+				d.progress(fmt.Sprintf("%5.1fs %s", after.Seconds(), s.name))
 				s.do(context.WithoutCancel(ctx))
 			}
 		})
--- a/seamd/loader/settings_test.go
+++ b/seamd/loader/settings_test.go
@@ -43,6 +43,7 @@
 		{"shutdown.linger", `"5s"`, `"-5s"`},
 		{"security", `"unauthenticatedPeers": true`, ``},
 		{"security.peers", `true}`, `true, "peers": {"certFile": "a"}}`},
+		{"security.callers.certFile", `true}`, `true, "callers": {"certFile": "/does/not/exist", "keyFile": "/nor/this"}}`},
 		{"security.peerSecretFile", `true}`, `true, "peerSecretFile": "/does/not/exist"}`},
 		{"security.peerSecretVariable", `true}`, `true, "peerSecretVariable": "SEAM_NOT_SET"}`},
 		{"log.level", `warn`, `loud`},
--- a/seamd/loader/tls.go
+++ b/seamd/loader/tls.go
@@ -54,6 +54,11 @@
 			return coder.Errorf(coder.SettingsInvalid, f.path, "set both certFile and keyFile, or neither")
 		}
 	}
+	for _, f := range files {
+		if err := f.files.checkReadable(f.path); err != nil {
+			return err
+		}
+	}
 	if s.Peers.CAFile != "" && !s.Peers.Enabled() {
 		return coder.Errorf(coder.SettingsInvalid, "security.peers.caFile", "needs certFile and keyFile")
 	}
@@ -71,6 +76,22 @@
 	return nil
 }
 
+// checkReadable opens each file that is named.
+func (f TLSFiles) checkReadable(path string) error {
+	named := []struct{ field, file string }{{"certFile", f.CertFile}, {"keyFile", f.KeyFile}, {"caFile", f.CAFile}}
+	for _, n := range named {
+		if n.file == "" {
+			continue
+		}
+		opened, err := os.Open(n.file)
+		if err != nil {
+			return coder.Errorf(coder.SettingsInvalid, path+"."+n.field, "can't be read: %w; check the file's name and rights", err)
+		}
+		_ = opened.Close()
+	}
+	return nil
+}
+
 // PeerSecret reads the shared secret, or returns nil if none is set.
 func (s Security) PeerSecret() ([]byte, error) {
 	switch {
--- a/seamd/main.go
+++ b/seamd/main.go
@@ -17,6 +17,8 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	code := commander.Execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
