Let the demo's planned stop linger as long as the default

Other instances may name it for 2 s more, and callers use an answer for 7.5 s; the demo's linger was 8 s.

--- a/seamctl/demonstrator/fleet.go
+++ b/seamctl/demonstrator/fleet.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// stopLinger is longer than callers may use a cached look-up answer.
-	stopLinger = 8 * time.Second
+	// stopLinger is the daemon's default: longer than look-ups may still name a
+	// leaving instance (2 s) plus the life of such an answer (7.5 s).
+	stopLinger = 10 * time.Second
 	// stopTimeout bounds the rest of a planned stop.
 	stopTimeout = 10 * time.Second
 	// listLag is how far the platform's instance list is behind a crash.
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -24,7 +24,7 @@
 
 // Defaults for settings that may be left out.
 const (
-	defaultShutdownLinger  = 10 * time.Second // outlives callers' cached look-up answers
+	defaultShutdownLinger  = 10 * time.Second // outlives the last look-up answer that names the instance
 	defaultShutdownTimeout = 30 * time.Second
 	defaultLogLevel        = "info"
 	defaultLogFirst        = 100
