--- a/seam/decider/keys.go
+++ b/seam/decider/keys.go
@@ -64,6 +64,6 @@
 	}
 	m.config = m.config.At(now)
 	m.expiry, _ = m.config.NextExpiry(now)
-	m.resizeBuckets(now)
+	m.configureLimits(now)
 	m.updatePools()
 }
--- a/seam/decider/requests.go
+++ b/seam/decider/requests.go
@@ -30,12 +30,7 @@
 	if !msg.Deadline.IsZero() && msg.Deadline.Before(r.deadline) {
 		r.deadline = msg.Deadline
 	}
-	if !m.buckets[r.team].Take(now, 1) {
-		wait := m.buckets[r.team].Wait(now, 1)
-		return []Cmd{m.refusal(now, r, coder.TeamOverRate, coder.NotRun, wait)}
-	}
-	m.requests[r.id] = r
-	return m.admit(now, r)
+	return m.limit(now, r)
 }
 
 // authenticate finds the team and the route of a request.
@@ -143,7 +138,7 @@
 func (m *Model) callerLeft(now time.Time, msg CallerLeft) []Cmd {
 	r, ok := m.requests[msg.ID]
 	if !ok {
-		return nil
+		return m.leaveWait(now, msg.ID)
 	}
 	if r.queued {
 		m.services[r.service].queue.Remove(r.team, r.id)
