Bound what is read of a peer's call before its proof is checked

Cause: anyone could have had an instance hold 64 MiB for each call. Change: 4 MiB, and a longer call is refused as too large; a test sends one.

--- a/seam/prover/prover.go
+++ b/seam/prover/prover.go
@@ -45,8 +45,11 @@
 	MinSecretBytes = 32
 	// window is how far the clocks of two instances may be apart.
 	window = 5 * time.Minute
-	// maxBodyBytes bounds a request or answer.
-	maxBodyBytes = 64 << 20
+	// maxRequestBytes bounds what is read of a request before its proof is
+	// checked: an object of the store with room to spare.
+	maxRequestBytes = 4 << 20
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
 )
 
 // Prover proves and checks the knowledge of a secret. It is safe for
@@ -107,7 +110,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	body, err := readBody(r.Body)
+	body, err := readBody(r.Body, maxRequestBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := readBody(resp.Body)
+	answer, err := readBody(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -134,19 +137,25 @@
 	return resp, nil
 }
 
-func readBody(body io.ReadCloser) ([]byte, error) {
+// readBody reads a whole body; it fails if that is longer than limit bytes.
+func readBody(body io.ReadCloser, limit int64) ([]byte, error) {
 	if body == nil {
 		return nil, nil
 	}
 	defer func() { _ = body.Close() }()
-	return io.ReadAll(io.LimitReader(body, maxBodyBytes))
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = fmt.Errorf("body is longer than %d bytes", limit)
+	}
+	return data, err
 }
 
 // Handler passes on requests that carry a proof and signs the answers.
 func (p *Prover) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := readBody(r.Body)
+		body, err := readBody(r.Body, maxRequestBytes)
 		if err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 			return
 		}
 		if err := p.check(r, body); err != nil {
--- a/seamd/daemon/security_test.go
+++ b/seamd/daemon/security_test.go
@@ -195,6 +195,9 @@
 	if status := recorded.replay(t, nil); status != http.StatusUnauthorized {
 		t.Errorf("a request with another nonce got status %d", status)
 	}
+	if status := recorded.replay(t, make([]byte, 5<<20)); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a request that is too long got status %d", status)
+	}
 	if status := recorded.replay(t, []byte("{}")); status != http.StatusUnauthorized {
 		t.Errorf("a request with another body got status %d", status)
 	}
