--- a/seam/spreader/calls.go
+++ b/seam/spreader/calls.go
@@ -25,7 +25,7 @@
 // that the store has to be read directly.
 func (m *Model) abandoned() bool { return m.follow.failures >= len(m.nearWatchers()) }
 
-// nearWatchers returns the other watchers of this region.
+// nearWatchers returns the other watchers of this region, ordered by id.
 func (m *Model) nearWatchers() []Watcher {
 	var near []Watcher
 	for _, w := range m.watchers {
@@ -33,9 +33,21 @@
 			near = append(near, w)
 		}
 	}
+	slices.SortFunc(near, func(a, b Watcher) int { return cmp.Compare(a.ID, b.ID) })
 	return near
 }
 
+// choose returns the watcher whose turn it is: first each one of this region,
+// starting at this instance's rank, then the others.
+func (m *Model) choose(list []Watcher) Watcher {
+	near := len(m.nearWatchers())
+	turn := m.follow.next % len(list)
+	if turn < near {
+		return list[(m.follow.rank+turn)%near]
+	}
+	return list[turn]
+}
+
 // candidates returns the watchers to follow, those of this region first.
 func (m *Model) candidates() []Watcher {
 	list := m.nearWatchers()
@@ -109,7 +121,7 @@
 		return nil
 	}
 	m.follow.busy = true
-	peer := list[m.follow.next%len(list)]
+	peer := m.choose(list)
 	return []Cmd{Follow{Peer: peer, Request: m.request(peer, relayWait)}}
 }
 
