--- a/seamctl/demonstrator/demonstrator_test.go
+++ b/seamctl/demonstrator/demonstrator_test.go
@@ -9,8 +9,8 @@
 	"primroseseam.org/seamctl/demonstrator"
 )
 
-// variableLong makes the tests run every fault and mechanism.
-const variableLong = "SEAM_LONG_TESTS"
+// variableWhole makes the tests turn off every mechanism.
+const variableWhole = "SEAM_WHOLE"
 
 func run(t *testing.T, opts ...demonstrator.Option) demonstrator.Report {
 	t.Helper()
@@ -54,8 +54,8 @@
 	}
 	for _, c := range cases {
 		t.Run(c.broken, func(t *testing.T) {
-			if c.long && os.Getenv(variableLong) == "" {
-				t.Skipf("set %s to run it", variableLong)
+			if c.long && os.Getenv(variableWhole) == "" {
+				t.Skipf("set %s to run it", variableWhole)
 			}
 			broken, err := demonstrator.ParseBreak(c.broken)
 			if err != nil {
