--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -29,6 +29,7 @@
 	_ = x[ConfigConflict-201]
 	_ = x[ConfigNotInForce-202]
 	_ = x[SettingsInvalid-210]
+	_ = x[ArgumentInvalid-220]
 	_ = x[StoreUnavailable-300]
 	_ = x[StoreConflict-301]
 	_ = x[StoreNotFound-302]
@@ -46,9 +47,10 @@
 	_Code_name_3 = "UpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGone"
 	_Code_name_4 = "ConfigInvalidConfigConflictConfigNotInForce"
 	_Code_name_5 = "SettingsInvalid"
-	_Code_name_6 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
-	_Code_name_7 = "PeerUnauthenticated"
-	_Code_name_8 = "TraceInvalidOutcomeMissed"
+	_Code_name_6 = "ArgumentInvalid"
+	_Code_name_7 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
+	_Code_name_8 = "PeerUnauthenticated"
+	_Code_name_9 = "TraceInvalidOutcomeMissed"
 )
 
 var (
@@ -56,8 +58,8 @@
 	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72}
 	_Code_index_3 = [...]uint8{0, 14, 29, 45, 59, 69}
 	_Code_index_4 = [...]uint8{0, 13, 27, 43}
-	_Code_index_6 = [...]uint8{0, 16, 29, 42, 56, 75}
-	_Code_index_8 = [...]uint8{0, 12, 25}
+	_Code_index_7 = [...]uint8{0, 16, 29, 42, 56, 75}
+	_Code_index_9 = [...]uint8{0, 12, 25}
 )
 
 func (i Code) String() string {
@@ -78,14 +80,16 @@
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
 	case i == 210:
 		return _Code_name_5
+	case i == 220:
+		return _Code_name_6
 	case 300 <= i && i <= 304:
 		i -= 300
-		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
+		return _Code_name_7[_Code_index_7[i]:_Code_index_7[i+1]]
 	case i == 400:
-		return _Code_name_7
+		return _Code_name_8
 	case 500 <= i && i <= 501:
 		i -= 500
-		return _Code_name_8[_Code_index_8[i]:_Code_index_8[i+1]]
+		return _Code_name_9[_Code_index_9[i]:_Code_index_9[i+1]]
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 
 	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/decider"
@@ -25,12 +23,13 @@
 type loop struct {
 	model   *decider.Model
 	clock   clockwork.Clock
-	log     *zap.Logger
+	log     decisionLog
+	meters  *meters
 	inbox   chan envelope
 	done    chan struct{}
 	replies map[uint64]chan decider.Cmd
-	forward *metrics.Counter
-	refuse  *metrics.Counter
+	// cancel stops an attempt that is under way.
+	cancel func(decider.Cancel)
 	// ledger carries out the commands of the fleet-wide ledger.
 	ledger func(allocator.Cmd)
 }
@@ -44,16 +43,16 @@
 	after func()
 }
 
-func newLoop(m *decider.Model, c clockwork.Clock, log *zap.Logger, set *metrics.Set) *loop {
+func newLoop(m *decider.Model, c clockwork.Clock, log decisionLog, meters *meters) *loop {
 	return &loop{
 		model:   m,
 		clock:   c,
 		log:     log,
+		meters:  meters,
 		inbox:   make(chan envelope, inboxSize),
 		done:    make(chan struct{}),
 		replies: map[uint64]chan decider.Cmd{},
-		forward: set.NewCounter("seam_forwards_total"),
-		refuse:  set.NewCounter("seam_refusals_total"),
+		cancel:  func(decider.Cancel) {},
 	}
 }
 
@@ -120,18 +119,16 @@
 func (l *loop) carryOut(cmd decider.Cmd) {
 	switch c := cmd.(type) {
 	case decider.Forward:
-		l.forward.Inc()
-		l.log.Info("route: forwarded", zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team),
-			zap.String("service", c.Decision.Service), zap.String("endpoint", c.Endpoint),
-			zap.Int("attempt", c.Attempt), zap.Duration("waited", c.Decision.Waited))
 		l.deliver(c.ID, c)
+		l.meters.forwarded(c)
+		l.log.forwarded(c)
 	case decider.Refuse:
-		l.refuse.Inc()
-		l.log.Info("route: refused", zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team),
-			zap.String("service", c.Decision.Service), zap.Stringer("code", c.Code), zap.Stringer("ran", c.Ran))
 		l.deliver(c.ID, c)
 		delete(l.replies, c.ID)
+		l.meters.refused(c.Code)
+		l.log.refused(c)
 	case decider.Cancel:
+		l.cancel(c)
 		l.deliver(c.ID, c)
 	case decider.LedgerCall:
 		l.ledger(c.Call)
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"time"
 
@@ -18,6 +19,15 @@
 // instancesEvery is the time between two reads of the instance list.
 const instancesEvery = time.Second
 
+// countStoreCall counts a call to the platform's service.
+func (d *Daemon) countStoreCall(c storer.Call) {
+	labels := fmt.Sprintf(`{method=%q,kind=%q,result=%q}`, c.Method, string(c.Kind), c.Result)
+	d.metrics.GetOrCreateCounter(metricStoreCalls + labels).Inc()
+	if c.Method != "watch" {
+		d.metrics.GetOrCreateHistogram(metricStoreSeconds).Update(c.Took.Seconds())
+	}
+}
+
 // readKind lists a kind or watches it, as the call says.
 func (d *Daemon) readKind(ctx context.Context, call spreader.ReadStore) (storer.Events, error) {
 	if call.Position < 0 {
@@ -36,6 +46,7 @@
 		}
 	}
 	d.takeKeys(keys)
+	d.takeClients(objects)
 	for _, o := range objects {
 		if o.Kind == storer.KindConfig && o.Name == storer.ConfigName {
 			d.takeConfig(o)
@@ -49,7 +60,9 @@
 		d.log.Error("config: ignored an invalid version", zap.Int64("version", o.Version), zap.Error(err))
 		return
 	}
+	c = d.weakened(c)
 	d.config.Store(c)
+	d.clients.wakeUp()
 	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
 		d.configInForce(c)
 		d.log.Info("config: in force", zap.Int64("version", o.Version), zap.String("change", c.Change().ID))
@@ -67,6 +80,7 @@
 			d.log.Error("key: ignored an invalid record", zap.String("name", o.Name), zap.Error(err))
 			continue
 		}
+		r.Withdrawn = r.Withdrawn && d.without != KeyWithdrawal
 		d.keyRecords[o.Name] = r
 		d.keyVersions[o.Name] = o.Version
 	}
