Keep a service's slots at one instance of a region; queue by deadline within shares

Cause: instances that don't share memory and see loads a second late pick busy endpoints beside idle ones; and the fair queue took teams strictly in turn, which lengthened the longest wait. A request that was popped and could not be forwarded lost its turn.

Change: one instance of a region, by rendezvous hash, keeps a service's slots there; the others pass requests to it (one hop). The queue goes by deadline among teams within their share plus an allowance. Return keeps a turn. Retries and hedges spend from one budget and from the team's tokens.

--- a/seam/configurer/configurer.go
+++ b/seam/configurer/configurer.go
@@ -101,6 +101,9 @@
 	Service    string `json:"service"`
 	// Idempotent means that a request on this route may run more than once.
 	Idempotent bool `json:"idempotent,omitempty"`
+	// Affinity sends the same path to the same endpoint while it has a free
+	// slot, so that its cache stays warm.
+	Affinity bool `json:"affinity,omitempty"`
 	// OpenToAll means that every team may use the route; otherwise Teams lists
 	// those that may.
 	OpenToAll bool     `json:"openToAll,omitempty"`
--- a/seam/decider/commands.go
+++ b/seam/decider/commands.go
@@ -20,6 +20,20 @@
 	Decision Decision
 }
 
+// Pass hands a request to another instance: to the keeper of the service's
+// slots, or to the home of the request's name.
+type Pass struct {
+	ID         uint64
+	Peer       string
+	Home       bool
+	Team       string
+	Service    string
+	Idempotent bool
+	Affinity   string
+	Deadline   time.Time
+	Decision   Decision
+}
+
 // Refuse ends a request with a numbered refusal.
 type Refuse struct {
 	ID         uint64
@@ -29,10 +43,11 @@
 	Decision   Decision
 }
 
-// Cancel stops the attempt that is under way for a request.
+// Cancel stops one attempt for a request, at an endpoint or at a peer.
 type Cancel struct {
 	ID       uint64
 	Endpoint string
+	Peer     string
 }
 
 // Decision says why a request went where it did; it becomes a log line.
@@ -41,8 +56,11 @@
 	Service    string
 	Candidates int
 	Waited     time.Duration
+	// Hedge means that an earlier attempt is still under way.
+	Hedge bool
 }
 
 func (Forward) isCmd() {}
+func (Pass) isCmd()    {}
 func (Refuse) isCmd()  {}
 func (Cancel) isCmd()  {}
--- a/seam/decider/config.go
+++ b/seam/decider/config.go
@@ -6,7 +6,6 @@
 	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/picker"
-	"primroseseam.org/seam/queuer"
 )
 
 // configChanged takes a configuration that is newer than the one in force.
@@ -16,7 +15,7 @@
 	}
 	m.config = msg.Config
 	m.resizeBuckets(now)
-	m.updatePools()
+	m.updatePools(now)
 	return nil
 }
 
@@ -34,17 +33,17 @@
 	}
 }
 
-func (m *Model) updatePools() {
+func (m *Model) updatePools(now time.Time) {
 	for _, configured := range m.config.Services() {
 		endpoints := make([]picker.Endpoint, 0, len(configured.Endpoints))
 		for _, p := range configured.Endpoints {
 			endpoints = append(endpoints, picker.NewEndpoint(p.Address, p.Region, p.Slots, p.Draining))
 		}
 		if s, ok := m.services[configured.Name]; ok {
-			s.pool.Update(endpoints)
+			s.pool.Update(now, endpoints)
 			continue
 		}
-		m.services[configured.Name] = &service{pool: picker.NewPool(endpoints), queue: queuer.New()}
+		m.services[configured.Name] = newService(configured.Name, picker.NewPool(endpoints, picker.WithPolicy(m.policy)))
 	}
 }
 
--- a/seam/decider/decider.go
+++ b/seam/decider/decider.go
@@ -24,7 +24,6 @@
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/picker"
-	"primroseseam.org/seam/queuer"
 )
 
 // Self says who and where this instance is.
@@ -58,30 +57,11 @@
 	buckets  map[string]*allocator.Bucket
 	services map[string]*service
 	requests map[uint64]*request
+	peers    *peerSet
+	policy   picker.Policy
 	stopping bool
 }
 
-// service is the state of one service: its endpoints and waiting requests.
-type service struct {
-	pool  *picker.Pool
-	queue *queuer.Queue
-}
-
-// request is the state of one request between arrival and its last answer.
-type request struct {
-	id         uint64
-	team       string
-	service    string
-	idempotent bool
-	repeatable bool
-	weight     int
-	deadline   time.Time
-	arrived    time.Time
-	endpoint   string
-	attempts   int
-	queued     bool
-}
-
 // Option changes a model at its creation.
 type Option func(*Model)
 
@@ -95,6 +75,11 @@
 	return func(m *Model) { m.rng = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithPolicy sets how endpoints are picked.
+func WithPolicy(p picker.Policy) Option {
+	return func(m *Model) { m.policy = p }
+}
+
 // New returns a model that has no configuration and no keys yet.
 func New(opts ...Option) *Model {
 	m := &Model{
@@ -103,6 +88,8 @@
 		buckets:  map[string]*allocator.Bucket{},
 		services: map[string]*service{},
 		requests: map[uint64]*request{},
+		peers:    newPeerSet(),
+		policy:   picker.Keeper{},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -117,6 +104,14 @@
 		return m.requestArrived(now, msg)
 	case AnswerEnded:
 		return m.answerEnded(now, msg)
+	case PassedArrived:
+		return m.passedArrived(now, msg)
+	case PassEnded:
+		return m.passEnded(now, msg)
+	case PeersChanged:
+		return m.peersChanged(msg)
+	case PeerLoadHeard:
+		return m.peerLoadHeard(now, msg)
 	case CallerLeft:
 		return m.callerLeft(now, msg)
 	case LoadReported:
--- a/seam/decider/messages.go
+++ b/seam/decider/messages.go
@@ -22,6 +22,62 @@
 	Repeatable bool
 	// Deadline is the caller's own, or zero.
 	Deadline time.Time
+	// Home is the instance that runs a named request, or "".
+	Home string
+}
+
+// PassedArrived says that a peer passed a request on, which it has checked and
+// counted against its team's rate.
+type PassedArrived struct {
+	ID         uint64
+	From       string
+	Team       string
+	Service    string
+	Idempotent bool
+	Repeatable bool
+	Affinity   string
+	Deadline   time.Time
+	// Onward means that the request may be passed once more, to the keeper of
+	// the service's slots.
+	Onward bool
+}
+
+// PassEnded says that an attempt at a peer is over.
+type PassEnded struct {
+	ID   uint64
+	Peer string
+	// Result is OK if the whole answer went to the caller.
+	Result coder.Code
+	Ran    coder.Ran
+	// Refused means that the peer answered with a refusal of its own.
+	Refused    bool
+	RetryAfter time.Duration
+	Committed  bool
+}
+
+// PeersChanged brings the instances that are known, this one left out.
+type PeersChanged struct{ Peers []Peer }
+
+// Peer is another instance.
+type Peer struct {
+	ID          string
+	Region      string
+	Incarnation uint64
+	Leaving     bool
+}
+
+// PeerLoadHeard brings a peer's own counts of requests in flight. Endpoints
+// that are left out have none.
+type PeerLoadHeard struct {
+	Peer  string
+	Loads []EndpointLoad
+}
+
+// EndpointLoad is a number of requests in flight at an endpoint.
+type EndpointLoad struct {
+	Service  string
+	Endpoint string
+	Load     int
 }
 
 // AnswerEnded says that an attempt at an endpoint is over.
@@ -33,6 +89,10 @@
 	Ran    coder.Ran
 	// Committed means that a part of the answer has gone to the caller.
 	Committed bool
+	// Shed means that the endpoint had no free slot or drains.
+	Shed bool
+	// Unhealthy means that a whole answer said that the endpoint is broken.
+	Unhealthy bool
 }
 
 // CallerLeft says that the caller cancelled or disconnected.
@@ -60,6 +120,10 @@
 type StopRequested struct{}
 
 func (RequestArrived) isMsg() {}
+func (PassedArrived) isMsg()  {}
+func (PassEnded) isMsg()      {}
+func (PeersChanged) isMsg()   {}
+func (PeerLoadHeard) isMsg()  {}
 func (AnswerEnded) isMsg()    {}
 func (CallerLeft) isMsg()     {}
 func (LoadReported) isMsg()   {}
--- a/seam/decider/requests.go
+++ b/seam/decider/requests.go
@@ -6,16 +6,48 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
-	"primroseseam.org/seam/picker"
-	"primroseseam.org/seam/queuer"
 )
 
-// maxAttempts bounds how often one request is sent to an upstream.
-const maxAttempts = 3
-
 // refusalRetryAfter is the shortest time after which a caller should try again.
 const refusalRetryAfter = 100 * time.Millisecond
 
+// request is the state of one request between arrival and its last answer.
+type request struct {
+	id         uint64
+	team       string
+	service    string
+	idempotent bool
+	repeatable bool
+	affinity   string
+	weight     int
+	deadline   time.Time
+	arrived    time.Time
+	// local means that this instance must not pass the request on.
+	local bool
+	// home is the instance that runs a named request, or "".
+	home     string
+	legs     []leg
+	attempts int
+	hedged   bool
+	queued   bool
+	// answered means that the caller has its answer; other legs still end.
+	answered bool
+	// ran is the strongest that any ended attempt said.
+	ran coder.Ran
+}
+
+// leg is an attempt under way at an endpoint or a peer.
+type leg struct {
+	target string
+	peer   bool
+	at     time.Time
+}
+
+// leg returns the index of the attempt at a target, or -1.
+func (r *request) leg(target string) int {
+	return slices.IndexFunc(r.legs, func(l leg) bool { return l.target == target })
+}
+
 func (m *Model) requestArrived(now time.Time, msg RequestArrived) []Cmd {
 	r := &request{id: msg.ID, arrived: now}
 	route, code := m.authenticate(r, msg)
@@ -26,6 +58,10 @@
 	r.service = svc.Name
 	r.idempotent = route.Idempotent
 	r.repeatable = msg.Repeatable
+	r.home = msg.Home
+	if route.Affinity {
+		r.affinity = msg.Path
+	}
 	r.deadline = now.Add(time.Duration(svc.Timeout))
 	if !msg.Deadline.IsZero() && msg.Deadline.Before(r.deadline) {
 		r.deadline = msg.Deadline
@@ -67,125 +103,73 @@
 	return route, coder.OK
 }
 
-// admit forwards a request at once or queues it.
-func (m *Model) admit(now time.Time, r *request) []Cmd {
-	s := m.services[r.service]
-	if !s.pool.Usable(m.self.region) {
-		return m.giveUp(now, r, coder.NoUpstream, coder.NotRun)
+// passedArrived takes a request that a peer has checked.
+func (m *Model) passedArrived(now time.Time, msg PassedArrived) []Cmd {
+	r := &request{
+		id: msg.ID, arrived: now, team: msg.Team, service: msg.Service,
+		idempotent: msg.Idempotent, repeatable: msg.Repeatable, affinity: msg.Affinity,
+		deadline: msg.Deadline, local: !msg.Onward, weight: 1,
 	}
-	if s.queue.Len() == 0 {
-		if cmd, ok := m.forward(now, r, ""); ok {
-			return []Cmd{cmd}
-		}
+	if m.stopping || m.config == nil {
+		return []Cmd{m.refusal(now, r, coder.Stopping, coder.NotRun, 0)}
 	}
-	item := queuer.Item{ID: r.id, Team: r.team, Weight: r.weight, Deadline: r.deadline}
-	if !s.queue.Push(item) {
-		return m.giveUp(now, r, coder.QueueFull, coder.NotRun)
+	if team, ok := m.config.Team(msg.Team); ok {
+		r.weight = team.Weight
 	}
-	r.queued = true
-	return nil
-}
-
-// forward picks an endpoint for a request; it reports false if none is free.
-func (m *Model) forward(now time.Time, r *request, avoid string) (Cmd, bool) {
-	s := m.services[r.service]
-	endpoint, ok := s.pool.Pick(m.rng, picker.Request{Region: m.self.region, Avoid: avoid})
-	if !ok {
-		return nil, false
-	}
-	r.queued = false
-	r.endpoint = endpoint.Address()
-	r.attempts++
-	s.pool.Started(r.endpoint)
-	return Forward{
-		ID:       r.id,
-		Endpoint: r.endpoint,
-		Deadline: r.deadline,
-		Attempt:  r.attempts,
-		Decision: m.decision(now, r),
-	}, true
-}
-
-func (m *Model) answerEnded(now time.Time, msg AnswerEnded) []Cmd {
-	r, ok := m.requests[msg.ID]
-	if !ok || r.endpoint != msg.Endpoint {
-		return nil
+	if _, ok := m.services[msg.Service]; !ok {
+		return []Cmd{m.refusal(now, r, coder.NoUpstream, coder.NotRun, 0)}
 	}
-	s := m.services[r.service]
-	s.pool.Ended(msg.Endpoint)
-	r.endpoint = ""
-	cmds := m.settle(now, r, msg)
-	return append(cmds, m.dispatch(now, s)...)
+	m.requests[r.id] = r
+	return m.admit(now, r)
 }
 
-// settle ends a request after an attempt, or tries again where that is safe.
-func (m *Model) settle(now time.Time, r *request, msg AnswerEnded) []Cmd {
-	if msg.Result == coder.OK || msg.Committed {
-		delete(m.requests, r.id)
-		return nil
-	}
-	mayRepeat := r.repeatable && (r.idempotent || msg.Ran == coder.NotRun)
-	if mayRepeat && r.attempts < maxAttempts && now.Before(r.deadline) {
-		if cmd, ok := m.forward(now, r, msg.Endpoint); ok {
-			return []Cmd{cmd}
-		}
+// admit counts a request as a first attempt and routes it.
+func (m *Model) admit(now time.Time, r *request) []Cmd {
+	m.services[r.service].budget.Earn()
+	if r.home != "" {
+		return []Cmd{m.pass(now, r, r.home)}
 	}
-	return m.giveUp(now, r, msg.Result, msg.Ran)
+	return m.route(now, r, "")
 }
 
+// callerLeft stops a request whose caller is gone.
 func (m *Model) callerLeft(now time.Time, msg CallerLeft) []Cmd {
 	r, ok := m.requests[msg.ID]
-	if !ok {
+	if !ok || r.answered {
 		return nil
 	}
 	if r.queued {
 		m.services[r.service].queue.Remove(r.team, r.id)
-		return m.giveUp(now, r, coder.CallerGone, coder.NotRun)
+		return m.giveUp(now, r, coder.CallerGone, r.ran, 0)
 	}
-	return []Cmd{Cancel{ID: r.id, Endpoint: r.endpoint}}
+	return r.cancelLegs()
 }
 
-func (m *Model) loadReported(now time.Time, msg LoadReported) []Cmd {
-	s, ok := m.services[msg.Service]
-	if !ok {
-		return nil
-	}
-	s.pool.Reported(msg.Endpoint, msg.Load, now)
-	return m.dispatch(now, s)
-}
-
-// dispatch forwards waiting requests while endpoints are free.
-func (m *Model) dispatch(now time.Time, s *service) []Cmd {
+// cancelLegs stops all attempts that are under way.
+func (r *request) cancelLegs() []Cmd {
 	var cmds []Cmd
-	for s.queue.Len() > 0 {
-		item, _ := s.queue.Pop()
-		r := m.requests[item.ID]
-		cmd, ok := m.forward(now, r, "")
-		if !ok {
-			s.queue.Push(item)
-			break
+	for _, l := range r.legs {
+		cmd := Cancel{ID: r.id, Endpoint: l.target}
+		if l.peer {
+			cmd = Cancel{ID: r.id, Peer: l.target}
 		}
 		cmds = append(cmds, cmd)
 	}
 	return cmds
 }
 
-func (m *Model) ticked(now time.Time) []Cmd {
-	var cmds []Cmd
-	for _, configured := range m.configuredServices() {
-		s := m.services[configured.Name]
-		for _, item := range s.queue.Expired(now) {
-			cmds = append(cmds, m.giveUp(now, m.requests[item.ID], coder.DeadlineUnreachable, coder.NotRun)...)
-		}
-		cmds = append(cmds, m.dispatch(now, s)...)
+// finish drops a request once all of its attempts have ended.
+func (m *Model) finish(r *request) {
+	r.answered = true
+	if len(r.legs) == 0 {
+		delete(m.requests, r.id)
 	}
-	return cmds
 }
 
-// giveUp ends a request with a refusal.
-func (m *Model) giveUp(now time.Time, r *request, code coder.Code, ran coder.Ran) []Cmd {
-	delete(m.requests, r.id)
-	return []Cmd{m.refusal(now, r, code, ran, 0)}
+// giveUp ends a request with a refusal, at once.
+func (m *Model) giveUp(now time.Time, r *request, code coder.Code, ran coder.Ran, wait time.Duration) []Cmd {
+	m.finish(r)
+	return []Cmd{m.refusal(now, r, code, ran, wait)}
 }
 
 // refusal spreads the callers' next tries over as long again as the wait.
@@ -196,5 +180,5 @@
 }
 
 func (m *Model) decision(now time.Time, r *request) Decision {
-	return Decision{Team: r.team, Service: r.service, Waited: now.Sub(r.arrived)}
+	return Decision{Team: r.team, Service: r.service, Waited: now.Sub(r.arrived), Hedge: len(r.legs) > 0}
 }
--- a/seam/picker/picker.go
+++ b/seam/picker/picker.go
@@ -1,10 +1,15 @@
 // Package picker chooses the endpoint for a request.
 //
+// A [Pool] holds the endpoints of one service. It knows what this instance has
+// in flight there, what endpoints and peers say, and which endpoints drain,
+// fail or warm up. A [Policy] says how it chooses.
+//
 // # Usage
 //
 //	pool := picker.NewPool(endpoints)
-//	choice, ok := pool.Pick(rng, picker.Request{Region: "kolkata"})
+//	choice, ok := pool.Pick(now, rng, picker.Request{Region: "kolkata"})
 //	pool.Started(choice.Address())
+//	pool.Ended(now, choice.Address(), picker.Succeeded)
 package picker
 
 import (
@@ -12,98 +17,174 @@
 	"time"
 )
 
-// Endpoint is one upstream process as the picker sees it.
-type Endpoint struct {
-	address  string
-	region   string
-	slots    int
-	draining bool
-	inFlight int
-	reported int
-	seen     time.Time
-}
-
-// NewEndpoint returns an idle endpoint.
-func NewEndpoint(address, region string, slots int, draining bool) Endpoint {
-	return Endpoint{address: address, region: region, slots: slots, draining: draining}
-}
+//go:generate stringer -type=Outcome -output=picker_string.go
 
-// Address returns the endpoint's IP address and port.
-func (e *Endpoint) Address() string { return e.address }
+// probes is the number of random endpoints that are tried before all are.
+const probes = 4
 
-// Region returns the endpoint's region.
-func (e *Endpoint) Region() string { return e.region }
+// Outcome says what an attempt showed of its endpoint.
+type Outcome int
 
-// load is the greater of what was forwarded here and what was reported.
-func (e *Endpoint) load() int { return max(e.inFlight, e.reported) }
+const (
+	// Neutral shows nothing, for example when the caller left.
+	Neutral Outcome = iota
+	// Succeeded means that the endpoint answered properly.
+	Succeeded
+	// Failed means that the endpoint gave no usable answer.
+	Failed
+	// Shed means that the endpoint had no free slot.
+	Shed
+)
 
 // Request describes what to pick for.
 type Request struct {
 	Region string
 	// Avoid is the endpoint of the attempt before, or "".
 	Avoid string
+	// Affinity is hashed to the endpoint that goes first while it has a free
+	// slot; "" means none.
+	Affinity string
 }
 
 // Pool holds the endpoints of one service. It is not safe for concurrent use.
 type Pool struct {
-	endpoints []*Endpoint
+	policy    Policy
 	byAddress map[string]*Endpoint
+	byRegion  map[string][]*Endpoint
+	ordered   []*Endpoint
+	turn      int
 }
 
-// NewPool returns a pool of the endpoints.
-func NewPool(endpoints []Endpoint) *Pool {
-	p := &Pool{byAddress: make(map[string]*Endpoint, len(endpoints))}
+// Option changes a pool at its creation.
+type Option func(*Pool)
+
+// WithPolicy sets how endpoints are chosen; the default is [Keeper].
+func WithPolicy(policy Policy) Option { return func(p *Pool) { p.policy = policy } }
+
+// NewPool returns a pool of endpoints that are taken for warm.
+func NewPool(endpoints []Endpoint, opts ...Option) *Pool {
+	p := &Pool{policy: Keeper{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.set(endpoints)
+	return p
+}
+
+func (p *Pool) set(endpoints []Endpoint) {
+	p.byAddress = make(map[string]*Endpoint, len(endpoints))
+	p.byRegion = map[string][]*Endpoint{}
+	p.ordered = make([]*Endpoint, 0, len(endpoints))
 	for i := range endpoints {
 		e := endpoints[i]
-		p.endpoints = append(p.endpoints, &e)
 		p.byAddress[e.address] = &e
+		p.ordered = append(p.ordered, &e)
+		p.byRegion[e.region] = append(p.byRegion[e.region], &e)
 	}
-	return p
 }
 
-// Update replaces the set of endpoints and keeps the load of those that stay.
-func (p *Pool) Update(endpoints []Endpoint) {
+// Update replaces the set of endpoints and keeps the state of those that stay.
+// New ones and those whose drain has ended are cold.
+func (p *Pool) Update(now time.Time, endpoints []Endpoint) {
 	old := p.byAddress
-	*p = *NewPool(endpoints)
-	for _, e := range p.endpoints {
+	p.set(endpoints)
+	for _, e := range p.ordered {
 		if before, ok := old[e.address]; ok {
-			e.inFlight, e.reported, e.seen = before.inFlight, before.reported, before.seen
+			e.inherit(before, now)
+		} else {
+			e.warmUp(now)
 		}
 	}
 }
 
-// Pick returns the less loaded of two random endpoints that have a free slot.
-// It reports false if none has.
-func (p *Pool) Pick(rng *rand.Rand, r Request) (*Endpoint, bool) {
-	free := p.candidates(r)
-	switch len(free) {
-	case 0:
+// Pick returns an endpoint of the region that takes a request now. It reports
+// false if none does.
+func (p *Pool) Pick(now time.Time, rng *rand.Rand, r Request) (*Endpoint, bool) {
+	all := p.byRegion[r.Region]
+	if len(all) == 0 {
 		return nil, false
-	case 1:
-		return free[0], true
 	}
-	i := rng.IntN(len(free))
-	j := rng.IntN(len(free) - 1)
-	if j >= i {
-		j++
+	if _, ok := p.policy.(RoundRobin); ok {
+		return p.next(now, all, r)
+	}
+	if e, ok := p.preferred(now, all, r); ok {
+		return e, true
 	}
-	if free[j].load() < free[i].load() {
-		i = j
+	return p.leastOfTwo(now, rng, all, r)
+}
+
+// next takes the endpoints in turn.
+func (p *Pool) next(now time.Time, all []*Endpoint, r Request) (*Endpoint, bool) {
+	for range all {
+		e := all[p.turn%len(all)]
+		p.turn++
+		if p.usable(now, e) && (e.address != r.Avoid || len(all) == 1) {
+			return e, true
+		}
 	}
-	return free[i], true
+	return nil, false
 }
 
-func (p *Pool) candidates(r Request) []*Endpoint {
-	var free []*Endpoint
-	for _, e := range p.endpoints {
-		if e.draining || e.region != r.Region || e.address == r.Avoid {
+// leastOfTwo takes the less loaded of the first two free endpoints among a few
+// random ones, then among all.
+func (p *Pool) leastOfTwo(now time.Time, rng *rand.Rand, all []*Endpoint, r Request) (*Endpoint, bool) {
+	var first *Endpoint
+	for range min(probes, len(all)) {
+		e := all[rng.IntN(len(all))]
+		if e == first || !p.free(now, e, r) {
 			continue
 		}
-		if e.load() < e.slots {
-			free = append(free, e)
+		if first != nil {
+			return p.lessLoaded(now, first, e), true
 		}
+		first = e
+	}
+	if first != nil {
+		return first, true
+	}
+	offset := rng.IntN(len(all))
+	for i := range all {
+		if e := all[(offset+i)%len(all)]; p.free(now, e, r) {
+			return e, true
+		}
+	}
+	return nil, false
+}
+
+func (p *Pool) lessLoaded(now time.Time, a, b *Endpoint) *Endpoint {
+	if p.load(now, b) < p.load(now, a) {
+		return b
+	}
+	return a
+}
+
+// load is the number of requests at an endpoint, as the policy sees it.
+func (p *Pool) load(now time.Time, e *Endpoint) float64 {
+	switch p.policy.(type) {
+	case LeastReported:
+		return float64(e.reports.last)
+	case LeastDiscounted:
+		return e.discounted(now)
+	}
+	return float64(e.inFlight + e.elsewhere(now))
+}
+
+// free reports whether the endpoint takes the request now.
+func (p *Pool) free(now time.Time, e *Endpoint, r Request) bool {
+	if e.address == r.Avoid || !p.usable(now, e) || now.Before(e.shedUntil) {
+		return false
 	}
-	return free
+	switch p.policy.(type) {
+	case LeastReported:
+		return true
+	case LeastDiscounted:
+		return e.inFlight < e.Slots(now)
+	}
+	return p.load(now, e) < float64(e.Slots(now))
+}
+
+func (p *Pool) usable(now time.Time, e *Endpoint) bool {
+	return !e.leaving(now) && !e.ejected(now)
 }
 
 // Started counts a request that is forwarded to the endpoint.
@@ -113,27 +194,95 @@
 	}
 }
 
-// Ended counts the end of a forwarded request.
-func (p *Pool) Ended(address string) {
-	if e, ok := p.byAddress[address]; ok && e.inFlight > 0 {
-		e.inFlight--
+// Ended counts the end of a forwarded request and what it showed.
+func (p *Pool) Ended(now time.Time, address string, outcome Outcome) {
+	e, ok := p.byAddress[address]
+	if !ok {
+		return
+	}
+	e.inFlight = max(0, e.inFlight-1)
+	switch outcome {
+	case Succeeded:
+		e.succeeded()
+	case Failed:
+		if e.failed(now) && p.mayEject(now, e) {
+			e.eject(now)
+		}
+	case Shed:
+		e.shedUntil = now.Add(shedHold)
 	}
 }
 
+// mayEject keeps more than half of a region's endpoints in use.
+func (p *Pool) mayEject(now time.Time, candidate *Endpoint) bool {
+	all := p.byRegion[candidate.region]
+	staying := 0
+	for _, e := range all {
+		if e != candidate && p.usable(now, e) {
+			staying++
+		}
+	}
+	return 2*staying >= len(all)
+}
+
 // Reported takes an endpoint's own count of requests in progress.
-func (p *Pool) Reported(address string, load int, now time.Time) {
+func (p *Pool) Reported(now time.Time, address string, load int) {
 	if e, ok := p.byAddress[address]; ok {
-		e.reported = load
-		e.seen = now
+		// The report counts the request with whose answer it came.
+		e.reports.add(load, e.inFlight+1, now)
+	}
+}
+
+// Drained takes an endpoint's own notice of a drain, or its end.
+func (p *Pool) Drained(now time.Time, address string, draining bool) {
+	e, ok := p.byAddress[address]
+	if !ok {
+		return
+	}
+	if draining {
+		e.drainedUntil = now.Add(drainHold)
+		e.warmUp(e.drainedUntil)
+	}
+}
+
+// PeerReported takes a peer's count of its requests in flight at an endpoint.
+func (p *Pool) PeerReported(now time.Time, peer, address string, load int) {
+	e, ok := p.byAddress[address]
+	if !ok {
+		return
+	}
+	if load == 0 {
+		delete(e.peers, peer)
+		return
+	}
+	if e.peers == nil {
+		e.peers = map[string]peerCount{}
 	}
+	e.peers[peer] = peerCount{load: load, at: now}
 }
 
 // Usable reports whether any endpoint of the region takes new requests.
-func (p *Pool) Usable(region string) bool {
-	for _, e := range p.endpoints {
-		if !e.draining && e.region == region {
-			return true
+func (p *Pool) Usable(now time.Time, region string) bool {
+	return p.Capacity(now, region) > 0
+}
+
+// Capacity returns the slots of a region that may be used now.
+func (p *Pool) Capacity(now time.Time, region string) int {
+	slots := 0
+	for _, e := range p.byRegion[region] {
+		if p.usable(now, e) {
+			slots += e.Slots(now)
+		}
+	}
+	return slots
+}
+
+// InFlight calls visit with each endpoint that has requests in flight from
+// this instance.
+func (p *Pool) InFlight(visit func(address string, load int)) {
+	for _, e := range p.ordered {
+		if e.inFlight > 0 {
+			visit(e.address, e.inFlight)
 		}
 	}
-	return false
 }
