--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -81,6 +81,17 @@
 	StoreCompacted Code = 303
 	// StoreOutcomeUnknown means that a write may or may not have been applied.
 	StoreOutcomeUnknown Code = 304
+
+	// PeerUnauthenticated means that a peer or an operator didn't prove itself.
+	PeerUnauthenticated Code = 400
+)
+
+// Results of traces and replays.
+const (
+	// TraceInvalid means that a trace failed its checks.
+	TraceInvalid Code = 500
+	// OutcomeMissed means that a replay missed an outcome that its trace states.
+	OutcomeMissed Code = 501
 )
 
 // Ran tells whether a refused request reached an upstream.
--- a/seam/decider/decider.go
+++ b/seam/decider/decider.go
@@ -55,11 +55,18 @@
 	config   *configurer.Config
 	keys     *authenticator.Keyring
 	buckets  map[string]*allocator.Bucket
+	limits   limits
 	services map[string]*service
 	requests map[uint64]*request
 	peers    *peerSet
 	policy   picker.Policy
 	stopping bool
+	// evidence is the time of the newest KeyEvidence.
+	evidence time.Time
+	// cuts lists forwarded requests of withdrawn keys, soonest first.
+	cuts []cut
+	// expiry is when the next exception expires, or zero.
+	expiry time.Time
 }
 
 // Option changes a model at its creation.
@@ -86,6 +93,7 @@
 		rng:      rand.New(rand.NewPCG(1, 1)),
 		keys:     authenticator.NewKeyring(nil),
 		buckets:  map[string]*allocator.Bucket{},
+		limits:   limits{links: map[string]*allocator.Bucket{}, slots: map[string]int{}},
 		services: map[string]*service{},
 		requests: map[uint64]*request{},
 		peers:    newPeerSet(),
@@ -119,10 +127,13 @@
 	case ConfigChanged:
 		return m.configChanged(now, msg)
 	case KeysChanged:
-		m.keys = msg.Keys
+		return m.keysChanged(now, msg)
+	case KeyEvidence:
+		m.evidence = msg.At
 		return nil
 	case Ticked:
-		return m.ticked(now)
+		m.expireExceptions(now)
+		return append(m.cutWithdrawn(now), m.ticked(now)...)
 	case StopRequested:
 		m.stopping = true
 		return nil
@@ -132,3 +143,11 @@
 
 // Requests returns the number of requests that wait or are being answered.
 func (m *Model) Requests() int { return len(m.requests) }
+
+// ConfigVersion returns the version of the configuration in force, or 0.
+func (m *Model) ConfigVersion() int64 {
+	if m.config == nil {
+		return 0
+	}
+	return m.config.Version()
+}
--- a/seam/decider/requests.go
+++ b/seam/decider/requests.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 )
@@ -22,6 +23,11 @@
 	weight     int
 	deadline   time.Time
 	arrived    time.Time
+	key        authenticator.Digest
+	// cutAt is when the request is cut, since its key was withdrawn.
+	cutAt time.Time
+	// passed means that a peer, which has checked the key, passed it on.
+	passed bool
 	// local means that this instance must not pass the request on.
 	local bool
 	// home is the instance that runs a named request, or "".
@@ -83,7 +89,11 @@
 	if !msg.HasKey {
 		return none, coder.KeyMissing
 	}
-	name, ok := m.keys.Team(msg.Key)
+	if m.keysStale(r.arrived) {
+		return none, coder.KeyEvidenceStale
+	}
+	r.key = msg.Key
+	name, ok := m.keys.TeamAt(msg.Key, r.arrived)
 	if !ok {
 		return none, coder.KeyUnknown
 	}
@@ -108,7 +118,7 @@
 	r := &request{
 		id: msg.ID, arrived: now, team: msg.Team, service: msg.Service,
 		idempotent: msg.Idempotent, repeatable: msg.Repeatable, affinity: msg.Affinity,
-		deadline: msg.Deadline, local: !msg.Onward, weight: 1,
+		deadline: msg.Deadline, passed: true, local: !msg.Onward, weight: 1,
 	}
 	if m.stopping || m.config == nil {
 		return []Cmd{m.refusal(now, r, coder.Stopping, coder.NotRun, 0)}
