Wire keepers into the daemon: pass a request to the instance that keeps the slots

A request is checked and counted where it arrives, then passed over one streamed hop to its service's keeper in the region. Several attempts may be under way; a gate lets one answer. Answers whose end can't be told from a broken connection are refused. Callers' keys and system headers never go on; a Connection header that names protected headers is refused.

--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -1,13 +1,10 @@
 package daemon
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"primroseseam.org/seam/authenticator"
@@ -40,85 +37,23 @@
 	if d.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	id := d.nextID.Add(1)
+	secret, hasKey := forwarder.Secret(r.Header)
+	header, ok := forwarder.CleanRequest(r.Header)
+	if !ok || forwarder.HoldsKey(r.URL.RequestURI(), secret) {
+		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
+		return
+	}
 	content, err := forwarder.ReadContent(r.Body, r.ContentLength)
 	if err != nil {
 		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
 		return
 	}
-	msg := decider.RequestArrived{ID: id, Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now())}
-	msg.Key, msg.HasKey = callerKey(r)
-	out := forwarder.Outgoing{
-		ID:      fmt.Sprintf("%s-%d", d.settings.Instance.ID, id),
-		Method:  r.Method,
-		URI:     r.URL.RequestURI(),
-		Header:  r.Header,
-		Content: content,
-	}
-	d.answer(r.Context(), w, msg, out)
-}
-
-// answer follows the loop's commands until the request has its final answer.
-func (d *Daemon) answer(ctx context.Context, w http.ResponseWriter, msg decider.RequestArrived, out forwarder.Outgoing) {
-	cmds := d.loop.request(msg)
-	defer d.loop.forget(msg.ID)
-	left := ctx.Done()
-	for {
-		select {
-		case <-d.loop.done:
-			refuse(w, decider.Refuse{Code: coder.Stopping})
-			return
-		case <-left:
-			left = nil
-			d.loop.send(decider.CallerLeft{ID: msg.ID})
-		case cmd := <-cmds:
-			switch c := cmd.(type) {
-			case decider.Refuse:
-				refuse(w, c)
-				return
-			case decider.Forward:
-				out.Team = c.Decision.Team
-				if result := d.attempt(ctx, w, c, out); final(result) {
-					return
-				}
-			}
-		}
-	}
-}
-
-// final reports whether the caller has its answer. A broken one ends the
-// connection, so that the caller never takes a part for the whole.
-func final(result forwarder.Result) bool {
-	if result.Committed && result.Code != coder.OK {
-		panic(http.ErrAbortHandler)
+	msg := decider.RequestArrived{
+		ID: d.nextID.Add(1), Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now()),
 	}
-	return result.Committed
-}
-
-func (d *Daemon) attempt(ctx context.Context, w http.ResponseWriter, c decider.Forward, out forwarder.Outgoing) forwarder.Result {
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	defer cancel()
-	result := d.forwarder.Attempt(ctx, w, out, c.Endpoint)
-	d.loop.send(decider.AnswerEnded{
-		ID:        c.ID,
-		Endpoint:  c.Endpoint,
-		Result:    result.Code,
-		Ran:       result.Ran,
-		Committed: result.Committed,
-	})
-	if result.Load >= 0 {
-		d.loop.send(decider.LoadReported{Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load, Draining: result.Draining})
-	}
-	return result
-}
-
-// callerKey returns the digest of the request's key.
-func callerKey(r *http.Request) (authenticator.Digest, bool) {
-	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || secret == "" {
-		return authenticator.Digest{}, false
-	}
-	return authenticator.DigestOf(secret), true
+	msg.Key, msg.HasKey = authenticator.DigestOf(secret), hasKey
+	out := forwarder.Outgoing{Method: r.Method, URI: r.URL.RequestURI(), Header: header, Content: content}
+	d.answer(r.Context(), w, msg.ID, msg, out)
 }
 
 // callerDeadline returns the deadline that the caller gave as a duration.
@@ -137,26 +72,17 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Retry-After", strconv.Itoa(seconds))
 	h.Set(forwarder.HeaderCode, strconv.Itoa(int(c.Code)))
-	h.Set(forwarder.HeaderNotRun, notRun(c.Ran))
+	h.Set(forwarder.HeaderNotRun, forwarder.RanText(c.Ran))
+	h.Set(forwarder.HeaderRetryMS, strconv.FormatInt(c.RetryAfter.Milliseconds(), 10))
 	w.WriteHeader(refusalStatus(c.Code))
 	_ = json.NewEncoder(w).Encode(Refusal{
 		Code:    int(c.Code),
 		Name:    c.Code.String(),
-		NotRun:  notRun(c.Ran),
+		NotRun:  forwarder.RanText(c.Ran),
 		RetryMS: c.RetryAfter.Milliseconds(),
 	})
 }
 
-func notRun(ran coder.Ran) string {
-	switch ran {
-	case coder.NotRun:
-		return "true"
-	case coder.HasRun:
-		return "false"
-	}
-	return "unknown"
-}
-
 func refusalStatus(code coder.Code) int {
 	switch code {
 	case coder.KeyMissing, coder.KeyUnknown:
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -56,6 +56,8 @@
 	stopping  chan struct{}
 	leaving   atomic.Bool
 	directory directory
+	// toldPeers belongs to the goroutine that reads the instance list.
+	toldPeers []decider.Peer
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
@@ -85,11 +87,10 @@
 // New binds the listeners of an instance. Errors say which address failed.
 func New(settings loader.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
-		settings:  settings,
-		clock:     clockwork.NewRealClock(),
-		log:       zap.NewNop(),
-		forwarder: forwarder.New(),
-		metrics:   metrics.NewSet(),
+		settings: settings,
+		clock:    clockwork.NewRealClock(),
+		log:      zap.NewNop(),
+		metrics:  metrics.NewSet(),
 
 		keyRecords:  map[string]authenticator.Record{},
 		keyVersions: map[string]int64{},
@@ -109,6 +110,7 @@
 	if err := d.secure(); err != nil {
 		return nil, err
 	}
+	d.forwarder = d.newForwarder()
 	d.incarnation = uint64(d.clock.Now().UnixNano())
 	seed := settings.Seed
 	if seed == 0 {
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -61,9 +61,9 @@
 func (l *loop) sendThen(msg decider.Msg, after func()) { l.post(envelope{msg: msg, after: after}) }
 
 // request gives the loop a new request and returns where its commands arrive.
-func (l *loop) request(msg decider.RequestArrived) <-chan decider.Cmd {
+func (l *loop) request(id uint64, msg decider.Msg) <-chan decider.Cmd {
 	reply := make(chan decider.Cmd, repliesPerRequest)
-	l.post(envelope{msg: msg, id: msg.ID, reply: reply})
+	l.post(envelope{msg: msg, id: id, reply: reply})
 	return reply
 }
 
@@ -128,6 +128,10 @@
 			zap.String("service", c.Decision.Service), zap.Stringer("code", c.Code), zap.Stringer("ran", c.Ran))
 		l.deliver(c.ID, c)
 		delete(l.replies, c.ID)
+	case decider.Pass:
+		l.log.Info("route: passed", zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team),
+			zap.String("service", c.Decision.Service), zap.String("peer", c.Peer), zap.Bool("home", c.Home))
+		l.deliver(c.ID, c)
 	case decider.Cancel:
 		l.deliver(c.ID, c)
 	}
--- /dev/null
+++ b/seamd/daemon/passes.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/storer"
+	"primroseseam.org/seamd/forwarder"
+)
+
+// passTo hands a request to another instance, or to this one's own home part.
+func (d *Daemon) passTo(ctx context.Context, x *exchange, c decider.Pass) forwarder.Result {
+	e := forwarder.Envelope{
+		From: d.settings.Instance.ID, Method: x.out.Method, URI: x.out.URI, Team: c.Team, Service: c.Service,
+		Idempotent: c.Idempotent, Affinity: c.Affinity, Home: c.Home, Name: x.out.Name,
+	}
+	peer, ok := d.Peer(c.Peer)
+	if !ok {
+		return forwarder.Result{Code: coder.UpstreamFailed, Ran: coder.NotRun, Load: -1}
+	}
+	return d.forwarder.Pass(ctx, &x.gate, x.w, x.out, e, d.peerURL(peer.Address()))
+}
+
+// servePass takes a request that another instance passed on.
+func (d *Daemon) servePass(w http.ResponseWriter, r *http.Request) {
+	if p := d.security.prover; p != nil {
+		if err := p.CheckStream(r, r.Header.Get(forwarder.HeaderPass)); err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		p.SignAnswer(r, w.Header())
+	}
+	e, err := forwarder.ParseEnvelope(r.Header)
+	if err != nil {
+		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
+		return
+	}
+	content, err := forwarder.ReadContent(r.Body, r.ContentLength)
+	if err != nil {
+		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
+		return
+	}
+	header, _ := forwarder.CleanRequest(r.Header)
+	out := forwarder.Outgoing{Name: e.Name, Method: e.Method, URI: e.URI, Header: header, Content: content}
+	msg := decider.PassedArrived{
+		ID: d.nextID.Add(1), From: e.From, Team: e.Team, Service: e.Service, Idempotent: e.Idempotent,
+		Repeatable: content.Repeatable(), Affinity: e.Affinity, Deadline: callerDeadline(r, d.clock.Now()),
+	}
+	d.answer(r.Context(), w, msg.ID, msg, out)
+}
+
+// tellPeers tells the loop which instances are known.
+func (d *Daemon) tellPeers(list []storer.Instance) {
+	peers := make([]decider.Peer, 0, len(list))
+	for _, i := range list {
+		peer, _ := d.Peer(i.ID)
+		peers = append(peers, decider.Peer{
+			ID: i.ID, Region: i.Region, Incarnation: peer.Incarnation(), Leaving: i.State == storer.InstanceLeaving,
+		})
+	}
+	if slices.Equal(peers, d.toldPeers) {
+		return
+	}
+	d.toldPeers = peers
+	d.loop.send(decider.PeersChanged{Peers: peers})
+}
+
+// connectionLimits divides each endpoint's connections among all instances,
+// since any of them may keep its slots. Every one gets at least one.
+func connectionLimits(c *configurer.Config) map[string]int {
+	limits := map[string]int{}
+	for _, s := range c.Services() {
+		for _, e := range s.Endpoints {
+			limits[e.Address] = max(1, e.MaxConnections/c.FleetSize())
+		}
+	}
+	return limits
+}
--- a/seamd/daemon/peers.go
+++ b/seamd/daemon/peers.go
@@ -8,6 +8,7 @@
 
 	peerv1 "primroseseam.org/seam/gen/peer/v1"
 	"primroseseam.org/seam/gen/peer/v1/peerv1connect"
+	"primroseseam.org/seamd/forwarder"
 )
 
 // peerHandler serves the protocols between instances.
@@ -15,7 +16,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMembershipServiceHandler(&membershipService{daemon: d}))
 	mux.Handle(peerv1connect.NewRelayServiceHandler(&relayService{daemon: d}))
-	return d.authenticatePeers(mux)
+	outer := http.NewServeMux()
+	outer.Handle("/", d.authenticatePeers(mux))
+	// Passed requests are streamed and checked by their own proof.
+	outer.HandleFunc(forwarder.PassPath, d.servePass)
+	return outer
 }
 
 // membershipService answers peers' heartbeats.
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -50,6 +50,7 @@
 		return
 	}
 	d.config.Store(c)
+	d.forwarder.SetConnectionLimits(connectionLimits(c))
 	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
 		d.configInForce(c)
 		d.log.Info("config: in force", zap.Int64("version", o.Version), zap.String("change", c.Change().ID))
@@ -89,6 +90,7 @@
 			d.table.Store(d.newTable(list))
 			d.spread.setInstances(ctx, list)
 			d.directory.setFromPlatform(list)
+			d.tellPeers(list)
 		}
 		d.sleep(ctx, instancesEvery)
 	}
--- a/seamd/daemon/tls.go
+++ b/seamd/daemon/tls.go
@@ -11,6 +11,7 @@
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/prover"
 	"primroseseam.org/seam/storer"
+	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/seamd/loader"
 )
 
@@ -87,6 +88,18 @@
 	return d.security.prover.Transport(base)
 }
 
+// newForwarder passes requests to peers as the settings say.
+func (d *Daemon) newForwarder() *forwarder.Forwarder {
+	var opts []forwarder.Option
+	if c, ok := d.security.listeners["peers"]; ok {
+		opts = append(opts, forwarder.WithPeerTLS(c.Client()))
+	}
+	if d.security.prover != nil {
+		opts = append(opts, forwarder.WithProver(d.security.prover))
+	}
+	return forwarder.New(opts...)
+}
+
 // authenticatePeers lets only peers and operators through that have proved
 // themselves, by a certificate or by the shared secret.
 func (d *Daemon) authenticatePeers(next http.Handler) http.Handler {
--- a/seamd/forwarder/content.go
+++ b/seamd/forwarder/content.go
@@ -21,7 +21,12 @@
 
 // ReadContent reads the start of a body of the given length, -1 if unknown.
 func ReadContent(body io.Reader, length int64) (Content, error) {
-	held := make([]byte, maxHeldBodyBytes)
+	size := int64(maxHeldBodyBytes)
+	if length >= 0 {
+		// One byte more shows that the body is whole.
+		size = min(size, length+1)
+	}
+	held := make([]byte, size)
 	n, err := io.ReadFull(body, held)
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -1,15 +1,18 @@
-// Package forwarder carries a request to an endpoint and the answer back.
+// Package forwarder carries a request to an endpoint, or to another instance,
+// and the answer back.
 //
 // # Usage
 //
 //	f := forwarder.New()
-//	result := f.Attempt(ctx, w, outgoing, "10.0.0.7:9000")
+//	gate := &forwarder.Gate{}
+//	result := f.Attempt(ctx, gate, w, outgoing, "10.0.0.7:9000")
 //	if result.Code == coder.OK { ... }
 package forwarder
 
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -18,48 +21,19 @@
 	"time"
 
 	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/prover"
 )
 
-// Headers between the system, its callers and upstreams.
-const (
-	HeaderRequestID = "Seam-Request-Id"
-	HeaderTeam      = "Seam-Team"
-	HeaderCode      = "Seam-Code"
-	HeaderNotRun    = "Seam-Not-Run"
-	HeaderDeadline  = "Seam-Deadline"
-
-	headerUpstreamLoad     = "Upstream-Load"
-	headerUpstreamNotRun   = "Upstream-Not-Run"
-	headerUpstreamDraining = "Upstream-Draining"
-)
-
-const (
-	// dialTimeout bounds a new connection to an endpoint.
-	dialTimeout = time.Second
-	// idleConnTimeout closes connections before they are forgotten on the way.
-	idleConnTimeout = 10 * time.Second
-	// maxHeldAnswerBytes is the size up to which an answer is read whole
-	// before it is passed on, so that a truncated one can be replaced.
-	maxHeldAnswerBytes = 64 << 10
-	// maxIdlePerEndpoint bounds the kept connections to one endpoint.
-	maxIdlePerEndpoint = 16
-)
-
-// hopHeaders are headers that concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
+// maxHeldAnswerBytes is the size up to which an answer is read whole before it
+// is passed on, so that a truncated one can be replaced.
+const maxHeldAnswerBytes = 64 << 10
 
-// callerHeaders are headers that a caller's request must not pass on.
-var callerHeaders = []string{
-	"Authorization", HeaderRequestID, HeaderTeam, HeaderDeadline,
-}
-
-// Outgoing is a request to an upstream. It holds no key.
+// Outgoing is a request to an upstream. Its headers are clean: no key, and
+// none that the system sets itself.
 type Outgoing struct {
 	ID      string
 	Team    string
+	Name    string
 	Method  string
 	URI     string
 	Header  http.Header
@@ -75,69 +49,115 @@
 	// Load is the endpoint's report of requests in progress, or -1.
 	Load     int
 	Draining bool
-	Bytes    int64
+	// Shed means that the endpoint had no free slot or drains.
+	Shed bool
+	// Unhealthy means that a whole answer said that the endpoint is broken.
+	Unhealthy bool
+	// Refused means that another instance answered with a refusal.
+	Refused    bool
+	RetryAfter time.Duration
+	Status     int
+	Bytes      int64
 }
 
-// Forwarder keeps connections to endpoints. It is safe for concurrent use.
+// Forwarder keeps connections to endpoints and instances. It is safe for
+// concurrent use.
 type Forwarder struct {
-	transport *http.Transport
+	endpoints *connections
+	peers     *http.Transport
+	prover    *prover.Prover
+}
+
+// Option changes a forwarder at its creation.
+type Option func(*Forwarder)
+
+// WithPeerTLS sets how connections to other instances are secured.
+func WithPeerTLS(c *tls.Config) Option {
+	return func(f *Forwarder) { f.peers.TLSClientConfig = c }
+}
+
+// WithProver proves passed requests by the instances' shared secret.
+func WithProver(p *prover.Prover) Option {
+	return func(f *Forwarder) { f.prover = p }
 }
 
 // New returns a forwarder without connections.
-func New() *Forwarder {
-	return &Forwarder{transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerEndpoint,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}}
+func New(opts ...Option) *Forwarder {
+	f := &Forwarder{endpoints: newConnections(), peers: newTransport()}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
+// SetConnectionLimits sets the greatest number of connections to each
+// endpoint. Idle connections to endpoints that are left out are closed.
+func (f *Forwarder) SetConnectionLimits(limits map[string]int) { f.endpoints.setLimits(limits) }
+
 // Close closes idle connections.
-func (f *Forwarder) Close() { f.transport.CloseIdleConnections() }
+func (f *Forwarder) Close() {
+	f.endpoints.close()
+	f.peers.CloseIdleConnections()
+}
 
-// Attempt sends the request to the endpoint and a proper answer to w. On any
-// other result w is untouched, unless Result.Committed says otherwise.
-func (f *Forwarder) Attempt(ctx context.Context, w http.ResponseWriter, out Outgoing, endpoint string) Result {
-	req, err := newRequest(ctx, out, endpoint)
+// Attempt sends the request to the endpoint and a proper answer to w, if no
+// other attempt holds the gate. On any other result w is untouched, unless
+// Result.Committed says otherwise.
+func (f *Forwarder) Attempt(ctx context.Context, gate *Gate, w http.ResponseWriter, out Outgoing, endpoint string) Result {
+	var s sending
+	req, err := newRequest(s.trace(ctx), out, "http://"+endpoint+out.URI, out.Method)
 	if err != nil {
 		return Result{Code: coder.RequestMalformed, Ran: coder.NotRun, Load: -1}
 	}
-	resp, err := f.transport.RoundTrip(req)
+	req.Header.Set(HeaderRequestID, out.ID)
+	req.Header.Set(HeaderTeam, out.Team)
+	if out.Name != "" {
+		req.Header.Set(HeaderName, out.Name)
+	}
+	resp, err := f.endpoints.transport(endpoint).RoundTrip(req)
 	if err != nil {
-		return failure(ctx, err)
+		f.endpoints.suspect(endpoint)
+		return failure(ctx, err, &s)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	result := Result{Load: reportedLoad(resp), Draining: resp.Header.Get(headerUpstreamDraining) == "true"}
+	result := Result{
+		Load: reportedLoad(resp), Draining: resp.Header.Get(headerUpstreamDraining) == "true",
+		Status: resp.StatusCode, Unhealthy: broken(resp.StatusCode),
+	}
 	switch {
 	case resp.Header.Get(headerUpstreamNotRun) == "true":
-		result.Code, result.Ran = coder.UpstreamFailed, coder.NotRun
+		result.Code, result.Ran, result.Shed = coder.UpstreamFailed, coder.NotRun, true
 		return result
 	case resp.Header.Get(HeaderRequestID) != out.ID:
+		f.endpoints.suspect(endpoint)
 		result.Code, result.Ran = coder.AnswerMismatched, coder.MayHaveRun
 		return result
 	}
-	return pass(ctx, w, resp, result)
+	return pass(ctx, gate, w, resp, result)
+}
+
+// broken reports whether a status says that the endpoint doesn't work.
+func broken(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
-// newRequest builds the upstream request. Its body has no GetBody, so that the
-// transport never sends it twice by itself.
-func newRequest(ctx context.Context, out Outgoing, endpoint string) (*http.Request, error) {
+// newRequest builds a request. Its body has no GetBody, so that the transport
+// never sends it twice by itself.
+func newRequest(ctx context.Context, out Outgoing, target, method string) (*http.Request, error) {
 	body := struct{ io.Reader }{out.Content.Reader()}
-	req, err := http.NewRequestWithContext(ctx, out.Method, "http://"+endpoint+out.URI, body)
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
 	if err != nil {
 		return nil, err
 	}
 	req.ContentLength = out.Content.Length()
 	req.Header = out.Header.Clone()
-	for _, name := range hopHeaders {
-		req.Header.Del(name)
-	}
-	for _, name := range callerHeaders {
-		req.Header.Del(name)
+	if req.Header == nil {
+		req.Header = http.Header{}
 	}
-	req.Header.Set(HeaderRequestID, out.ID)
-	req.Header.Set(HeaderTeam, out.Team)
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Header.Set(HeaderDeadline, time.Until(deadline).Round(time.Millisecond).String())
 	}
@@ -145,7 +165,7 @@
 }
 
 // failure classifies an attempt without an answer.
-func failure(ctx context.Context, err error) Result {
+func failure(ctx context.Context, err error, s *sending) Result {
 	result := Result{Code: coder.UpstreamFailed, Ran: coder.MayHaveRun, Load: -1}
 	var op *net.OpError
 	switch {
@@ -156,35 +176,68 @@
 	case ctx.Err() != nil:
 		result.Code = coder.CallerGone
 	}
+	if !s.left() {
+		result.Ran = coder.NotRun
+	}
 	return result
 }
 
 // pass sends the answer to the caller. A short answer is read whole first.
-func pass(ctx context.Context, w http.ResponseWriter, resp *http.Response, result Result) Result {
+func pass(ctx context.Context, gate *Gate, w http.ResponseWriter, resp *http.Response, result Result) Result {
+	result.Ran = coder.MayHaveRun
+	if !delimited(resp) {
+		result.Code = coder.UpstreamFailed
+		return result
+	}
 	held, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswerBytes))
 	if err != nil {
-		broken := failure(ctx, err)
-		broken.Load = result.Load
-		return broken
+		result.Code = coder.UpstreamFailed
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			result.Code = coder.UpstreamTimeout
+		} else if ctx.Err() != nil {
+			result.Code = coder.CallerGone
+		}
+		return result
+	}
+	result.Ran = coder.HasRun
+	if !gate.Take() {
+		// Another attempt answers the caller.
+		return result
 	}
-	copyHeader(w.Header(), resp.Header)
+	copyAnswer(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	result.Committed = true
-	result.Ran = coder.HasRun
-	result.Bytes, err = io.Copy(w, io.MultiReader(bytes.NewReader(held), resp.Body))
+	result.Bytes, err = io.Copy(flushing(w, resp), io.MultiReader(bytes.NewReader(held), resp.Body))
 	if err != nil {
 		result.Code = coder.UpstreamFailed
 	}
 	return result
 }
 
-func copyHeader(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = values
+// flushing passes the parts of an answer of unknown length on as they come.
+func flushing(w http.ResponseWriter, resp *http.Response) io.Writer {
+	if resp.ContentLength >= 0 {
+		return w
 	}
-	for _, name := range hopHeaders {
-		dst.Del(name)
+	return &flushWriter{w: w, control: http.NewResponseController(w)}
+}
+
+// flushWriter flushes after every write.
+type flushWriter struct {
+	w       io.Writer
+	control *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (f *flushWriter) Write(p []byte) (int, error) {
+	n, err := f.w.Write(p)
+	if err == nil {
+		err = f.control.Flush()
+		if errors.Is(err, http.ErrNotSupported) {
+			err = nil
+		}
 	}
+	return n, err
 }
 
 func reportedLoad(resp *http.Response) int {
