--- a/seam/decider/fleet_test.go
+++ b/seam/decider/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -80,27 +81,30 @@
 	most     int
 	waiting  []func()
 	liar     bool
+	drained  bool
 	failFast bool
 	received int
 }
 
 // fleet runs models of one region against upstreams on a virtual clock.
 type fleet struct {
-	shape   shape
-	world   *faker.World
-	config  *configurer.Config
-	models  []*decider.Model
-	opts    []decider.Option
-	central bool
+	shape  shape
+	world  *faker.World
+	config *configurer.Config
+	models []*decider.Model
+	opts   []decider.Option
 	// idempotent allows hedges, which the comparison of policies leaves out.
 	idempotent bool
-	draining   []int
 	upstreams  []*upstream
 	byAddress  map[string]*upstream
 	legs       map[uint64]*fleetLeg
 	nextID     uint64
 	passes     int
-	outcomes   []outcome
+	down       map[int]bool
+	// late counts requests that reached a drained endpoint after lateFrom.
+	lateFrom time.Time
+	late     int
+	outcomes []outcome
 }
 
 // fleetLeg follows one request at one instance; origin is nil at the entry.
@@ -132,18 +136,13 @@
 
 func withIdempotent() fleetOption { return func(f *fleet) { f.idempotent = true } }
 
-// withDrained drains endpoints from the start.
-func withDrained(endpoints ...int) fleetOption {
-	return func(f *fleet) { f.draining = endpoints }
-}
-
 func newFleet(t testing.TB, s shape, opts ...fleetOption) *fleet {
 	t.Helper()
-	f := &fleet{shape: s, world: faker.NewWorld(1), byAddress: map[string]*upstream{}, legs: map[uint64]*fleetLeg{}}
+	f := &fleet{shape: s, world: faker.NewWorld(1), byAddress: map[string]*upstream{}, legs: map[uint64]*fleetLeg{}, down: map[int]bool{}}
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.config = f.configure(t, 1, f.draining)
+	f.config = f.configure(t, 1, nil)
 	for i, e := range f.config.Services()[0].Endpoints {
 		u := &upstream{address: e.Address, domain: i % 2, slots: s.slots}
 		f.upstreams = append(f.upstreams, u)
@@ -259,8 +258,12 @@
 	f.outcomes = make([]outcome, len(calls))
 	for k, c := range calls {
 		f.outcomes[k] = outcome{call: c}
-		at := c.instance
 		f.world.After("", c.at, func() {
+			at := c.instance
+			for f.down[at] {
+				// Callers go to another instance.
+				at = (at + 1) % f.shape.instances
+			}
 			f.nextID++
 			id := f.nextID
 			f.legs[id] = &fleetLeg{call: c, at: at, arrived: f.world.Now(), outcome: &f.outcomes[k]}
@@ -291,6 +294,9 @@
 	from := nodeName(i)
 	f.world.After("", hop, func() {
 		u.received++
+		if u.drained && f.world.Now().After(f.lateFrom) {
+			f.late++
+		}
 		f.serve(u, l, func(failed bool) {
 			f.world.After(from, hop, func() { f.answered(i, c, l, failed) })
 		})
@@ -368,6 +374,12 @@
 	f.passes++
 	var to int
 	_, _ = fmt.Sscanf(c.Peer, "seamd-%d", &to)
+	if f.down[to] {
+		f.world.After(nodeName(i), f.shape.hop, func() {
+			f.update(i, decider.PassEnded{ID: c.ID, Peer: c.Peer, Result: coder.UpstreamFailed, Ran: coder.NotRun})
+		})
+		return
+	}
 	l := f.legs[c.ID]
 	f.nextID++
 	id := f.nextID
@@ -405,3 +417,40 @@
 	}
 	return n
 }
+
+// crash ends an instance; those that passed it requests see broken connections.
+func (f *fleet) crash(i int) {
+	f.world.Crash(nodeName(i))
+	f.down[i] = true
+	ids := slices.Sorted(maps.Keys(f.legs))
+	for _, id := range ids {
+		l := f.legs[id]
+		if l.at != i || l.outcome.done {
+			continue
+		}
+		if l.origin == nil {
+			l.outcome.done, l.outcome.code = true, coder.OutcomeUnknown
+			continue
+		}
+		end := decider.PassEnded{ID: l.originID, Peer: nodeName(i), Result: coder.UpstreamFailed, Ran: coder.MayHaveRun}
+		f.world.After(nodeName(l.origin.at), f.shape.hop, func() { f.update(l.origin.at, end) })
+	}
+}
+
+// restart starts a crashed instance anew.
+func (f *fleet) restart(i int) {
+	f.down[i] = false
+	f.start(i)
+}
+
+// reconfigure gives all instances a newer configuration.
+func (f *fleet) reconfigure(t testing.TB, draining []int) {
+	f.config = f.configure(t, f.config.Version()+1, draining)
+	for k, u := range f.upstreams {
+		u.drained = slices.Contains(draining, k)
+		u.most = u.busy
+	}
+	for i := range f.models {
+		f.update(i, decider.ConfigChanged{Config: f.config})
+	}
+}
--- a/seam/decider/waiting.go
+++ b/seam/decider/waiting.go
@@ -7,6 +7,9 @@
 	"primroseseam.org/seam/queuer"
 )
 
+// waitMargin is the part of an estimated wait that is added for its error.
+const waitMargin = 4
+
 // forwardOrQueue forwards a request at once, lets it wait for a slot, or
 // refuses it if it would wait beyond its deadline.
 func (m *Model) forwardOrQueue(now time.Time, r *request, avoid string) []Cmd {
@@ -31,7 +34,7 @@
 
 func (m *Model) enqueue(now time.Time, r *request, s *service) []Cmd {
 	wait := s.estimate(s.queue.Ahead(r.team, r.weight)+1, s.pool.Capacity(now, m.self.region))
-	if now.Add(wait + s.latency.Mean()/2).After(r.deadline) {
+	if now.Add(wait + wait/waitMargin + s.latency.Mean()/2).After(r.deadline) {
 		return m.giveUp(now, r, coder.DeadlineUnreachable, r.ran, wait)
 	}
 	item := queuer.Item{ID: r.id, Team: r.team, Weight: r.weight, Deadline: r.deadline}
--- a/seam/picker/endpoint.go
+++ b/seam/picker/endpoint.go
@@ -112,28 +112,29 @@
 
 func (e *Endpoint) ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
 
-// elsewhere estimates the requests in flight from other instances. It never
-// takes an endpoint's last slot: a liar can't take itself out of use for good.
+// elsewhere estimates the requests in flight from other instances by what the
+// endpoint's own reports agree on. It never takes an endpoint's last slot: a
+// liar can't take itself out of use for good.
 func (e *Endpoint) elsewhere(now time.Time) int {
-	count := e.reports.agreed(now)
-	fromPeers := 0
+	return min(e.reports.agreed(now), e.slots-1)
+}
+
+// fromPeers is what peers say that they have in flight, less as it grows old.
+// It orders endpoints but takes no slots: a peer that has just stopped would
+// otherwise leave its slots idle until its word is forgotten.
+func (e *Endpoint) fromPeers(now time.Time) float64 {
+	load := 0.0
 	for _, p := range e.peers {
-		if now.Sub(p.at) < evidenceAge {
-			fromPeers += p.load
-		}
+		load += float64(p.load) * freshness(now.Sub(p.at))
 	}
-	return min(max(count, fromPeers), e.slots-1)
+	return load
 }
 
 // discounted estimates the whole load; older evidence counts for less.
 func (e *Endpoint) discounted(now time.Time) float64 {
 	load := float64(e.inFlight)
 	extra := float64(e.reports.last-e.inFlight) * freshness(now.Sub(e.reports.at))
-	fromPeers := 0.0
-	for _, p := range e.peers {
-		fromPeers += float64(p.load) * freshness(now.Sub(p.at))
-	}
-	return load + max(0, extra, fromPeers)
+	return load + max(0, extra, e.fromPeers(now))
 }
 
 // freshness is 1 for new evidence and falls to 0 at evidenceAge.
--- a/seam/picker/picker.go
+++ b/seam/picker/picker.go
@@ -166,7 +166,7 @@
 	case LeastDiscounted:
 		return e.discounted(now)
 	}
-	return float64(e.inFlight + e.elsewhere(now))
+	return float64(e.inFlight) + max(float64(e.elsewhere(now)), e.fromPeers(now))
 }
 
 // free reports whether the endpoint takes the request now.
@@ -180,7 +180,7 @@
 	case LeastDiscounted:
 		return e.inFlight < e.Slots(now)
 	}
-	return p.load(now, e) < float64(e.Slots(now))
+	return e.inFlight+e.elsewhere(now) < e.Slots(now)
 }
 
 func (p *Pool) usable(now time.Time, e *Endpoint) bool {
