Run named requests at their home in the daemon and hand records over at a stop

Look-up answers carry a ticket signed with a key that lives in the store. A request with Seam-Name is checked where it arrives, passed to its home, and run there once; the answer is recorded also if the caller leaves. A stopping home closes, sends its records to an instance of its region and names it in the store; others ask it when the home doesn't answer.

--- a/seam/decider/requests.go
+++ b/seam/decider/requests.go
@@ -62,7 +62,8 @@
 	}
 	svc, _ := m.config.Service(route.Service)
 	r.service = svc.Name
-	r.idempotent = route.Idempotent
+	// A named request runs at most once, whatever the route allows.
+	r.idempotent = route.Idempotent && msg.Home == ""
 	r.repeatable = msg.Repeatable
 	r.home = msg.Home
 	if route.Affinity {
--- a/seam/deduplicator/handover.go
+++ b/seam/deduplicator/handover.go
@@ -21,6 +21,9 @@
 	Home        string   `json:"home"`
 	Incarnation uint64   `json:"incarnation"`
 	Records     []Record `json:"records,omitempty"`
+	// Partial means that more records follow; names of the home don't run at
+	// the successor before the last part.
+	Partial bool `json:"partial,omitempty"`
 }
 
 // Close makes a home take no new names. Repeats still get their answers.
@@ -83,6 +86,8 @@
 		h.order = append(h.order, r)
 		h.keep(r, told.Answer)
 	}
-	h.adopted[owner{from.Home, from.Incarnation}] = true
+	if !from.Partial {
+		h.adopted[owner{from.Home, from.Incarnation}] = true
+	}
 	return nil
 }
--- a/seam/steerer/steerer.go
+++ b/seam/steerer/steerer.go
@@ -48,6 +48,8 @@
 	Region    string        `json:"region"`
 	Instances []Instance    `json:"instances"`
 	TTL       time.Duration `json:"ttlNanoseconds"`
+	// Ticket starts the names of the caller's non-idempotent requests.
+	Ticket string `json:"ticket,omitempty"`
 }
 
 // Table is one immutable version of the look-up data.
--- a/seam/storer/storer.go
+++ b/seam/storer/storer.go
@@ -30,6 +30,10 @@
 	KindKey           Kind = "key"
 	KindSeat          Kind = "seat"
 	KindStatus        Kind = "status"
+	// KindTicketKey holds the key that signs tickets.
+	KindTicketKey Kind = "ticketKey"
+	// KindHandover names who has the records of a home that stopped.
+	KindHandover Kind = "handover"
 )
 
 // ConfigName is the name of the configuration in force.
--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -48,11 +48,18 @@
 		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
 		return
 	}
+	name := r.Header.Get(forwarder.HeaderName)
+	home, err := d.homeOf(name)
+	if err != nil {
+		refuse(w, decider.Refuse{Code: coder.Of(err)})
+		return
+	}
 	msg := decider.RequestArrived{
 		ID: d.nextID.Add(1), Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now()),
+		Home: home,
 	}
 	msg.Key, msg.HasKey = authenticator.DigestOf(secret), hasKey
-	out := forwarder.Outgoing{Method: r.Method, URI: r.URL.RequestURI(), Header: header, Content: content}
+	out := forwarder.Outgoing{Name: name, Method: r.Method, URI: r.URL.RequestURI(), Header: header, Content: content}
 	d.answer(r.Context(), w, msg.ID, msg, out)
 }
 
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -24,8 +24,10 @@
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/deduplicator"
 	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
+	"primroseseam.org/seam/ticketer"
 	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/seamd/loader"
 )
@@ -56,6 +58,9 @@
 	stopping  chan struct{}
 	leaving   atomic.Bool
 	directory directory
+	addresses atomic.Pointer[map[string]string]
+	signer    atomic.Pointer[ticketer.Signer]
+	home      *deduplicator.Home
 	// toldPeers belongs to the goroutine that reads the instance list.
 	toldPeers []decider.Peer
 	// incarnation orders the starts of this instance.
@@ -118,6 +123,7 @@
 	}
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
+	d.home = deduplicator.New(settings.Instance.ID, d.incarnation)
 	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
 	d.spread = newSpread(d, seed)
 	d.table.Store(steerer.NewTable(nil, nil))
@@ -164,6 +170,7 @@
 	background.Go(func() error { d.loop.run(work); return nil })
 	background.Go(func() error { d.spread.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
+	background.Go(func() error { d.watchTicketKey(work); return nil })
 
 	servers := []*server{
 		{"callers", d.listeners.callers, d.callerServer()},
@@ -200,6 +207,9 @@
 	defer cancel()
 	var errs []error
 	for _, s := range servers {
+		if s.name == "peers" {
+			d.handOver(ctx)
+		}
 		if err := s.http.Shutdown(ctx); err != nil {
 			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
 		}
--- /dev/null
+++ b/seamd/daemon/homes.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/deduplicator"
+	"primroseseam.org/seam/storer"
+	"primroseseam.org/seam/ticketer"
+	"primroseseam.org/seamd/forwarder"
+)
+
+const (
+	// ticketKeyName is the name of the signing key in the store.
+	ticketKeyName = "current"
+	// ticketKeyRetry is the wait after a failed read of the signing key.
+	ticketKeyRetry = time.Second
+)
+
+// ticketKey is the store's object that holds the signing key.
+type ticketKey struct {
+	Secret []byte `json:"secret"`
+}
+
+// watchTicketKey reads the signing key, or makes it if there is none. Until
+// then look-up answers carry no ticket and named requests are refused.
+func (d *Daemon) watchTicketKey(ctx context.Context) {
+	for ctx.Err() == nil {
+		if secret, err := d.readTicketKey(ctx); err == nil {
+			d.signer.Store(ticketer.NewSigner(secret))
+			return
+		}
+		d.sleep(ctx, ticketKeyRetry)
+	}
+}
+
+func (d *Daemon) readTicketKey(ctx context.Context) ([]byte, error) {
+	object, err := d.store.Get(ctx, storer.KindTicketKey, ticketKeyName)
+	if coder.Of(err) == coder.StoreNotFound {
+		value, _ := json.Marshal(ticketKey{Secret: ticketer.NewSecret()})
+		// Another instance may be first: what stands in the store counts.
+		_, _ = d.store.Put(ctx, storer.Object{Kind: storer.KindTicketKey, Name: ticketKeyName, Value: value})
+		object, err = d.store.Get(ctx, storer.KindTicketKey, ticketKeyName)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var key ticketKey
+	if err := json.Unmarshal(object.Value, &key); err != nil || len(key.Secret) < ticketer.SecretBytes {
+		d.log.Error("home: ignored an invalid signing key", zap.Error(err))
+		return nil, coder.Errorf(coder.StoreUnavailable, ticketKeyName, "no valid signing key")
+	}
+	return key.Secret, nil
+}
+
+// ticket returns a ticket of this home for a look-up answer, or "".
+func (d *Daemon) ticket() string {
+	signer := d.signer.Load()
+	if signer == nil || d.leaving.Load() {
+		return ""
+	}
+	return signer.Issue(d.settings.Instance.ID, d.incarnation, d.clock.Now())
+}
+
+// homeOf returns the home of a request's name, or "" if it has no name.
+func (d *Daemon) homeOf(name string) (string, error) {
+	if name == "" {
+		return "", nil
+	}
+	signer := d.signer.Load()
+	if signer == nil {
+		return "", coder.Errorf(coder.Stopping, forwarder.HeaderName, "no signing key yet")
+	}
+	t, err := signer.Parse(name)
+	return t.Home, err
+}
+
+// passHome brings a named request to its home, or to the successor of a home
+// that has stopped.
+func (d *Daemon) passHome(ctx context.Context, x *exchange, c decider.Pass, e forwarder.Envelope) forwarder.Result {
+	signer := d.signer.Load()
+	t, err := signer.Parse(x.out.Name)
+	if err != nil {
+		return forwarder.Result{Code: coder.RequestMalformed, Ran: coder.NotRun, Refused: true, Load: -1}
+	}
+	result := d.tryHome(ctx, x, c.Peer, e, t)
+	if result.Committed || result.Refused && result.Code != coder.OutcomeUnknown && result.Code != coder.Stopping {
+		return result
+	}
+	successor, ok := d.successorOf(ctx, t)
+	if !ok || successor == c.Peer {
+		return result
+	}
+	d.log.Info("home: asked the successor", zap.String("home", t.Home), zap.String("successor", successor))
+	return d.tryHome(ctx, x, successor, e, t)
+}
+
+func (d *Daemon) tryHome(ctx context.Context, x *exchange, id string, e forwarder.Envelope, t ticketer.Ticket) forwarder.Result {
+	if id == d.settings.Instance.ID {
+		return d.serveName(ctx, x.w, &x.gate, e, t, x.out)
+	}
+	address, ok := d.peerAddress(id)
+	if !ok {
+		return forwarder.Result{Code: coder.UpstreamFailed, Ran: coder.NotRun, Load: -1}
+	}
+	return d.forwarder.Pass(ctx, &x.gate, x.w, x.out, e, d.peerURL(address))
+}
+
+// serveHome takes a named request that another instance passed on.
+func (d *Daemon) serveHome(w http.ResponseWriter, r *http.Request, e forwarder.Envelope, out forwarder.Outgoing) {
+	signer := d.signer.Load()
+	if signer == nil {
+		refuse(w, decider.Refuse{Code: coder.OutcomeUnknown, Ran: coder.MayHaveRun})
+		return
+	}
+	t, err := signer.Parse(e.Name)
+	if err != nil {
+		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
+		return
+	}
+	ctx := r.Context()
+	if deadline := callerDeadline(r, d.clock.Now()); !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	gate := &forwarder.Gate{}
+	result := d.serveName(ctx, w, gate, e, t, out)
+	if result.Committed && result.Code != coder.OK {
+		panic(http.ErrAbortHandler)
+	}
+	if !result.Committed && gate.Take() {
+		refuse(w, decider.Refuse{Code: result.Code, Ran: result.Ran})
+	}
+}
+
+// serveName runs a named request at this home, unless its name is known.
+func (d *Daemon) serveName(
+	ctx context.Context, w http.ResponseWriter, gate *forwarder.Gate, e forwarder.Envelope, t ticketer.Ticket, out forwarder.Outgoing,
+) forwarder.Result {
+	name := deduplicator.Name{Ticket: t, Team: e.Team, Text: e.Name, Request: e.Method + " " + e.URI}
+	told := make(chan deduplicator.Answer, 1)
+	verdict, answer := d.home.Begin(d.clock.Now(), name, func(a deduplicator.Answer) { told <- a })
+	d.log.Info("home: decided", zap.Stringer("verdict", verdict), zap.String("team", e.Team), zap.String("home", t.Home))
+	switch verdict {
+	case deduplicator.Run:
+		return d.runName(ctx, w, gate, e, name, out)
+	case deduplicator.Wait:
+		select {
+		case answer = <-told:
+		case <-ctx.Done():
+			return forwarder.Result{Code: coder.UpstreamTimeout, Ran: coder.MayHaveRun, Refused: true, Load: -1}
+		}
+	}
+	return replay(w, gate, answer)
+}
+
+// runName runs a request to its end, also if its caller leaves, so that a
+// repeat gets the answer.
+func (d *Daemon) runName(
+	ctx context.Context, w http.ResponseWriter, gate *forwarder.Gate, e forwarder.Envelope, name deduplicator.Name, out forwarder.Outgoing,
+) (result forwarder.Result) {
+	msg := decider.PassedArrived{
+		ID: d.nextID.Add(1), From: e.From, Team: e.Team, Service: e.Service, Repeatable: out.Content.Repeatable(),
+		Affinity: e.Affinity, Onward: true,
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = d.clock.Now().Add(defaultNamedTimeout)
+	}
+	msg.Deadline = deadline
+	rec := &recorder{w: w, gate: gate, header: http.Header{}}
+	defer func() {
+		if recover() != nil {
+			rec.broken = true
+		}
+		d.home.End(name, rec.answer())
+		result = rec.result()
+	}()
+	d.answer(context.WithoutCancel(ctx), rec, msg.ID, msg, out)
+	return result
+}
+
+// replay sends a recorded answer, or reports a refusal.
+func replay(w http.ResponseWriter, gate *forwarder.Gate, a deduplicator.Answer) forwarder.Result {
+	if a.Code != coder.OK {
+		return forwarder.Result{Code: a.Code, Ran: a.Ran, Refused: true, Load: -1}
+	}
+	result := forwarder.Result{Ran: a.Ran, Load: -1, Status: a.Status}
+	if !gate.Take() {
+		return result
+	}
+	for field, values := range a.Header {
+		w.Header()[field] = values
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	result.Committed = true
+	if _, err := w.Write(a.Body); err != nil {
+		result.Code = coder.CallerGone
+	}
+	return result
+}
--- a/seamd/daemon/lookups.go
+++ b/seamd/daemon/lookups.go
@@ -34,7 +34,9 @@
 		region = d.settings.Instance.Region
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	_ = ctx.JSON(table.Entries(region, rng))
+	answer := table.Entries(region, rng)
+	answer.Ticket = d.ticket()
+	_ = ctx.JSON(answer)
 }
 
 func clientAddress(ctx iris.Context) netip.Addr {
--- a/seamd/daemon/passes.go
+++ b/seamd/daemon/passes.go
@@ -18,11 +18,14 @@
 		From: d.settings.Instance.ID, Method: x.out.Method, URI: x.out.URI, Team: c.Team, Service: c.Service,
 		Idempotent: c.Idempotent, Affinity: c.Affinity, Home: c.Home, Name: x.out.Name,
 	}
-	peer, ok := d.Peer(c.Peer)
+	if c.Home {
+		return d.passHome(ctx, x, c, e)
+	}
+	address, ok := d.peerAddress(c.Peer)
 	if !ok {
 		return forwarder.Result{Code: coder.UpstreamFailed, Ran: coder.NotRun, Load: -1}
 	}
-	return d.forwarder.Pass(ctx, &x.gate, x.w, x.out, e, d.peerURL(peer.Address()))
+	return d.forwarder.Pass(ctx, &x.gate, x.w, x.out, e, d.peerURL(address))
 }
 
 // servePass takes a request that another instance passed on.
@@ -46,6 +49,10 @@
 	}
 	header, _ := forwarder.CleanRequest(r.Header)
 	out := forwarder.Outgoing{Name: e.Name, Method: e.Method, URI: e.URI, Header: header, Content: content}
+	if e.Home {
+		d.serveHome(w, r, e, out)
+		return
+	}
 	msg := decider.PassedArrived{
 		ID: d.nextID.Add(1), From: e.From, Team: e.Team, Service: e.Service, Idempotent: e.Idempotent,
 		Repeatable: content.Repeatable(), Affinity: e.Affinity, Deadline: callerDeadline(r, d.clock.Now()),
@@ -53,8 +60,26 @@
 	d.answer(r.Context(), w, msg.ID, msg, out)
 }
 
+// peerAddress returns where an instance answers peers, also a leaving one.
+func (d *Daemon) peerAddress(id string) (string, bool) {
+	if peer, ok := d.Peer(id); ok {
+		return peer.Address(), true
+	}
+	addresses := d.addresses.Load()
+	if addresses == nil {
+		return "", false
+	}
+	address, ok := (*addresses)[id]
+	return address, ok
+}
+
 // tellPeers tells the loop which instances are known.
 func (d *Daemon) tellPeers(list []storer.Instance) {
+	addresses := make(map[string]string, len(list))
+	for _, i := range list {
+		addresses[i.ID] = i.PeerAddress
+	}
+	d.addresses.Store(&addresses)
 	peers := make([]decider.Peer, 0, len(list))
 	for _, i := range list {
 		peer, _ := d.Peer(i.ID)
--- a/seamd/daemon/peers.go
+++ b/seamd/daemon/peers.go
@@ -16,6 +16,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMembershipServiceHandler(&membershipService{daemon: d}))
 	mux.Handle(peerv1connect.NewRelayServiceHandler(&relayService{daemon: d}))
+	mux.Handle(peerv1connect.NewHomesServiceHandler(&homesService{daemon: d}))
 	outer := http.NewServeMux()
 	outer.Handle("/", d.authenticatePeers(mux))
 	// Passed requests are streamed and checked by their own proof.
--- a/seamd/forwarder/pass.go
+++ b/seamd/forwarder/pass.go
@@ -81,7 +81,7 @@
 	}
 	ms, _ := strconv.ParseInt(resp.Header.Get(HeaderRetryMS), 10, 64)
 	return Result{
-		Code: coder.Code(code), Ran: parseRan(resp.Header.Get(HeaderNotRun)), Load: -1,
+		Code: coder.Code(code), Ran: ParseRan(resp.Header.Get(HeaderNotRun)), Load: -1,
 		Refused: true, RetryAfter: time.Duration(ms) * time.Millisecond,
 	}, true
 }
@@ -97,7 +97,8 @@
 	return "unknown"
 }
 
-func parseRan(text string) coder.Ran {
+// ParseRan reads what RanText wrote.
+func ParseRan(text string) coder.Ran {
 	switch text {
 	case "true":
 		return coder.NotRun
