--- /dev/null
+++ b/seamd/daemon/answers_test.go
@@ -0,0 +1,208 @@
+package daemon_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"primroseseam.org/standin/responder"
+)
+
+// echoHash answers with the digest of the body, then with a long body.
+func echoHash(answerBytes int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		digest := sha256.New()
+		_, _ = io.Copy(digest, r.Body)
+		w.Header().Set("Seam-Request-Id", r.Header.Get("Seam-Request-Id"))
+		w.Header().Set("Digest", hex.EncodeToString(digest.Sum(nil)))
+		_, _ = io.Copy(w, io.LimitReader(rand.NewChaCha8([32]byte{1}), answerBytes))
+	})
+}
+
+func TestLargeBodiesPassInBoundedMemory(t *testing.T) {
+	const size = 48 << 20
+	r := newRig(t, 2, echoHash(size), echoHash(size))
+	var most atomic.Uint64
+	var base runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&base)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Millisecond):
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				most.Store(max(most.Load(), m.HeapInuse))
+			}
+		}
+	}()
+	for i := range 2 {
+		sent := sha256.New()
+		body := io.TeeReader(io.LimitReader(rand.NewChaCha8([32]byte{2}), size), sent)
+		req, _ := http.NewRequest(http.MethodPost, "http://"+r.daemons[i].CallerAddress()+"/large", body)
+		req.Header.Set("Authorization", "Bearer "+r.secret)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if n != size || err != nil || resp.Header.Get("Digest") != hex.EncodeToString(sent.Sum(nil)) {
+			t.Errorf("instance %d: %d bytes came back, %v", i, n, err)
+		}
+	}
+	close(done)
+	grown := int64(most.Load()) - int64(base.HeapInuse)
+	t.Logf("heap grew by %d MB while bodies of %d MB passed both ways", grown>>20, size>>20)
+	if grown > size/2 {
+		t.Errorf("heap grew by %d MB", grown>>20)
+	}
+}
+
+func TestKeysAndSystemHeadersNeverGoOn(t *testing.T) {
+	r := newRig(t, 2)
+	for i := range 2 {
+		a := r.send(i, "/clean", "", strings.NewReader("x"), "X-Copy", r.secret, "Cookie", "key="+r.secret,
+			"Seam-Team", "others", "seam-request-id", "7", "Connection", "X-Drop", "X-Drop", "1", "X-Keep", "2")
+		if a.status != http.StatusOK {
+			t.Fatalf("got %+v", a)
+		}
+		if a := r.send(i, "/clean?k="+r.secret, "", nil); a.header.Get("Seam-Code") != "104" {
+			t.Errorf("a key in the query: %+v", a)
+		}
+		if a := r.send(i, "/clean", "", nil, "Connection", "Authorization"); a.header.Get("Seam-Code") != "104" {
+			t.Errorf("Connection names Authorization: %+v", a)
+		}
+	}
+	for _, s := range r.requests() {
+		for field, values := range s.Headers {
+			if strings.Contains(strings.Join(values, " "), r.secret) || field == "X-Drop" {
+				t.Errorf("header %s went on", field)
+			}
+		}
+		if s.Team != "crew" || s.RequestID == "7" || s.Headers.Get("X-Keep") != "2" {
+			t.Errorf("got %+v", s)
+		}
+	}
+}
+
+// rawUpstream answers every request on a connection by a function that writes
+// to the connection itself.
+type rawUpstream struct{ answer func(net.Conn, *http.Request) }
+
+// ServeHTTP implements http.Handler.
+func (u rawUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ready" {
+		w.Header().Set("Seam-Request-Id", r.Header.Get("Seam-Request-Id"))
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	u.answer(conn, r)
+}
+
+func TestBrokenAnswersAreNeverTakenForWhole(t *testing.T) {
+	id := func(r *http.Request) string { return "Seam-Request-Id: " + r.Header.Get("Seam-Request-Id") + "\r\n" }
+	long := strings.Repeat("x", 200<<10)
+	cases := map[string]func(*http.Request) string{
+		"truncated": func(r *http.Request) string { return "HTTP/1.1 200 OK\r\n" + id(r) + "Content-Length: 10\r\n\r\nshort" },
+		"chunks": func(r *http.Request) string {
+			return "HTTP/1.1 200 OK\r\n" + id(r) + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"
+		},
+		"undelimited": func(r *http.Request) string { return "HTTP/1.1 200 OK\r\n" + id(r) + "Connection: close\r\n\r\nshort" },
+		"crossed": func(*http.Request) string {
+			return "HTTP/1.1 200 OK\r\nSeam-Request-Id: other\r\nContent-Length: 2\r\n\r\nok"
+		},
+		"longCut": func(r *http.Request) string {
+			return "HTTP/1.1 200 OK\r\n" + id(r) + "Content-Length: 999999\r\n\r\n" + long
+		},
+		"header": func(r *http.Request) string { return "HTTP/1.1 200 OK\r\n" + id(r) + "X: " + long + "\r\n\r\n" },
+		"lost":   func(*http.Request) string { return "" },
+	}
+	var kind atomic.Value
+	var runs atomic.Int64
+	u := rawUpstream{answer: func(c net.Conn, r *http.Request) {
+		runs.Add(1)
+		_, _ = io.WriteString(c, cases[kind.Load().(string)](r))
+	}}
+	r := newRig(t, 2, u, u)
+	for name := range cases {
+		kind.Store(name)
+		for i := range 2 {
+			runs.Store(0)
+			a := r.send(i, "/x", "", strings.NewReader("body"))
+			if a.err == nil && (a.status == http.StatusOK || a.header.Get("Seam-Not-Run") == "true") {
+				t.Errorf("%s: status %d, not run %q", name, a.status, a.header.Get("Seam-Not-Run"))
+			}
+			if n := runs.Load(); n != 1 {
+				t.Errorf("%s: a non-idempotent request ran %d times", name, n)
+			}
+		}
+	}
+}
+
+// TestTransportNeverSendsTwice lets connections answer once and break at the
+// second request, where the HTTP client would send a GET again by itself.
+func TestTransportNeverSendsTwice(t *testing.T) {
+	var received atomic.Int64
+	u := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		w.Header().Set("Seam-Request-Id", r.Header.Get("Seam-Request-Id"))
+		if r.URL.Path == "/break" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	r := newRig(t, 1, u, u)
+	for k := range 10 {
+		r.send(0, "/ok", "", nil)
+		received.Store(0)
+		req, _ := http.NewRequest(http.MethodGet, "http://"+r.daemons[0].CallerAddress()+"/break", nil)
+		req.Header.Set("Authorization", "Bearer "+r.secret)
+		req.Header.Set("Idempotency-Key", "1")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if n := received.Load(); n != 1 || resp.Header.Get("Seam-Not-Run") != "unknown" {
+			t.Errorf("try %d: received %d times, not run %q", k, n, resp.Header.Get("Seam-Not-Run"))
+		}
+	}
+}
+
+func TestCallerThatLeavesCancelsUpstream(t *testing.T) {
+	slow := responder.New(responder.WithSlots(3), responder.WithWork(5*time.Second))
+	r := newRig(t, 0, slow, slow)
+	r.start(0)
+	r.start(1)
+	client := &http.Client{Timeout: 300 * time.Millisecond}
+	deadline := time.Now().Add(readyWait)
+	for slow.InUse() == 0 && time.Now().Before(deadline) {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+r.daemons[1].CallerAddress()+"/x", nil)
+		req.Header.Set("Authorization", "Bearer "+r.secret)
+		go func() { _, _ = client.Do(req) }()
+		time.Sleep(50 * time.Millisecond)
+	}
+	if slow.InUse() == 0 {
+		t.Fatal("no request reached the upstream")
+	}
+	time.Sleep(time.Second)
+	if n := slow.InUse(); n > 0 {
+		t.Errorf("%d requests run on after their callers left", n)
+	}
+}
--- /dev/null
+++ b/seamd/daemon/homes_test.go
@@ -0,0 +1,109 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/storer"
+)
+
+func TestNamedRequestRunsOnceWhereverItIsSent(t *testing.T) {
+	r := newRig(t, 3)
+	name := r.lookUp(1).Ticket + ".1"
+	replies := make([]reply, 9)
+	var open sync.WaitGroup
+	for k := range replies {
+		open.Go(func() { replies[k] = r.send(k%3, "/stamp", name, strings.NewReader("bundle")) })
+	}
+	open.Wait()
+	late := r.send(2, "/stamp", name, strings.NewReader("bundle"))
+	for k, a := range append(replies, late) {
+		if a.status != http.StatusOK || a.body != replies[0].body {
+			t.Errorf("reply %d: %+v", k, a)
+		}
+	}
+	if n := len(r.requests()); n != 1 {
+		t.Errorf("the upstream ran it %d times", n)
+	}
+	if a := r.send(0, "/other", name, nil); a.header.Get("Seam-Code") != "104" {
+		t.Errorf("a name used twice: %+v", a)
+	}
+}
+
+func TestForgedTicketIsRefused(t *testing.T) {
+	r := newRig(t, 1)
+	name := r.lookUp(0).Ticket + ".1"
+	for _, forged := range []string{strings.Replace(name, ".", "x.", 1), name + ".1", "1", name + "x"} {
+		if a := r.send(0, "/stamp", forged, nil); a.header.Get("Seam-Code") != "104" || a.header.Get("Seam-Not-Run") != "true" {
+			t.Errorf("%q: %+v", forged, a)
+		}
+	}
+}
+
+func TestPlannedStopHandsRecordsOver(t *testing.T) {
+	r := newRig(t, 3)
+	ticket := r.lookUp(1).Ticket
+	first := r.send(0, "/stamp", ticket+".1", nil)
+	if first.status != http.StatusOK {
+		t.Fatalf("got %+v", first)
+	}
+	r.stops[1]()
+	again := r.send(2, "/stamp", ticket+".1", nil)
+	if again.status != http.StatusOK || again.body != first.body {
+		t.Errorf("a repeat after the stop: %+v, not %+v", again, first)
+	}
+	if fresh := r.send(0, "/stamp", ticket+".2", nil); fresh.status != http.StatusOK {
+		t.Errorf("a new name of the stopped home: %+v", fresh)
+	}
+	if n := len(r.requests()); n != 2 {
+		t.Errorf("the upstream ran 2 names %d times", n)
+	}
+}
+
+func TestRestartedHomeAnswersUnknown(t *testing.T) {
+	r := newRig(t, 2)
+	name := r.lookUp(1).Ticket
+	r.stops[1]()
+	r.stops[0]()
+	r.start(2)
+	r.daemons = r.daemons[2:]
+	for range 100 {
+		if a := r.send(0, "/ready", "", nil); a.status == http.StatusOK {
+			break
+		}
+	}
+	if a := r.send(0, "/stamp", name+".7", nil); a.header.Get("Seam-Code") != "123" || a.header.Get("Seam-Not-Run") != "unknown" {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// BenchmarkNamed compares a ticket with a write to the store for each request.
+// The store answers after 3 ms.
+func BenchmarkNamed(b *testing.B) {
+	r := newRig(b, 3)
+	ticket := r.lookUp(1).Ticket
+	b.Run("unnamed", func(b *testing.B) {
+		for b.Loop() {
+			r.send(0, "/stamp", "", nil)
+		}
+	})
+	serial := 0
+	b.Run("ticket", func(b *testing.B) {
+		for b.Loop() {
+			serial++
+			r.send(0, "/stamp", fmt.Sprint(ticket, ".", serial), nil)
+		}
+	})
+	b.Run("storeWrite", func(b *testing.B) {
+		for b.Loop() {
+			serial++
+			time.Sleep(3 * time.Millisecond)
+			r.put(storer.KindStatus, fmt.Sprint("name-", serial), serial)
+			r.send(0, "/stamp", "", nil)
+		}
+	})
+}
--- /dev/null
+++ b/seamd/daemon/rig_test.go
@@ -0,0 +1,206 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/steerer"
+	"primroseseam.org/seam/storer"
+	"primroseseam.org/seamd/daemon"
+	"primroseseam.org/seamd/loader"
+	"primroseseam.org/standin/responder"
+	"primroseseam.org/standin/storekeeper"
+)
+
+const (
+	loopback  = "127.0.0.1:0"
+	readyWait = 10 * time.Second
+)
+
+// rig is a region of daemons over loopback sockets.
+type rig struct {
+	t       testing.TB
+	keeper  *storekeeper.Keeper
+	store   storer.Store
+	url     string
+	secret  string
+	daemons []*daemon.Daemon
+	stops   []func()
+
+	mu   sync.Mutex
+	seen []responder.Seen
+}
+
+// newRig starts daemons before upstreams; without any, it starts two responders.
+func newRig(t testing.TB, daemons int, upstreams ...http.Handler) *rig {
+	t.Helper()
+	r := &rig{t: t, keeper: storekeeper.New()}
+	r.url = r.serve(r.keeper)
+	r.store = storer.NewHTTP(r.url)
+	for range 2 {
+		if len(upstreams) < 2 {
+			upstreams = append(upstreams, responder.New(responder.WithSlots(3),
+				responder.WithWork(20*time.Millisecond), responder.WithObserver(r.observe)))
+		}
+	}
+	r.configure(upstreams)
+	for i := range daemons {
+		r.start(i)
+	}
+	r.await(daemons)
+	return r
+}
+
+func (r *rig) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	r.t.Cleanup(s.Close)
+	return s.URL
+}
+
+func (r *rig) observe(s responder.Seen) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, s)
+}
+
+func (r *rig) requests() []responder.Seen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]responder.Seen(nil), r.seen...)
+}
+
+func (r *rig) put(kind storer.Kind, name string, value any) {
+	r.t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if _, err := r.store.Put(context.Background(), storer.Object{Kind: kind, Name: name, Value: data}); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) configure(upstreams []http.Handler) {
+	svc := configurer.Service{Name: "svc", Timeout: configurer.Duration(20 * time.Second)}
+	for _, h := range upstreams {
+		svc.Endpoints = append(svc.Endpoints, configurer.Endpoint{
+			Address: strings.TrimPrefix(r.serve(h), "http://"), Region: "west", FailureDomain: "west-a",
+			Slots: 3, MaxConnections: 60,
+		})
+	}
+	r.put(storer.KindConfig, storer.ConfigName, configurer.Document{Defaults: configurer.Defaults{
+		FleetSize: 3,
+		Regions:   []configurer.Region{{Name: "west", FailureDomains: []string{"west-a"}}},
+		Services:  []configurer.Service{svc},
+		Routes:    []configurer.Route{{PathPrefix: "/", Service: "svc", OpenToAll: true}},
+		Teams:     []configurer.Team{{Name: "crew", RatePerSecond: 3000, Burst: 3000, Weight: 1}},
+	}})
+	secret, record, err := authenticator.Issue("crew", time.Now())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.secret = secret
+	r.put(storer.KindKey, record.Digest.String(), record)
+}
+
+func (r *rig) start(i int) {
+	r.t.Helper()
+	settings := loader.Settings{
+		Instance: loader.Instance{ID: fmt.Sprint("seamd-", i), Region: "west", FailureDomain: "west-a"},
+		Listen:   loader.Listen{Callers: loopback, Lookups: loopback, Peers: loopback, Metrics: loopback},
+		Platform: loader.Platform{Address: r.url},
+		Shutdown: loader.Shutdown{Linger: configurer.Duration(50 * time.Millisecond), Timeout: configurer.Duration(10 * time.Second)},
+	}
+	d, err := daemon.New(settings)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.keeper.SetInstance(storer.Instance{
+		ID: settings.Instance.ID, Region: "west", FailureDomain: "west-a", CallerAddress: d.CallerAddress(),
+		LookupAddress: d.LookupAddress(), PeerAddress: d.PeerAddress(), State: storer.InstanceLive,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	stop := func() { cancel(); <-done }
+	r.t.Cleanup(stop)
+	r.daemons = append(r.daemons, d)
+	r.stops = append(r.stops, stop)
+}
+
+// await waits until every daemon lists all, gives tickets and serves.
+func (r *rig) await(daemons int) {
+	r.t.Helper()
+	deadline := time.Now().Add(readyWait)
+	for i := range r.daemons {
+		for {
+			a := r.lookUp(i)
+			answer := r.send(i, "/ready", "", nil)
+			if len(a.Instances) == daemons && a.Ticket != "" && answer.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(deadline) {
+				r.t.Fatalf("instance %d is not ready: %+v, %+v", i, a, answer)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = nil
+}
+
+func (r *rig) lookUp(i int) steerer.Answer {
+	var a steerer.Answer
+	resp, err := http.Get("http://" + r.daemons[i].LookupAddress() + "/v1/entries")
+	if err != nil {
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_ = json.NewDecoder(resp.Body).Decode(&a)
+	return a
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) send(i int, path, name string, body io.Reader, headers ...string) reply {
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.daemons[i].CallerAddress()+path, body)
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+r.secret)
+	if name != "" {
+		req.Header.Set("Seam-Name", name)
+	}
+	for k := 0; k+1 < len(headers); k += 2 {
+		req.Header.Add(headers[k], headers[k+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var data bytes.Buffer
+	_, err = io.Copy(&data, resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: data.String(), err: err}
+}
