--- a/seam/picker/picker.go
+++ b/seam/picker/picker.go
@@ -50,7 +50,7 @@
 type Pool struct {
 	policy    Policy
 	byAddress map[string]*Endpoint
-	byRegion  map[string][]*Endpoint
+	byRegion  map[string]*regionPool
 	ordered   []*Endpoint
 	turn      int
 }
@@ -73,13 +73,17 @@
 
 func (p *Pool) set(endpoints []Endpoint) {
 	p.byAddress = make(map[string]*Endpoint, len(endpoints))
-	p.byRegion = map[string][]*Endpoint{}
+	p.byRegion = map[string]*regionPool{}
 	p.ordered = make([]*Endpoint, 0, len(endpoints))
 	for i := range endpoints {
 		e := endpoints[i]
 		p.byAddress[e.address] = &e
 		p.ordered = append(p.ordered, &e)
-		p.byRegion[e.region] = append(p.byRegion[e.region], &e)
+		if p.byRegion[e.region] == nil {
+			p.byRegion[e.region] = &regionPool{}
+		}
+		region := p.byRegion[e.region]
+		region.endpoints = append(region.endpoints, &e)
 	}
 }
 
@@ -100,17 +104,25 @@
 // Pick returns an endpoint of the region that takes a request now. It reports
 // false if none does.
 func (p *Pool) Pick(now time.Time, rng *rand.Rand, r Request) (*Endpoint, bool) {
-	all := p.byRegion[r.Region]
-	if len(all) == 0 {
+	region, ok := p.byRegion[r.Region]
+	if !ok {
 		return nil, false
 	}
+	all := region.endpoints
 	if _, ok := p.policy.(RoundRobin); ok {
 		return p.next(now, all, r)
 	}
 	if e, ok := p.preferred(now, all, r); ok {
 		return e, true
 	}
-	return p.leastOfTwo(now, rng, all, r)
+	if region.full(now) {
+		return p.freed(now, region, r)
+	}
+	e, ok := p.leastOfTwo(now, rng, all, r)
+	if !ok && r.Avoid == "" {
+		region.setFull(now)
+	}
+	return e, ok
 }
 
 // next takes the endpoints in turn.
@@ -201,12 +213,16 @@
 		return
 	}
 	e.inFlight = max(0, e.inFlight-1)
+	if region := p.byRegion[e.region]; region.full(now) {
+		region.freed = append(region.freed, e)
+	}
 	switch outcome {
 	case Succeeded:
 		e.succeeded()
 	case Failed:
 		if e.failed(now) && p.mayEject(now, e) {
 			e.eject(now)
+			p.byRegion[e.region].countedUntil = now
 		}
 	case Shed:
 		e.shedUntil = now.Add(shedHold)
@@ -215,7 +231,7 @@
 
 // mayEject keeps more than half of a region's endpoints in use.
 func (p *Pool) mayEject(now time.Time, candidate *Endpoint) bool {
-	all := p.byRegion[candidate.region]
+	all := p.byRegion[candidate.region].endpoints
 	staying := 0
 	for _, e := range all {
 		if e != candidate && p.usable(now, e) {
@@ -241,6 +257,7 @@
 	}
 	if draining {
 		e.drainedUntil = now.Add(drainHold)
+		p.byRegion[e.region].countedUntil = now
 		e.warmUp(e.drainedUntil)
 	}
 }
@@ -266,15 +283,24 @@
 	return p.Capacity(now, region) > 0
 }
 
-// Capacity returns the slots of a region that may be used now.
+// Capacity returns the slots of a region that may be used now. The figure may
+// be a few milliseconds old.
 func (p *Pool) Capacity(now time.Time, region string) int {
-	slots := 0
-	for _, e := range p.byRegion[region] {
+	r, ok := p.byRegion[region]
+	if !ok {
+		return 0
+	}
+	if now.Before(r.countedUntil) {
+		return r.capacity
+	}
+	r.capacity = 0
+	for _, e := range r.endpoints {
 		if p.usable(now, e) {
-			slots += e.Slots(now)
+			r.capacity += e.Slots(now)
 		}
 	}
-	return slots
+	r.countedUntil = now.Add(scanHold)
+	return r.capacity
 }
 
 // InFlight calls visit with each endpoint that has requests in flight from
--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -30,6 +30,7 @@
 		Handler:           http.HandlerFunc(d.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         d.meters.connState,
 	}
 }
 
@@ -37,6 +38,18 @@
 	if d.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if !d.intake.enter() {
+		refuse(w, decider.Refuse{Code: coder.Stopping})
+		return
+	}
+	entered := false
+	defer func() {
+		if !entered {
+			d.intake.leave()
+		}
+	}()
+	d.meters.requests.Add(1)
+	defer d.meters.requests.Add(-1)
 	secret, hasKey := forwarder.Secret(r.Header)
 	header, ok := forwarder.CleanRequest(r.Header)
 	if !ok || forwarder.HoldsKey(r.URL.RequestURI(), secret) {
@@ -59,7 +72,11 @@
 		Home: home,
 	}
 	msg.Key, msg.HasKey = authenticator.DigestOf(secret), hasKey
-	out := forwarder.Outgoing{Name: name, Method: r.Method, URI: r.URL.RequestURI(), Header: header, Content: content}
+	out := forwarder.Outgoing{
+		Name: name, Method: r.Method, URI: r.URL.RequestURI(), Header: header, Content: content,
+		Authorization: r.Header["Authorization"],
+	}
+	entered = true
 	d.answer(r.Context(), w, msg.ID, msg, out)
 }
 
--- a/seamd/daemon/exchange.go
+++ b/seamd/daemon/exchange.go
@@ -22,6 +22,8 @@
 	cancels map[string]context.CancelFunc
 	ended   chan attemptEnd
 	running int
+	team    string
+	refused bool
 	// broken means that the answer failed after a part of it was sent.
 	broken bool
 }
@@ -46,8 +48,15 @@
 		cancels: map[string]context.CancelFunc{}, ended: make(chan attemptEnd, attemptsPerRequest),
 	}
 	cmds := d.loop.request(id, msg)
+	if _, ok := msg.(decider.RequestArrived); ok {
+		d.intake.leave()
+	}
 	defer d.loop.forget(id)
+	started := d.clock.Now()
 	x.follow(ctx, cmds)
+	if x.team != "" && x.gate.Taken() && !x.refused {
+		d.meters.answered(x.team, d.clock.Since(started))
+	}
 	cancel()
 	for x.running > 0 {
 		x.finished(<-x.ended)
@@ -91,6 +100,7 @@
 			cancel()
 		}
 	case decider.Forward:
+		x.team = c.Decision.Team
 		out := x.out
 		out.Team = c.Decision.Team
 		out.ID = fmt.Sprintf("%s-%d-%d", x.daemon.settings.Instance.ID, c.ID, c.Attempt)
@@ -100,6 +110,7 @@
 			return result
 		})
 	case decider.Pass:
+		x.team = c.Team
 		x.start(ctx, c.Peer, c.Deadline, func(ctx context.Context) forwarder.Result {
 			result := x.daemon.passTo(ctx, x, c)
 			x.daemon.tellPass(c, result)
@@ -132,6 +143,7 @@
 
 // refuse answers with a refusal, unless an attempt has begun to answer.
 func (x *exchange) refuse(c decider.Refuse) {
+	x.refused = true
 	if x.gate.Take() {
 		refuse(x.w, c)
 	}
@@ -139,6 +151,7 @@
 
 // tellAttempt tells the loop how an attempt at an endpoint ended.
 func (d *Daemon) tellAttempt(c decider.Forward, result forwarder.Result) {
+	d.meters.attempted(result)
 	d.loop.send(decider.AnswerEnded{
 		ID:        c.ID,
 		Endpoint:  c.Endpoint,
@@ -150,7 +163,8 @@
 	})
 	if result.Load >= 0 {
 		d.loop.send(decider.LoadReported{
-			Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load, Draining: result.Draining,
+			Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load,
+			Draining: result.Draining && d.without != UpstreamDrain,
 		})
 	}
 }
--- a/seamd/daemon/homes_test.go
+++ b/seamd/daemon/homes_test.go
@@ -26,8 +26,8 @@
 			t.Errorf("reply %d: %+v", k, a)
 		}
 	}
-	if n := len(r.requests()); n != 1 {
-		t.Errorf("the upstream ran it %d times", n)
+	if seen := r.requests(); len(seen) != 1 {
+		t.Errorf("the upstream ran it %d times: %+v", len(seen), seen)
 	}
 	if a := r.send(0, "/other", name, nil); a.header.Get("Seam-Code") != "104" {
 		t.Errorf("a name used twice: %+v", a)
@@ -59,8 +59,8 @@
 	if fresh := r.send(0, "/stamp", ticket+".2", nil); fresh.status != http.StatusOK {
 		t.Errorf("a new name of the stopped home: %+v", fresh)
 	}
-	if n := len(r.requests()); n != 2 {
-		t.Errorf("the upstream ran 2 names %d times", n)
+	if seen := r.requests(); len(seen) != 2 {
+		t.Errorf("the upstream ran 2 names %d times: %+v", len(seen), seen)
 	}
 }
 
--- a/seamd/daemon/rig_test.go
+++ b/seamd/daemon/rig_test.go
@@ -24,11 +24,11 @@
 )
 
 const (
-	loopback  = "127.0.0.1:0"
+	anyPort   = "127.0.0.1:0"
 	readyWait = 10 * time.Second
 )
 
-// rig is a region of daemons over loopback sockets.
+// rig is a region of daemons over anyPort sockets.
 type rig struct {
 	t       testing.TB
 	keeper  *storekeeper.Keeper
@@ -68,7 +68,11 @@
 	return s.URL
 }
 
+// observe keeps the starts of requests; the stand-in also tells of their ends.
 func (r *rig) observe(s responder.Seen) {
+	if s.Ended {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seen = append(r.seen, s)
@@ -118,7 +122,7 @@
 	r.t.Helper()
 	settings := loader.Settings{
 		Instance: loader.Instance{ID: fmt.Sprint("seamd-", i), Region: "west", FailureDomain: "west-a"},
-		Listen:   loader.Listen{Callers: loopback, Lookups: loopback, Peers: loopback, Metrics: loopback},
+		Listen:   loader.Listen{Callers: anyPort, Lookups: anyPort, Peers: anyPort, Metrics: anyPort},
 		Platform: loader.Platform{Address: r.url},
 		Shutdown: loader.Shutdown{Linger: configurer.Duration(50 * time.Millisecond), Timeout: configurer.Duration(10 * time.Second)},
 	}
--- a/seamd/daemon/tls.go
+++ b/seamd/daemon/tls.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"primroseseam.org/seam/certifier"
@@ -75,7 +76,7 @@
 // peerTransport connects to peers as the settings say.
 func (d *Daemon) peerTransport() http.RoundTripper {
 	base := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		DialContext:         d.peerDial,
 		MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout:     peerIdleTimeout,
 	}
@@ -90,7 +91,7 @@
 
 // newForwarder passes requests to peers as the settings say.
 func (d *Daemon) newForwarder() *forwarder.Forwarder {
-	var opts []forwarder.Option
+	opts := append(slices.Clone(d.forwarding), forwarder.WithPeerDial(d.peerDial))
 	if c, ok := d.security.listeners["peers"]; ok {
 		opts = append(opts, forwarder.WithPeerTLS(c.Client()))
 	}
--- a/seamd/forwarder/attempt.go
+++ b/seamd/forwarder/attempt.go
@@ -19,9 +19,9 @@
 func (g *Gate) Taken() bool { return g.taken.Load() }
 
 // countingDial wraps new connections in countingConn.
-func countingDial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func countingDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/seamd/forwarder/connections.go
+++ b/seamd/forwarder/connections.go
@@ -105,7 +105,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:            countingDial(dialer),
+		DialContext:            countingDial(dialer.DialContext),
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        provenFor,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	URI     string
 	Header  http.Header
 	Content Content
+	// Authorization is the caller's, for WithKeysPassedOn alone.
+	Authorization []string
 }
 
 // Result says how an attempt ended.
@@ -66,6 +68,8 @@
 	endpoints *connections
 	peers     *http.Transport
 	prover    *prover.Prover
+	passKeys  bool
+	skipEcho  bool
 }
 
 // Option changes a forwarder at its creation.
@@ -81,6 +85,19 @@
 	return func(f *Forwarder) { f.prover = p }
 }
 
+// WithPeerDial sets how connections to other instances are opened.
+func WithPeerDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(f *Forwarder) { f.peers.DialContext = countingDial(dial) }
+}
+
+// WithKeysPassedOn leaves callers' keys in requests to upstreams. It breaks a
+// promise and is for tests of the checks alone.
+func WithKeysPassedOn() Option { return func(f *Forwarder) { f.passKeys = true } }
+
+// WithoutEchoCheck passes on answers to other requests. It breaks a promise
+// and is for tests of the checks alone.
+func WithoutEchoCheck() Option { return func(f *Forwarder) { f.skipEcho = true } }
+
 // New returns a forwarder without connections.
 func New(opts ...Option) *Forwarder {
 	f := &Forwarder{endpoints: newConnections(), peers: newTransport()}
@@ -114,6 +131,9 @@
 	if out.Name != "" {
 		req.Header.Set(HeaderName, out.Name)
 	}
+	if f.passKeys {
+		req.Header["Authorization"] = out.Authorization
+	}
 	resp, err := f.endpoints.transport(endpoint).RoundTrip(req)
 	if err != nil {
 		f.endpoints.suspect(endpoint)
@@ -128,7 +148,7 @@
 	case resp.Header.Get(headerUpstreamNotRun) == "true":
 		result.Code, result.Ran, result.Shed = coder.UpstreamFailed, coder.NotRun, true
 		return result
-	case resp.Header.Get(HeaderRequestID) != out.ID:
+	case resp.Header.Get(HeaderRequestID) != out.ID && !f.skipEcho:
 		f.endpoints.suspect(endpoint)
 		result.Code, result.Ran = coder.AnswerMismatched, coder.MayHaveRun
 		return result
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -7,30 +7,28 @@
 //
 //	settings, err := loader.Load("seamd.json")
 //
-// Errors carry [coder.SettingsInvalid] and the path of the field at fault.
+// Errors carry [coder.SettingsInvalid], the path of the field at fault and a
+// hint how to mend it.
 package loader
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"io"
-	"net/netip"
-	"net/url"
 	"os"
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 )
 
+// maxBytes is the greatest size of a settings file.
+const maxBytes = 1 << 20
+
 // Defaults for settings that may be left out.
 const (
-	defaultShutdownLinger  = 2 * time.Second
+	defaultShutdownLinger  = 10 * time.Second // outlives callers' cached look-up answers
 	defaultShutdownTimeout = 30 * time.Second
 	defaultLogLevel        = "info"
+	defaultLogFirst        = 100
+	defaultLogThereafter   = 100
 )
 
 // Settings is a daemon's settings file.
@@ -67,16 +65,26 @@
 
 // Shutdown bounds a graceful shutdown.
 type Shutdown struct {
-	// Linger is how long new requests are still refused politely, so that
-	// callers with cached look-up answers learn of the stop.
+	// Linger is how long new requests are still served, so that callers with
+	// cached look-up answers learn of the stop.
 	Linger configurer.Duration `json:"linger,omitempty"`
-	// Timeout is how long requests in progress may go on.
+	// Timeout is how long requests in progress may go on after it.
 	Timeout configurer.Duration `json:"timeout,omitempty"`
 }
 
 // Log sets what is logged.
 type Log struct {
+	// Level is debug, info, warn or error. Decision lines are of level info.
 	Level string `json:"level,omitempty"`
+	// Sampling thins out the decision lines.
+	Sampling Sampling `json:"sampling"`
+}
+
+// Sampling keeps the first decision lines of a kind in each second, and of
+// those that follow every n-th.
+type Sampling struct {
+	First      int `json:"first,omitempty"`
+	Thereafter int `json:"thereafter,omitempty"`
 }
 
 // Load reads and checks the settings in a file.
@@ -91,13 +99,11 @@
 // Parse decodes and checks settings and fills in defaults.
 func Parse(data []byte) (Settings, error) {
 	var s Settings
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Settings{}, coder.Errorf(coder.SettingsInvalid, "", "not settings: %w", err)
+	if len(data) > maxBytes {
+		return s, invalid("", "larger than %d bytes; check that it is a settings file", maxBytes)
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return Settings{}, coder.Errorf(coder.SettingsInvalid, "", "data after the settings")
+	if err := decode(data, &s); err != nil {
+		return Settings{}, err
 	}
 	s = s.withDefaults()
 	return s, s.check()
@@ -113,39 +119,11 @@
 	if s.Log.Level == "" {
 		s.Log.Level = defaultLogLevel
 	}
-	return s
-}
-
-func (s Settings) check() error {
-	required := []struct{ path, value string }{
-		{"instance.id", s.Instance.ID},
-		{"instance.region", s.Instance.Region},
-		{"instance.failureDomain", s.Instance.FailureDomain},
+	if s.Log.Sampling.First == 0 {
+		s.Log.Sampling.First = defaultLogFirst
 	}
-	for _, r := range required {
-		if r.value == "" {
-			return coder.Errorf(coder.SettingsInvalid, r.path, "must not be empty")
-		}
+	if s.Log.Sampling.Thereafter == 0 {
+		s.Log.Sampling.Thereafter = defaultLogThereafter
 	}
-	addresses := []struct{ path, value string }{
-		{"listen.callers", s.Listen.Callers},
-		{"listen.lookups", s.Listen.Lookups},
-		{"listen.peers", s.Listen.Peers},
-		{"listen.metrics", s.Listen.Metrics},
-	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			return coder.Errorf(coder.SettingsInvalid, a.path, "%q is not an IP address with a port", a.value)
-		}
-	}
-	if u, err := url.Parse(s.Platform.Address); err != nil || u.Host == "" {
-		return coder.Errorf(coder.SettingsInvalid, "platform.address", "%q is not an http or https address", s.Platform.Address)
-	}
-	if s.Shutdown.Linger < 0 || s.Shutdown.Timeout < 0 {
-		return coder.Errorf(coder.SettingsInvalid, "shutdown", "durations must not be negative")
-	}
-	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
-		return coder.Errorf(coder.SettingsInvalid, "log.level", "%q is not a level", s.Log.Level)
-	}
-	return s.Security.check()
+	return s
 }
--- a/seamd/loader/tls.go
+++ b/seamd/loader/tls.go
@@ -20,6 +20,9 @@
 	Platform TLSFiles `json:"platform"`
 	// PeerSecretFile holds the secret that peers and operators share.
 	PeerSecretFile string `json:"peerSecretFile,omitempty"`
+	// PeerSecretVariable is the environment variable that holds the secret
+	// where there is no file.
+	PeerSecretVariable string `json:"peerSecretVariable,omitempty"`
 	// UnauthenticatedPeers takes any peer; for trials on one machine.
 	UnauthenticatedPeers bool `json:"unauthenticatedPeers,omitempty"`
 }
@@ -54,26 +57,40 @@
 	if s.Peers.CAFile != "" && !s.Peers.Enabled() {
 		return coder.Errorf(coder.SettingsInvalid, "security.peers.caFile", "needs certFile and keyFile")
 	}
-	if s.PeerSecretFile == "" && s.Peers.CAFile == "" && !s.UnauthenticatedPeers {
+	if s.PeerSecretFile != "" && s.PeerSecretVariable != "" {
+		return coder.Errorf(coder.SettingsInvalid, "security.peerSecretVariable", "set it or peerSecretFile, not both")
+	}
+	secret, err := s.PeerSecret()
+	if err != nil {
+		return err
+	}
+	if secret == nil && s.Peers.CAFile == "" && !s.UnauthenticatedPeers {
 		return coder.Errorf(coder.SettingsInvalid, "security",
-			"set peerSecretFile, peers.caFile or unauthenticatedPeers, so that it is known who may change this instance")
+			"set peerSecretFile, peerSecretVariable, peers.caFile or unauthenticatedPeers, so that it is known who may change this instance")
 	}
 	return nil
 }
 
 // PeerSecret reads the shared secret, or returns nil if none is set.
 func (s Security) PeerSecret() ([]byte, error) {
-	if s.PeerSecretFile == "" {
-		return nil, nil
-	}
-	data, err := os.ReadFile(s.PeerSecretFile)
-	if err != nil {
-		return nil, coder.Errorf(coder.SettingsInvalid, "security.peerSecretFile", "read file: %w", err)
+	switch {
+	case s.PeerSecretVariable != "":
+		return longEnough("security.peerSecretVariable", []byte(os.Getenv(s.PeerSecretVariable)))
+	case s.PeerSecretFile != "":
+		data, err := os.ReadFile(s.PeerSecretFile)
+		if err != nil {
+			return nil, coder.Errorf(coder.SettingsInvalid, "security.peerSecretFile", "read file: %w", err)
+		}
+		return longEnough("security.peerSecretFile", data)
 	}
+	return nil, nil
+}
+
+// longEnough returns a secret without white space at its ends.
+func longEnough(path string, data []byte) ([]byte, error) {
 	secret := bytes.TrimSpace(data)
 	if len(secret) < prover.MinSecretBytes {
-		return nil, coder.Errorf(coder.SettingsInvalid, "security.peerSecretFile",
-			"%d bytes; a secret has at least %d", len(secret), prover.MinSecretBytes)
+		return nil, coder.Errorf(coder.SettingsInvalid, path, "%d bytes; a secret has at least %d", len(secret), prover.MinSecretBytes)
 	}
 	return secret, nil
 }
