Refuse smuggling shapes with a numbered code

net/http drops a Content-Length beside a chunked body and refuses other malformed framing by plain text. The connection now keeps each request's head as it came, so that two lengths are refused, and turns the plain refusals into numbered ones.

--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,7 +32,15 @@
 		Handler:           http.HandlerFunc(d.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         d.meters.connState,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			d.meters.connState(c, state)
+			if head, ok := c.(*headConn); ok && state == http.StateIdle {
+				head.reset()
+			}
+		},
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 }
 
@@ -52,6 +62,10 @@
 	defer d.meters.requests.Add(-1)
 	secret, hasKey := forwarder.Secret(r.Header)
 	header, ok := forwarder.CleanRequest(r.Header)
+	if !wellFramed(r) {
+		w.Header().Set("Connection", "close")
+		ok = false
+	}
 	if !ok || forwarder.HoldsKey(r.URL.RequestURI(), secret) {
 		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
 		return
--- /dev/null
+++ b/seamd/daemon/smuggling_test.go
@@ -0,0 +1,53 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestMalformedRequestsAreRefusedWithACode sends what requests are smuggled
+// with, byte by byte as written here.
+func TestMalformedRequestsAreRefusedWithACode(t *testing.T) {
+	r := newRig(t, 1)
+	cases := map[string]string{
+		"bothLengths":    "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"twoLengths":     "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+		"otherCoding":    "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"twoCodings":     "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+		"badChunk":       "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
+		"negativeLength": "Content-Length: -1\r\n\r\n",
+		"spaceInName":    "Content-Length : 5\r\n\r\nhello",
+		"bareName":       "Nonsense\r\n\r\n",
+		"hugeHeader":     "X-Huge: " + strings.Repeat("x", 64<<10) + "\r\n\r\n",
+		"connection":     "Connection: close, Content-Length\r\nContent-Length: 5\r\n\r\nhello",
+	}
+	for name, rest := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.DialTimeout("tcp", r.daemons[0].CallerAddress(), time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			_, _ = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: seam\r\nAuthorization: Bearer %s\r\n%s", r.secret, rest)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.Header.Get("Seam-Code") != "104" || resp.Header.Get("Seam-Not-Run") != "true" {
+				t.Errorf("status %d, code %q, not run %q", resp.StatusCode, resp.Header.Get("Seam-Code"), resp.Header.Get("Seam-Not-Run"))
+			}
+		})
+	}
+	if seen := r.requests(); len(seen) > 0 {
+		t.Errorf("an upstream saw %+v", seen)
+	}
+}
--- a/seamd/daemon/tls.go
+++ b/seamd/daemon/tls.go
@@ -67,6 +67,13 @@
 
 // secureListener wraps a listener in TLS if the settings say so.
 func (d *Daemon) secureListener(name string, l net.Listener) net.Listener {
+	if name == "callers" {
+		return headListener{d.encrypted(name, l)}
+	}
+	return d.encrypted(name, l)
+}
+
+func (d *Daemon) encrypted(name string, l net.Listener) net.Listener {
 	if c, ok := d.security.listeners[name]; ok {
 		return tls.NewListener(l, c.Server())
 	}
