--- a/seam/decider/attempts.go
+++ b/seam/decider/attempts.go
@@ -169,6 +169,9 @@
 	if len(r.legs) > 0 {
 		return nil
 	}
+	if !r.cutAt.IsZero() {
+		return m.giveUp(now, r, coder.KeyUnknown, r.ran, 0)
+	}
 	if m.mayRetry(now, r, e) {
 		return m.route(now, r, e.target)
 	}
