--- a/seamd/daemon/answers_test.go
+++ b/seamd/daemon/answers_test.go
@@ -206,3 +206,42 @@
 		t.Errorf("%d requests run on after their callers left", n)
 	}
 }
+
+// TestSlowStreamIsPassedOnAsItComes waits for the first part of an answer that
+// ends only after the caller has seen it.
+func TestSlowStreamIsPassedOnAsItComes(t *testing.T) {
+	seen := make(chan struct{})
+	u := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Seam-Request-Id", r.Header.Get("Seam-Request-Id"))
+		if r.URL.Path != "/stream" {
+			return
+		}
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-seen:
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, "last")
+	})
+	r := newRig(t, 2, u, u)
+	for i := range 2 {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+r.daemons[i].CallerAddress()+"/stream", nil)
+		req.Header.Set("Authorization", "Bearer "+r.secret)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := make([]byte, 5)
+		_, err = io.ReadFull(resp.Body, first)
+		if err != nil || string(first) != "first" {
+			t.Fatalf("got %q, %v", first, err)
+		}
+		seen <- struct{}{}
+		rest, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if string(rest) != "last" || err != nil {
+			t.Errorf("got %q, %v", rest, err)
+		}
+	}
+}
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -209,7 +209,9 @@
 		result.Code = coder.UpstreamFailed
 		return result
 	}
-	held, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswerBytes))
+	done := make(chan struct{})
+	defer close(done)
+	held, rest, err := readHeld(resp.Body, resp.ContentLength, done)
 	if err != nil {
 		result.Code = coder.UpstreamFailed
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -227,7 +229,7 @@
 	copyAnswer(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	result.Committed = true
-	result.Bytes, err = io.Copy(flushing(w, resp), io.MultiReader(bytes.NewReader(held), resp.Body))
+	result.Bytes, err = io.Copy(flushing(w, resp), io.MultiReader(bytes.NewReader(held), rest))
 	if err != nil {
 		result.Code = coder.UpstreamFailed
 	}
