--- a/seamd/daemon/rig_test.go
+++ b/seamd/daemon/rig_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -30,13 +32,15 @@
 
 // rig is a region of daemons over anyPort sockets.
 type rig struct {
-	t       testing.TB
-	keeper  *storekeeper.Keeper
-	store   storer.Store
-	url     string
-	secret  string
-	daemons []*daemon.Daemon
-	stops   []func()
+	t      testing.TB
+	keeper *storekeeper.Keeper
+	store  storer.Store
+	url    string
+	secret string
+	// secretFile holds what instances prove themselves with.
+	secretFile string
+	daemons    []*daemon.Daemon
+	stops      []func()
 
 	mu   sync.Mutex
 	seen []responder.Seen
@@ -47,6 +51,10 @@
 	t.Helper()
 	r := &rig{t: t, keeper: storekeeper.New()}
 	r.url = r.serve(r.keeper)
+	r.secretFile = filepath.Join(t.TempDir(), "secret")
+	if err := os.WriteFile(r.secretFile, []byte(strings.Repeat("s", 40)), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	r.store = storer.NewHTTP(r.url)
 	for range 2 {
 		if len(upstreams) < 2 {
@@ -121,6 +129,7 @@
 func (r *rig) start(i int) {
 	r.t.Helper()
 	settings := loader.Settings{
+		Security: loader.Security{PeerSecretFile: r.secretFile},
 		Instance: loader.Instance{ID: fmt.Sprint("seamd-", i), Region: "west", FailureDomain: "west-a"},
 		Listen:   loader.Listen{Callers: anyPort, Lookups: anyPort, Peers: anyPort, Metrics: anyPort},
 		Platform: loader.Platform{Address: r.url},
--- a/seamd/daemon/smuggling_test.go
+++ b/seamd/daemon/smuggling_test.go
@@ -51,3 +51,29 @@
 		t.Errorf("an upstream saw %+v", seen)
 	}
 }
+
+// TestOnlyPeersPassRequests sends a passed request without a proof: it claims a
+// team and carries no key.
+func TestOnlyPeersPassRequests(t *testing.T) {
+	r := newRig(t, 1)
+	envelope := `{"from":"x","method":"POST","uri":"/x","team":"crew","service":"svc"}`
+	for _, path := range []string{"/peer/v1/pass", "/peer/v1/pass/", "//peer/v1/pass"} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+r.daemons[0].PeerAddress()+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Seam-Pass", envelope)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			t.Errorf("%s: status %d", path, resp.StatusCode)
+		}
+	}
+	a := r.send(0, "/x", "", nil, "Seam-Pass", envelope)
+	if a.status != http.StatusOK || len(r.requests()) != 1 {
+		t.Errorf("a caller's own header: %+v, %d requests", a, len(r.requests()))
+	}
+}
