Spread services evenly over keepers; refuse what waits for a dropped service

A plain rendezvous hash gives all three services of a region to one of three instances in one case of nine. A service that left the configuration was no longer ticked, so its waiting requests got no answer.

--- a/seam/decider/config.go
+++ b/seam/decider/config.go
@@ -1,6 +1,8 @@
 package decider
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"primroseseam.org/seam/allocator"
@@ -36,6 +38,8 @@
 }
 
 func (m *Model) updatePools(now time.Time) {
+	m.peers.epoch++
+	m.dropServices(now)
 	for _, configured := range m.config.Services() {
 		endpoints := make([]picker.Endpoint, 0, len(configured.Endpoints))
 		for _, p := range configured.Endpoints {
@@ -49,6 +53,25 @@
 	}
 }
 
+// dropServices takes the endpoints of services that are no longer configured.
+// Requests in progress end there; the next tick refuses those that wait.
+func (m *Model) dropServices(now time.Time) {
+	for name, s := range m.services {
+		if _, ok := m.config.Service(name); !ok {
+			s.pool.Update(now, nil)
+		}
+	}
+}
+
+// orderedServices returns all services, dropped ones included, by name.
+func (m *Model) orderedServices() []*service {
+	services := make([]*service, 0, len(m.services))
+	for _, name := range slices.Sorted(maps.Keys(m.services)) {
+		services = append(services, m.services[name])
+	}
+	return services
+}
+
 func (m *Model) configuredServices() []configurer.Service {
 	if m.config == nil {
 		return nil
--- a/seam/decider/hedge_test.go
+++ b/seam/decider/hedge_test.go
@@ -1,11 +1,15 @@
 package decider_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/faker"
 )
 
 // warmFleet is one instance that knows how long its service usually takes.
@@ -76,3 +80,88 @@
 		t.Errorf("got %#v", r)
 	}
 }
+
+// TestServicesSpreadOverKeepers asks every instance who keeps what: they agree,
+// and no instance keeps more than its even part.
+func TestServicesSpreadOverKeepers(t *testing.T) {
+	for instances := 1; instances <= 4; instances++ {
+		keepers := map[string]map[string]bool{}
+		for i := range instances {
+			m := manyServices(t, i, instances)
+			for k := range 6 {
+				ask := decider.RequestArrived{ID: uint64(k), HasKey: true, Key: teamKey(0), Path: fmt.Sprint("/", k, "/x")}
+				keeper, service := nodeName(i), ""
+				switch c := m.Update(faker.Epoch, ask)[0].(type) {
+				case decider.Pass:
+					keeper, service = c.Peer, c.Service
+				case decider.Forward:
+					service = c.Decision.Service
+				}
+				if keepers[service] == nil {
+					keepers[service] = map[string]bool{}
+				}
+				keepers[service][keeper] = true
+			}
+		}
+		kept := map[string]int{}
+		for service, ids := range keepers {
+			if len(ids) != 1 {
+				t.Errorf("%d instances: %s is kept by %v", instances, service, ids)
+			}
+			for id := range ids {
+				kept[id]++
+			}
+		}
+		for id, n := range kept {
+			if n > (6+instances-1)/instances {
+				t.Errorf("%d instances: %s keeps %d of 6 services", instances, id, n)
+			}
+		}
+	}
+}
+
+// manyServices returns instance i of a region with six services.
+func manyServices(t *testing.T, i, instances int) *decider.Model {
+	t.Helper()
+	d := configurer.Defaults{
+		FleetSize: instances,
+		Regions:   []configurer.Region{{Name: "west", FailureDomains: []string{"west-a"}}},
+		Teams:     []configurer.Team{{Name: "team-0", RatePerSecond: 1e6, Burst: 1e6, Weight: 1}},
+	}
+	for k := range 6 {
+		name := fmt.Sprint("svc-", k)
+		d.Services = append(d.Services, configurer.Service{Name: name, Timeout: configurer.Duration(time.Second), Endpoints: []configurer.Endpoint{
+			{Address: fmt.Sprint("10.0.0.", k+1, ":1"), Region: "west", FailureDomain: "west-a", Slots: 3, MaxConnections: 60},
+		}})
+		d.Routes = append(d.Routes, configurer.Route{PathPrefix: fmt.Sprint("/", k, "/"), Service: name, OpenToAll: true})
+	}
+	c, err := configurer.New(configurer.Document{Defaults: d}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := decider.New(decider.WithSelf(decider.NewSelf(nodeName(i), "west", "west-a")))
+	m.Update(faker.Epoch, decider.ConfigChanged{Config: c})
+	m.Update(faker.Epoch, decider.KeysChanged{Keys: authenticator.NewKeyring([]authenticator.Record{{Digest: teamKey(0), Team: "team-0"}})})
+	var peers []decider.Peer
+	for p := range instances {
+		peers = append(peers, decider.Peer{ID: nodeName(p), Region: "west"})
+	}
+	m.Update(faker.Epoch, decider.PeersChanged{Peers: peers})
+	return m
+}
+
+// TestDroppedServiceRefusesWhatWaits takes a service out of the configuration
+// while a request waits for it.
+func TestDroppedServiceRefusesWhatWaits(t *testing.T) {
+	m := manyServices(t, 0, 1)
+	ask := decider.RequestArrived{HasKey: true, Key: teamKey(0), Path: "/5/x"}
+	for id := range uint64(4) {
+		ask.ID = id
+		m.Update(faker.Epoch, ask)
+	}
+	f := newFleet(t, shapes[0])
+	m.Update(faker.Epoch, decider.ConfigChanged{Config: f.configure(t, 2, nil)})
+	if r := only[decider.Refuse](t, m.Update(faker.Epoch, decider.Ticked{})); r.Code != coder.NoUpstream || r.Ran != coder.NotRun {
+		t.Errorf("got %#v", r)
+	}
+}
--- a/seam/decider/peers.go
+++ b/seam/decider/peers.go
@@ -104,25 +104,47 @@
 // Instances that disagree for a while only lose coordination: an endpoint that
 // is sent too much sheds, and the request is tried elsewhere.
 func (m *Model) keeperOf(s *service) string {
-	if s.keeper.epoch == m.peers.epoch {
-		return s.keeper.id
+	if s.keeper.epoch != m.peers.epoch {
+		// A service that the configuration has dropped stays here.
+		s.keeper = cachedKeeper{id: m.self.id, epoch: m.peers.epoch}
+		m.assignKeepers()
 	}
-	key := s.name + "@" + m.self.region
-	best := m.self.id
-	highest := uint64(0)
+	return s.keeper.id
+}
+
+// assignKeepers gives each service the instance with the highest rendezvous
+// hash among those that don't yet keep their even part of the services, so that
+// the bytes of all services never meet at one instance.
+func (m *Model) assignKeepers() {
+	candidates := m.keeperCandidates()
+	services := m.configuredServices()
+	most := (len(services) + len(candidates) - 1) / max(1, len(candidates))
+	kept := make(map[string]int, len(candidates))
+	for _, configured := range services {
+		best, highest := m.self.id, uint64(0)
+		key := configured.Name + "@" + m.self.region
+		for _, id := range candidates {
+			if score := picker.Score(id, key); kept[id] < most && score > highest {
+				best, highest = id, score
+			}
+		}
+		kept[best]++
+		m.services[configured.Name].keeper = cachedKeeper{id: best, epoch: m.peers.epoch}
+	}
+}
+
+// keeperCandidates lists the instances of this region that may keep slots.
+func (m *Model) keeperCandidates() []string {
+	var ids []string
 	if !m.stopping {
-		highest = picker.Score(m.self.id, key)
+		ids = append(ids, m.self.id)
 	}
 	for _, p := range m.peers.ordered {
-		if p.Region != m.self.region || p.Leaving || p.left || p.suspected {
-			continue
-		}
-		if score := picker.Score(p.ID, key); score > highest {
-			best, highest = p.ID, score
+		if p.Region == m.self.region && !p.Leaving && !p.left && !p.suspected {
+			ids = append(ids, p.ID)
 		}
 	}
-	s.keeper = cachedKeeper{id: best, epoch: m.peers.epoch}
-	return best
+	return ids
 }
 
 // suspect stops passing requests to a peer for a while.
--- a/seam/decider/waiting.go
+++ b/seam/decider/waiting.go
@@ -90,8 +90,7 @@
 
 func (m *Model) ticked(now time.Time) []Cmd {
 	cmds := m.checkPeers(now)
-	for _, configured := range m.configuredServices() {
-		s := m.services[configured.Name]
+	for _, s := range m.orderedServices() {
 		for _, item := range s.queue.Expired(now.Add(s.latency.Mean() / 2)) {
 			cmds = append(cmds, m.abandon(now, m.requests[item.ID], s)...)
 		}
