--- a/seam/decider/failures_test.go
+++ b/seam/decider/failures_test.go
@@ -10,7 +10,7 @@
 // keeperOf finds the instance that the others pass requests to.
 func keeperOf(f *fleet) int {
 	for i := range f.models {
-		if len(f.models[i].Loads()) > 0 {
+		if len(f.models[i].Loads(f.world.Now())) > 0 {
 			return i
 		}
 	}
--- a/seam/decider/fleet_test.go
+++ b/seam/decider/fleet_test.go
@@ -228,7 +228,7 @@
 			}
 		}
 		for i, m := range f.models {
-			loads := m.Loads()
+			loads := m.Loads(f.world.Now())
 			for to := range f.models {
 				f.world.After(nodeName(to), reportAge, func() {
 					f.update(to, decider.PeerLoadHeard{Peer: nodeName(i), Loads: loads})
--- a/seam/decider/hedge_test.go
+++ b/seam/decider/hedge_test.go
@@ -40,13 +40,13 @@
 	if c := only[decider.Cancel](t, m.Update(now, won)); c.Endpoint != first.Endpoint {
 		t.Fatalf("got %#v", c)
 	}
-	if loads := m.Loads(); len(loads) != 1 || loads[0].Endpoint != first.Endpoint {
+	if loads := m.Loads(now); len(loads) != 1 || loads[0].Endpoint != first.Endpoint {
 		t.Errorf("in flight after the answer: %v", loads)
 	}
 	late := decider.AnswerEnded{ID: first.ID, Endpoint: first.Endpoint, Result: coder.CallerGone, Ran: coder.MayHaveRun}
 	m.Update(now, late)
-	if len(m.Loads()) != 0 || m.Requests() != 0 {
-		t.Errorf("left over: %v, %d requests", m.Loads(), m.Requests())
+	if len(m.Loads(now)) != 0 || m.Requests() != 0 {
+		t.Errorf("left over: %v, %d requests", m.Loads(now), m.Requests())
 	}
 }
 
@@ -165,3 +165,26 @@
 		t.Errorf("got %#v", r)
 	}
 }
+
+func TestPeersHearOfDrainsOnce(t *testing.T) {
+	f := newFleet(t, shapes[0])
+	now := f.world.Now()
+	address := f.upstreams[0].address
+	f.models[0].Update(now, decider.LoadReported{Service: "svc", Endpoint: address, Draining: true})
+	loads := f.models[0].Loads(now)
+	if len(loads) != 1 || !loads[0].Draining {
+		t.Fatalf("got %v", loads)
+	}
+	f.models[1].Update(now, decider.PeerLoadHeard{Peer: nodeName(0), Loads: loads})
+	if told := f.models[1].Loads(now); len(told) != 0 {
+		t.Errorf("a peer's word was told on: %v", told)
+	}
+	for id := range uint64(20) {
+		ask := decider.PassedArrived{ID: id, Team: "team-0", Service: "svc", Deadline: now.Add(time.Second)}
+		for _, cmd := range f.models[1].Update(now, ask) {
+			if c, ok := cmd.(decider.Forward); ok && c.Endpoint == address {
+				t.Fatal("a draining endpoint got new work")
+			}
+		}
+	}
+}
--- a/seam/decider/messages.go
+++ b/seam/decider/messages.go
@@ -78,6 +78,8 @@
 	Service  string
 	Endpoint string
 	Load     int
+	// Draining means that the endpoint itself has told the peer so.
+	Draining bool
 }
 
 // AnswerEnded says that an attempt at an endpoint is over.
--- a/seam/decider/peers.go
+++ b/seam/decider/peers.go
@@ -84,17 +84,19 @@
 	for _, l := range p.loads {
 		if s, ok := m.services[l.Service]; ok {
 			s.pool.PeerReported(now, msg.Peer, l.Endpoint, l.Load)
+			s.pool.DrainHeard(now, l.Endpoint, l.Draining)
 		}
 	}
 	return nil
 }
 
-// Loads returns this instance's own counts of requests in flight, for peers.
-func (m *Model) Loads() []EndpointLoad {
+// Loads returns what peers should know of endpoints: this instance's own counts
+// of requests in flight, and the drains that endpoints have told it of.
+func (m *Model) Loads(now time.Time) []EndpointLoad {
 	var loads []EndpointLoad
 	for _, configured := range m.configuredServices() {
-		m.services[configured.Name].pool.InFlight(func(address string, load int) {
-			loads = append(loads, EndpointLoad{Service: configured.Name, Endpoint: address, Load: load})
+		m.services[configured.Name].pool.Visit(now, func(address string, load int, draining bool) {
+			loads = append(loads, EndpointLoad{Service: configured.Name, Endpoint: address, Load: load, Draining: draining})
 		})
 	}
 	return loads
--- a/seam/picker/endpoint.go
+++ b/seam/picker/endpoint.go
@@ -41,6 +41,8 @@
 	ejections    int
 	ejectedUntil time.Time
 	drainedUntil time.Time
+	// toldUntil is like drainedUntil, for notices that came here directly.
+	toldUntil    time.Time
 	shedUntil    time.Time
 	warming      bool
 	warmingSince time.Time
--- a/seam/picker/picker.go
+++ b/seam/picker/picker.go
@@ -249,17 +249,26 @@
 	}
 }
 
-// Drained takes an endpoint's own notice of a drain, or its end.
+// Drained takes an endpoint's own notice of a drain.
 func (p *Pool) Drained(now time.Time, address string, draining bool) {
 	e, ok := p.byAddress[address]
-	if !ok {
+	if !ok || !draining {
 		return
 	}
-	if draining {
-		e.drainedUntil = now.Add(drainHold)
-		p.byRegion[e.region].countedUntil = now
-		e.warmUp(e.drainedUntil)
+	e.toldUntil = now.Add(drainHold)
+	p.DrainHeard(now, address, draining)
+}
+
+// DrainHeard takes a drain that an endpoint has told a peer of. What is heard
+// isn't told on, so that peers don't keep it alive among themselves.
+func (p *Pool) DrainHeard(now time.Time, address string, draining bool) {
+	e, ok := p.byAddress[address]
+	if !ok || !draining {
+		return
 	}
+	e.drainedUntil = now.Add(drainHold)
+	p.byRegion[e.region].countedUntil = now
+	e.warmUp(e.drainedUntil)
 }
 
 // PeerReported takes a peer's count of its requests in flight at an endpoint.
@@ -303,12 +312,13 @@
 	return r.capacity
 }
 
-// InFlight calls visit with each endpoint that has requests in flight from
-// this instance.
-func (p *Pool) InFlight(visit func(address string, load int)) {
+// Visit calls visit with each endpoint that has requests in flight from this
+// instance, or has told it of a drain.
+func (p *Pool) Visit(now time.Time, visit func(address string, load int, draining bool)) {
 	for _, e := range p.ordered {
-		if e.inFlight > 0 {
-			visit(e.address, e.inFlight)
+		draining := now.Before(e.toldUntil)
+		if e.inFlight > 0 || draining {
+			visit(e.address, e.inFlight, draining)
 		}
 	}
 }
