--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"primroseseam.org/seam/authenticator"
@@ -33,7 +33,15 @@
 		Handler:           http.HandlerFunc(d.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         d.meters.connState,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			d.meters.connState(c, state)
+			if head, ok := c.(*headConn); ok && state == http.StateIdle {
+				head.reset()
+			}
+		},
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 }
 
@@ -45,95 +53,48 @@
 		refuse(w, decider.Refuse{Code: coder.Stopping})
 		return
 	}
+	entered := false
+	defer func() {
+		if !entered {
+			d.intake.leave()
+		}
+	}()
 	d.meters.requests.Add(1)
 	defer d.meters.requests.Add(-1)
 	id := d.nextID.Add(1)
-	name := fmt.Sprintf("%s-%d", d.settings.Instance.ID, id)
-	w.Header().Set(forwarder.HeaderRequestID, name)
+	w.Header().Set(forwarder.HeaderRequestID, fmt.Sprintf("%s-%d", d.settings.Instance.ID, id))
+	secret, hasKey := forwarder.Secret(r.Header)
+	header, ok := forwarder.CleanRequest(r.Header)
+	if !wellFramed(r) {
+		w.Header().Set("Connection", "close")
+		ok = false
+	}
+	if !ok || forwarder.HoldsKey(r.URL.RequestURI(), secret) {
+		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
+		return
+	}
 	content, err := forwarder.ReadContent(r.Body, r.ContentLength)
 	if err != nil {
-		d.intake.leave()
 		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
 		return
 	}
-	msg := decider.RequestArrived{ID: id, Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now())}
-	msg.Key, msg.HasKey = callerKey(r)
-	out := forwarder.Outgoing{
-		ID:      name,
-		Method:  r.Method,
-		URI:     r.URL.RequestURI(),
-		Header:  r.Header,
-		Content: content,
-	}
-	d.answer(r.Context(), w, msg, out)
-}
-
-// answer follows the loop's commands until the request has its final answer.
-func (d *Daemon) answer(ctx context.Context, w http.ResponseWriter, msg decider.RequestArrived, out forwarder.Outgoing) {
-	started := d.clock.Now()
-	cmds := d.loop.request(msg)
-	d.intake.leave()
-	defer d.loop.forget(msg.ID)
-	left := ctx.Done()
-	for {
-		select {
-		case <-d.loop.done:
-			refuse(w, decider.Refuse{Code: coder.Stopping})
-			return
-		case <-left:
-			left = nil
-			d.loop.send(decider.CallerLeft{ID: msg.ID})
-		case cmd := <-cmds:
-			switch c := cmd.(type) {
-			case decider.Refuse:
-				refuse(w, c)
-				return
-			case decider.Forward:
-				out.Team = c.Decision.Team
-				if result := d.attempt(ctx, w, c, out); final(result) {
-					d.meters.answered(out.Team, d.clock.Since(started))
-					return
-				}
-			}
-		}
-	}
-}
-
-// final reports whether the caller has its answer. A broken one ends the
-// connection, so that the caller never takes a part for the whole.
-func final(result forwarder.Result) bool {
-	if result.Committed && result.Code != coder.OK {
-		panic(http.ErrAbortHandler)
+	name := r.Header.Get(forwarder.HeaderName)
+	home, err := d.homeOf(name)
+	if err != nil {
+		refuse(w, decider.Refuse{Code: coder.Of(err)})
+		return
 	}
-	return result.Committed
-}
-
-func (d *Daemon) attempt(ctx context.Context, w http.ResponseWriter, c decider.Forward, out forwarder.Outgoing) forwarder.Result {
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	defer cancel()
-	defer d.cancels.add(c.ID, c.Endpoint, cancel)()
-	result := d.forwarder.Attempt(ctx, w, out, c.Endpoint)
-	d.meters.attempted(result)
-	d.loop.send(decider.AnswerEnded{
-		ID:        c.ID,
-		Endpoint:  c.Endpoint,
-		Result:    result.Code,
-		Ran:       result.Ran,
-		Committed: result.Committed,
-	})
-	if result.Load >= 0 {
-		d.loop.send(decider.LoadReported{Service: c.Decision.Service, Endpoint: c.Endpoint, Load: result.Load, Draining: result.Draining && d.without != UpstreamDrain})
+	msg := decider.RequestArrived{
+		ID: id, Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now()),
+		Home: home,
 	}
-	return result
-}
-
-// callerKey returns the digest of the request's key.
-func callerKey(r *http.Request) (authenticator.Digest, bool) {
-	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || secret == "" {
-		return authenticator.Digest{}, false
+	msg.Key, msg.HasKey = authenticator.DigestOf(secret), hasKey
+	out := forwarder.Outgoing{
+		Name: name, Method: r.Method, URI: r.URL.RequestURI(), Header: header, Content: content,
+		Authorization: r.Header["Authorization"],
 	}
-	return authenticator.DigestOf(secret), true
+	entered = true
+	d.answer(r.Context(), w, msg.ID, msg, out)
 }
 
 // callerDeadline returns the deadline that the caller gave as a duration.
@@ -152,26 +113,17 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Retry-After", strconv.Itoa(seconds))
 	h.Set(forwarder.HeaderCode, strconv.Itoa(int(c.Code)))
-	h.Set(forwarder.HeaderNotRun, notRun(c.Ran))
+	h.Set(forwarder.HeaderNotRun, forwarder.RanText(c.Ran))
+	h.Set(forwarder.HeaderRetryMS, strconv.FormatInt(c.RetryAfter.Milliseconds(), 10))
 	w.WriteHeader(refusalStatus(c.Code))
 	_ = json.NewEncoder(w).Encode(Refusal{
 		Code:    int(c.Code),
 		Name:    c.Code.String(),
-		NotRun:  notRun(c.Ran),
+		NotRun:  forwarder.RanText(c.Ran),
 		RetryMS: c.RetryAfter.Milliseconds(),
 	})
 }
 
-func notRun(ran coder.Ran) string {
-	switch ran {
-	case coder.NotRun:
-		return "true"
-	case coder.HasRun:
-		return "false"
-	}
-	return "unknown"
-}
-
 func refusalStatus(code coder.Code) int {
 	switch code {
 	case coder.KeyMissing, coder.KeyUnknown:
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -30,8 +30,6 @@
 	replies map[uint64]chan decider.Cmd
 	// decisions are kept for operators who ask why.
 	decisions *decisions
-	// cancel stops an attempt that is under way.
-	cancel func(decider.Cancel)
 	// ledger carries out the commands of the fleet-wide ledger.
 	ledger func(allocator.Cmd)
 }
@@ -56,7 +54,6 @@
 		replies: map[uint64]chan decider.Cmd{},
 
 		decisions: newDecisions(),
-		cancel:    func(decider.Cancel) {},
 	}
 }
 
@@ -67,9 +64,9 @@
 func (l *loop) sendThen(msg decider.Msg, after func()) { l.post(envelope{msg: msg, after: after}) }
 
 // request gives the loop a new request and returns where its commands arrive.
-func (l *loop) request(msg decider.RequestArrived) <-chan decider.Cmd {
+func (l *loop) request(id uint64, msg decider.Msg) <-chan decider.Cmd {
 	reply := make(chan decider.Cmd, repliesPerRequest)
-	l.post(envelope{msg: msg, id: msg.ID, reply: reply})
+	l.post(envelope{msg: msg, id: id, reply: reply})
 	return reply
 }
 
@@ -133,8 +130,10 @@
 		l.decisions.add(l.clock.Now(), c)
 		l.meters.refused(c.Code)
 		l.log.refused(c)
+	case decider.Pass:
+		l.deliver(c.ID, c)
+		l.log.passed(c)
 	case decider.Cancel:
-		l.cancel(c)
 		l.deliver(c.ID, c)
 	case decider.LedgerCall:
 		l.ledger(c.Call)
