--- a/seam/decider/decider_test.go
+++ b/seam/decider/decider_test.go
@@ -102,3 +102,16 @@
 		t.Fatalf("got %#v", r)
 	}
 }
+
+func TestRetrySpendsAToken(t *testing.T) {
+	m := newModel(t, 100)
+	sent := only[decider.Forward](t, m.Update(start, arrival(0)))
+	failed := decider.AnswerEnded{ID: 0, Endpoint: sent.Endpoint, Result: coder.UpstreamFailed, Ran: coder.NotRun}
+	only[decider.Forward](t, m.Update(start, failed))
+	for id := range uint64(3) {
+		only[decider.Forward](t, m.Update(start, arrival(id+1)))
+	}
+	if r := only[decider.Refuse](t, m.Update(start, arrival(9))); r.Code != coder.TeamOverRate {
+		t.Fatalf("got %#v", r)
+	}
+}
--- a/seam/decider/limits.go
+++ b/seam/decider/limits.go
@@ -200,6 +200,12 @@
 	return ledgerCalls(m.limits.ledger.Ask(now))
 }
 
+// spendRetry spends a token for another attempt of a request.
+func (m *Model) spendRetry(now time.Time, r *request) bool {
+	_, ok := m.limits.ledger.Take(now, teamResource(r.team), 1)
+	return ok
+}
+
 // mayWait reports whether a loan could still come in time: not if the team's
 // demand here alone is above its rate, or if too many wait.
 func (m *Model) mayWait(team string) bool {
--- a/seam/decider/requests.go
+++ b/seam/decider/requests.go
@@ -127,7 +127,7 @@
 		return m.giveUp(now, r, coder.KeyUnknown, msg.Ran)
 	}
 	mayRepeat := r.repeatable && (r.idempotent || msg.Ran == coder.NotRun)
-	if mayRepeat && r.attempts < maxAttempts && now.Before(r.deadline) {
+	if mayRepeat && r.attempts < maxAttempts && now.Before(r.deadline) && m.spendRetry(now, r) {
 		if cmd, ok := m.forward(now, r, msg.Endpoint); ok {
 			return []Cmd{cmd}
 		}
