--- a/seam/decider/attempts.go
+++ b/seam/decider/attempts.go
@@ -191,10 +191,7 @@
 // and from the team's tokens.
 func (m *Model) payForRepeat(now time.Time, r *request) bool {
 	s := m.services[r.service]
-	if s.budget.Tokens() < 1 {
-		return false
-	}
-	if _, ok := m.limits.ledger.Retry(now, teamResource(r.team), 1); !ok {
+	if s.budget.Tokens() < 1 || !m.spendRetry(now, r) {
 		return false
 	}
 	return s.budget.Spend()
