Cancel withdrawn requests until they have ended

Cause: on a machine at five times its load an attempt began after the cancel of its request; nothing cancelled it again, and one answer came 10.5 s after the withdrawal (midStream in seamctl/measurer, 2 of 50 requests).

Change: the cancel is given at every tick until the request has ended. The measurement withdraws once each of the 50 connections has carried an answer, instead of after a second.

--- a/seam/decider/keys.go
+++ b/seam/decider/keys.go
@@ -45,15 +45,17 @@
 	id uint64
 }
 
-// cutWithdrawn cancels the requests whose grace is over.
+// cutWithdrawn cancels the requests whose grace is over, and again at every
+// tick until they have ended: an attempt may begin after the first cancel.
 func (m *Model) cutWithdrawn(now time.Time) []Cmd {
 	var cmds []Cmd
-	for len(m.cuts) > 0 && !now.Before(m.cuts[0].at) {
-		if r, ok := m.requests[m.cuts[0].id]; ok && r.endpoint != "" {
+	m.cuts = slices.DeleteFunc(m.cuts, func(c cut) bool {
+		r, ok := m.requests[c.id]
+		if ok && r.endpoint != "" && !now.Before(c.at) {
 			cmds = append(cmds, Cancel{ID: r.id, Endpoint: r.endpoint})
 		}
-		m.cuts = m.cuts[1:]
-	}
+		return !ok
+	})
 	return cmds
 }
 
--- a/seam/decider/keys_test.go
+++ b/seam/decider/keys_test.go
@@ -36,14 +36,16 @@
 			t.Fatal("cut before the grace was over")
 		}
 	}
-	cuts := 0
-	for _, cmd := range m.Update(start.Add(2*time.Second), decider.Ticked{}) {
-		if _, ok := cmd.(decider.Cancel); ok {
-			cuts++
+	for _, after := range []time.Duration{2 * time.Second, 3 * time.Second} { // until they end
+		cuts := 0
+		for _, cmd := range m.Update(start.Add(after), decider.Ticked{}) {
+			if _, ok := cmd.(decider.Cancel); ok {
+				cuts++
+			}
+		}
+		if cuts != 2 {
+			t.Fatalf("%d of 2 forwarded requests were cut after %v", cuts, after)
 		}
-	}
-	if cuts != 2 {
-		t.Fatalf("%d of 2 forwarded requests were cut", cuts)
 	}
 	cut := decider.AnswerEnded{ID: 1, Endpoint: sent.Endpoint, Result: coder.CallerGone, Ran: coder.NotRun}
 	if r := only[decider.Refuse](t, m.Update(start.Add(2*time.Second), cut)); r.Code != coder.KeyUnknown {
--- a/seamctl/measurer/withdrawal.go
+++ b/seamctl/measurer/withdrawal.go
@@ -43,7 +43,7 @@
 	Leaks []string `json:"leaks,omitempty"`
 }
 
-// warmUp is how long connections are used before the withdrawal.
+// warmUp is how long connections are used at least before the withdrawal.
 const warmUp = time.Second
 
 // traffic is what the connections saw.
@@ -52,6 +52,7 @@
 	accepted     atomic.Int64
 	refused      atomic.Int64
 	kept         atomic.Int64
+	answered     atomic.Int64
 	lastSent     atomic.Int64
 	lastAnswered atomic.Int64
 }
@@ -77,7 +78,9 @@
 	for i := range plan.Connections {
 		callers.Go(func() { seen.use(ctx, f.daemons[i%len(f.daemons)].CallerAddress(), secret) })
 	}
-	time.Sleep(warmUp)
+	if err := seen.awaitUse(ctx, plan); err != nil {
+		return WithdrawalReport{}, err
+	}
 	if err := f.withdraw(ctx, plan, record.Digest, &seen); err != nil {
 		return WithdrawalReport{}, err
 	}
@@ -133,6 +136,22 @@
 	return found, err
 }
 
+// awaitUse waits until every connection has carried an answer, or for the time
+// of warming up if answers take longer.
+func (t *traffic) awaitUse(ctx context.Context, plan WithdrawalPlan) error {
+	time.Sleep(warmUp)
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for plan.Work < warmUp && t.answered.Load() < int64(plan.Connections) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("connections are not in use: %w", ctx.Err())
+		case <-time.After(statusPoll):
+		}
+	}
+	return nil
+}
+
 // use sends requests over one connection until ctx ends.
 func (t *traffic) use(ctx context.Context, address, secret string) {
 	transport := &http.Transport{MaxConnsPerHost: 1}
@@ -145,6 +164,9 @@
 		switch {
 		case err != nil:
 		case status == http.StatusOK:
+			if !answered {
+				t.answered.Add(1)
+			}
 			answered = true
 			t.accepted.Add(1)
 			storeMax(&t.lastSent, sent.UnixNano())
