--- a/seamctl/demonstrator/fleet.go
+++ b/seamctl/demonstrator/fleet.go
@@ -1,9 +1,11 @@
 package demonstrator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +17,9 @@
 )
 
 const (
-	// stopLinger is longer than callers may use a cached look-up answer.
-	stopLinger = 8 * time.Second
+	// stopLinger is the daemon's default: longer than look-ups may still name a
+	// leaving instance (2 s) plus the life of such an answer (7.5 s).
+	stopLinger = 10 * time.Second
 	// stopTimeout bounds the rest of a planned stop.
 	stopTimeout = 10 * time.Second
 	// listLag is how far the platform's instance list is behind a crash.
@@ -106,6 +109,14 @@
 	return live
 }
 
+// busiest returns the live instance that callers used most lately.
+func (d *Demo) busiest() *instance {
+	used := d.checker.usedSince(time.Now().Add(-time.Second))
+	return slices.MaxFunc(d.liveInstances(), func(a, b *instance) int {
+		return cmp.Compare(used[a.daemon.CallerAddress()], used[b.daemon.CallerAddress()])
+	})
+}
+
 // stopInstance stops an instance as planned and measures how long it takes.
 func (d *Demo) stopInstance(i *instance) {
 	i.markEnded()
