--- a/seamd/forwarder/connections.go
+++ b/seamd/forwarder/connections.go
@@ -23,8 +23,8 @@
 	probeIdle     = 2 * time.Second
 	probeInterval = time.Second
 	probeCount    = 3
-	// maxIdlePerEndpoint bounds the kept connections to one endpoint.
-	maxIdlePerEndpoint = 16
+	// maxIdleConns bounds the kept connections to one endpoint or instance.
+	maxIdleConns = 128
 	// defaultConnections bounds the connections to one endpoint until the
 	// configuration says otherwise.
 	defaultConnections = 16
@@ -106,7 +106,7 @@
 	}
 	return &http.Transport{
 		DialContext:            countingDial(dialer.DialContext),
-		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
+		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        provenFor,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 		DisableCompression:     true,
