--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -60,6 +61,8 @@
 	}()
 	d.meters.requests.Add(1)
 	defer d.meters.requests.Add(-1)
+	id := d.nextID.Add(1)
+	w.Header().Set(forwarder.HeaderRequestID, fmt.Sprintf("%s-%d", d.settings.Instance.ID, id))
 	secret, hasKey := forwarder.Secret(r.Header)
 	header, ok := forwarder.CleanRequest(r.Header)
 	if !wellFramed(r) {
@@ -82,7 +85,7 @@
 		return
 	}
 	msg := decider.RequestArrived{
-		ID: d.nextID.Add(1), Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now()),
+		ID: id, Path: r.URL.Path, Repeatable: content.Repeatable(), Deadline: callerDeadline(r, d.clock.Now()),
 		Home: home,
 	}
 	msg.Key, msg.HasKey = authenticator.DigestOf(secret), hasKey
