Replay requests that instances pass to each other

Change: tasks and passes with their own ends, cancels and crashes; peers are told to the cores; a shed answer is marked as such.

--- a/seam/replayer/endpoint.go
+++ b/seam/replayer/endpoint.go
@@ -25,6 +25,7 @@
 type attemptKey struct {
 	instance string
 	request  uint64
+	target   string
 	attempt  int
 }
 
@@ -42,6 +43,7 @@
 	ran      coder.Ran
 	load     int
 	draining bool
+	shed     bool
 	bytes    int64
 }
 
@@ -76,7 +78,9 @@
 		answer(reply{result: coder.UpstreamFailed, ran: coder.NotRun, load: -1})
 		return
 	case e.draining || e.inUse >= e.config.Slots:
-		answer(e.reply(coder.UpstreamFailed, coder.NotRun, 0))
+		shed := e.reply(coder.UpstreamFailed, coder.NotRun, 0)
+		shed.shed = true
+		answer(shed)
 		return
 	}
 	j.started = e.replay.world.Now()
--- a/seam/replayer/instance.go
+++ b/seam/replayer/instance.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"primroseseam.org/seam/authenticator"
-	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
 	"primroseseam.org/seam/storer"
@@ -28,20 +27,16 @@
 	replay  *replay
 	info    tracer.Instance
 	model   *decider.Model
-	calls   map[uint64]*attempts
+	tasks   map[uint64]*task
+	nextID  uint64
+	passes  int
+	remote  map[attemptKey]remoteTask
+	peers   []decider.Peer
 	version int64
 	alive   bool
 	leaving bool
 }
 
-// attempts is a request in an instance.
-type attempts struct {
-	call     *call
-	current  attemptKey
-	endpoint string
-	service  string
-}
-
 func (r *replay) startInstance(info tracer.Instance) {
 	i := &instance{replay: r, info: info}
 	r.instances[info.ID] = i
@@ -58,8 +53,10 @@
 	self := decider.NewSelf(i.info.ID, i.info.Region, i.info.FailureDomain)
 	seed := i.replay.world.Rand().Uint64()
 	i.model = decider.New(decider.WithSelf(self), decider.WithSeed(seed), decider.WithIncarnation(i.replay.world.Incarnation(i.info.ID)+1))
-	i.calls = map[uint64]*attempts{}
+	i.tasks = map[uint64]*task{}
+	i.remote = map[attemptKey]remoteTask{}
 	i.version = 0
+	i.peers = nil
 	i.alive, i.leaving = true, false
 	if i.replay.broken == BreakVersions {
 		i.configure(i.replay.firstConfig)
@@ -72,12 +69,11 @@
 func (i *instance) crash() {
 	i.alive = false
 	i.replay.world.Crash(i.info.ID)
-	for _, id := range sortedKeys(i.calls) {
-		k := i.calls[id].call
-		k.cut = i.leaving
-		i.replay.world.After("", i.replay.toClient(i, k), func() { i.replay.callers.fail(k) })
+	for _, id := range sortedKeys(i.tasks) {
+		i.tasks[id].call.cut = i.leaving
+		i.tasks[id].broken()
 	}
-	i.calls = map[uint64]*attempts{}
+	i.tasks = map[uint64]*task{}
 }
 
 // stop starts a graceful shutdown.
@@ -92,12 +88,12 @@
 }
 
 func (i *instance) endWhenIdle() {
-	if len(i.calls) > 0 {
+	if len(i.tasks) > 0 {
 		i.replay.world.After(i.info.ID, tickEvery, i.endWhenIdle)
 		return
 	}
 	i.alive = false
-	i.replay.recorder.stopped(len(i.calls))
+	i.replay.recorder.stopped(len(i.tasks))
 	i.replay.world.Crash(i.info.ID)
 }
 
@@ -155,26 +151,6 @@
 	i.update(decider.KeysChanged{Keys: authenticator.NewKeyring(records)})
 }
 
-// receive takes a request from a caller.
-func (i *instance) receive(k *call) {
-	if !i.alive {
-		i.replay.world.After("", i.replay.toClient(i, k), func() { i.replay.callers.sendElsewhere(k) })
-		return
-	}
-	i.calls[k.id] = &attempts{call: k}
-	label := k.request.Key
-	if label == "" {
-		label = defaultKey(k.request.Team)
-	}
-	msg := decider.RequestArrived{
-		ID: k.id, HasKey: true, Key: authenticator.DigestOf(label), Path: routePath(k.request), Repeatable: true,
-	}
-	if k.request.Deadline > 0 {
-		msg.Deadline = k.sent.Add(time.Duration(k.request.Deadline))
-	}
-	i.update(msg)
-}
-
 // update gives the core a message and carries out its commands.
 func (i *instance) update(msg decider.Msg) {
 	for _, cmd := range i.model.Update(i.replay.world.Now(), msg) {
@@ -186,102 +162,17 @@
 	switch c := cmd.(type) {
 	case decider.Forward:
 		i.forward(c)
+	case decider.Pass:
+		i.pass(c)
 	case decider.Refuse:
 		i.refuse(c)
 	case decider.Cancel:
-		i.cancel(c.ID)
+		i.cancel(c)
 	case decider.LedgerCall:
 		i.callLedger(c.Call)
 	}
 }
 
-func (i *instance) forward(c decider.Forward) {
-	a, ok := i.calls[c.ID]
-	if !ok {
-		return
-	}
-	key := attemptKey{instance: i.info.ID, request: c.ID, attempt: c.Attempt}
-	a.current, a.endpoint, a.service = key, c.Endpoint, c.Decision.Service
-	i.replay.recorder.granted(c.Decision.Team)
-	j := &job{key: key, call: a.call, team: c.Decision.Team}
-	e := i.replay.endpoints[c.Endpoint]
-	i.replay.recorder.moved(i.info.Region, e.config.Region, a.call.request.Bytes)
-	i.replay.network.Send(i.info.ID, c.Endpoint, func() {
-		e.receive(j, func(answer reply) {
-			i.replay.recorder.moved(e.config.Region, i.info.Region, answer.bytes)
-			i.replay.network.Send(c.Endpoint, i.info.ID, func() { i.ended(key, answer) })
-		})
-	})
-	i.replay.world.After(i.info.ID, c.Deadline.Sub(i.replay.world.Now()), func() { i.timedOut(key) })
-}
-
-// ended takes the answer of an attempt, unless it was given up before.
-func (i *instance) ended(key attemptKey, answer reply) {
-	a, ok := i.calls[key.request]
-	if !ok || a.current != key {
-		return
-	}
-	endpoint, service := a.endpoint, a.service
-	whole := answer.result == coder.OK
-	if whole {
-		delete(i.calls, key.request)
-		i.replay.network.Send(i.info.ID, a.call.node, func() { i.replay.callers.answered(a.call) })
-	}
-	i.update(decider.AnswerEnded{
-		ID: key.request, Endpoint: endpoint, Result: answer.result, Ran: answer.ran, Committed: whole,
-	})
-	if answer.load < 0 {
-		return
-	}
-	report := decider.LoadReported{Service: service, Endpoint: endpoint, Load: answer.load, Draining: answer.draining}
-	i.replay.world.After(i.info.ID, i.reportLag(service), func() { i.update(report) })
-}
-
-func (i *instance) reportLag(service string) time.Duration {
-	for _, u := range i.replay.trace.Header().Upstreams {
-		if u.Service == service && u.ReportLag > 0 {
-			return time.Duration(u.ReportLag)
-		}
-	}
-	return defaultReportLag
-}
-
-// timedOut gives an attempt up at its deadline.
-func (i *instance) timedOut(key attemptKey) {
-	a, ok := i.calls[key.request]
-	if !ok || a.current != key {
-		return
-	}
-	i.cancelAttempt(a)
-	i.update(decider.AnswerEnded{
-		ID: key.request, Endpoint: a.endpoint, Result: coder.UpstreamTimeout, Ran: coder.MayHaveRun,
-	})
-}
-
-func (i *instance) cancel(id uint64) {
-	if a, ok := i.calls[id]; ok {
-		i.cancelAttempt(a)
-	}
-}
-
-func (i *instance) cancelAttempt(a *attempts) {
-	key, e := a.current, i.replay.endpoints[a.endpoint]
-	i.replay.network.Send(i.info.ID, a.endpoint, func() { e.cancel(key) })
-}
-
-func (i *instance) refuse(c decider.Refuse) {
-	a, ok := i.calls[c.ID]
-	if !ok {
-		return
-	}
-	delete(i.calls, c.ID)
-	ran := c.Ran
-	if i.replay.broken == BreakNotRun {
-		ran = coder.NotRun
-	}
-	i.replay.network.Send(i.info.ID, a.call.node, func() { i.replay.callers.refused(a.call, c.Code, ran) })
-}
-
 // answersLookups reports whether a caller's look-up gets an answer here.
 func (i *instance) answersLookups() bool {
 	return i.alive && !i.replay.world.Paused(i.info.ID) && !i.replay.lost[i.info.Region]
@@ -310,12 +201,3 @@
 	latency, _ := r.path(i.info.ID, k.node)
 	return latency
 }
-
-func sortedKeys[V any](m map[uint64]V) []uint64 {
-	keys := make([]uint64, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/seam/replayer/ledger.go
+++ b/seam/replayer/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/coder"
@@ -96,7 +97,14 @@
 // tellMembers gives the core the instances that the platform lists.
 func (i *instance) tellMembers() {
 	var members []allocator.Member
+	var peers []decider.Peer
 	for _, o := range i.replay.order {
+		if o != i && o.alive {
+			peers = append(peers, decider.Peer{
+				ID: o.info.ID, Region: o.info.Region,
+				Incarnation: i.replay.world.Incarnation(o.info.ID), Leaving: o.leaving,
+			})
+		}
 		if o.alive && !o.leaving {
 			members = append(members, allocator.Member{
 				Instance: o.info.ID, Region: o.info.Region, FailureDomain: o.info.FailureDomain,
@@ -104,4 +112,8 @@
 		}
 	}
 	i.update(decider.LedgerReported{MembersChanged: &allocator.MembersChanged{Members: members}})
+	if !slices.Equal(peers, i.peers) {
+		i.peers = peers
+		i.update(decider.PeersChanged{Peers: peers})
+	}
 }
