--- /dev/null
+++ b/seam/decider/hedge_test.go
@@ -0,0 +1,190 @@
+package decider_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/authenticator"
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/faker"
+)
+
+// warmFleet is one instance that knows how long its service usually takes.
+func warmFleet(t *testing.T) *fleet {
+	s := shape{"one", 1, 3, 2, 20 * time.Millisecond, time.Millisecond}
+	f := newFleet(t, s, withIdempotent())
+	f.play(s.trace(1, 0.3, 2*time.Second), 2*time.Second)
+	return f
+}
+
+func TestSlowIdempotentRequestIsHedgedOnce(t *testing.T) {
+	f := warmFleet(t)
+	m, now := f.models[0], f.world.Now()
+	ask := decider.RequestArrived{ID: 1 << 40, HasKey: true, Key: teamKey(0), Path: "/x", Repeatable: true}
+	first := only[decider.Forward](t, m.Update(now, ask))
+	if cmds := m.Update(now.Add(10*time.Millisecond), decider.Ticked{}); len(cmds) != 0 {
+		t.Fatalf("hedged too early: %v", cmds)
+	}
+	now = now.Add(500 * time.Millisecond)
+	second := only[decider.Forward](t, m.Update(now, decider.Ticked{}))
+	if second.ID != first.ID || second.Endpoint == first.Endpoint || !second.Decision.Hedge {
+		t.Fatalf("got %#v after %#v", second, first)
+	}
+	if cmds := m.Update(now.Add(time.Second/2), decider.Ticked{}); len(cmds) != 0 {
+		t.Fatalf("hedged twice: %v", cmds)
+	}
+	won := decider.AnswerEnded{ID: first.ID, Endpoint: second.Endpoint, Ran: coder.HasRun, Committed: true}
+	if c := only[decider.Cancel](t, m.Update(now, won)); c.Endpoint != first.Endpoint {
+		t.Fatalf("got %#v", c)
+	}
+	if loads := m.Loads(now); len(loads) != 1 || loads[0].Endpoint != first.Endpoint {
+		t.Errorf("in flight after the answer: %v", loads)
+	}
+	late := decider.AnswerEnded{ID: first.ID, Endpoint: first.Endpoint, Result: coder.CallerGone, Ran: coder.MayHaveRun}
+	m.Update(now, late)
+	if len(m.Loads(now)) != 0 || m.Requests() != 0 {
+		t.Errorf("left over: %v, %d requests", m.Loads(now), m.Requests())
+	}
+}
+
+// TestFailedAttemptsLeaveNoFalseNotRun ends a request by two attempts, of which
+// the first may have run and the second surely did not.
+func TestFailedAttemptsLeaveNoFalseNotRun(t *testing.T) {
+	f := warmFleet(t)
+	m, now := f.models[0], f.world.Now()
+	ask := decider.RequestArrived{ID: 1 << 40, HasKey: true, Key: teamKey(0), Path: "/x", Repeatable: true}
+	first := only[decider.Forward](t, m.Update(now, ask))
+	lost := decider.AnswerEnded{ID: first.ID, Endpoint: first.Endpoint, Result: coder.UpstreamFailed, Ran: coder.MayHaveRun}
+	second := only[decider.Forward](t, m.Update(now, lost))
+	shed := decider.AnswerEnded{ID: first.ID, Endpoint: second.Endpoint, Result: coder.UpstreamFailed, Ran: coder.NotRun, Shed: true}
+	third := only[decider.Forward](t, m.Update(now, shed))
+	shed.Endpoint = third.Endpoint
+	if r := only[decider.Refuse](t, m.Update(now, shed)); r.Ran != coder.MayHaveRun {
+		t.Errorf("got %#v", r)
+	}
+}
+
+func TestNamedRequestGoesToItsHomeAndNowhereElse(t *testing.T) {
+	f := newFleet(t, shapes[0], withIdempotent())
+	m, now := f.models[0], f.world.Now()
+	ask := decider.RequestArrived{ID: 1 << 40, HasKey: true, Key: teamKey(0), Path: "/x", Repeatable: true, Home: nodeName(1)}
+	p := only[decider.Pass](t, m.Update(now, ask))
+	if p.Peer != nodeName(1) || !p.Home || p.Idempotent {
+		t.Fatalf("got %#v", p)
+	}
+	gone := decider.PassEnded{ID: p.ID, Peer: p.Peer, Result: coder.UpstreamFailed, Ran: coder.NotRun}
+	if r := only[decider.Refuse](t, m.Update(now, gone)); r.Code != coder.OutcomeUnknown || r.Ran != coder.MayHaveRun {
+		t.Errorf("got %#v", r)
+	}
+}
+
+// TestServicesSpreadOverKeepers asks every instance who keeps what: they agree,
+// and no instance keeps more than its even part.
+func TestServicesSpreadOverKeepers(t *testing.T) {
+	for instances := 1; instances <= 4; instances++ {
+		keepers := map[string]map[string]bool{}
+		for i := range instances {
+			m := manyServices(t, i, instances)
+			for k := range 6 {
+				ask := decider.RequestArrived{ID: uint64(k), HasKey: true, Key: teamKey(0), Path: fmt.Sprint("/", k, "/x")}
+				keeper, service := nodeName(i), ""
+				switch c := m.Update(faker.Epoch, ask)[0].(type) {
+				case decider.Pass:
+					keeper, service = c.Peer, c.Service
+				case decider.Forward:
+					service = c.Decision.Service
+				}
+				if keepers[service] == nil {
+					keepers[service] = map[string]bool{}
+				}
+				keepers[service][keeper] = true
+			}
+		}
+		kept := map[string]int{}
+		for service, ids := range keepers {
+			if len(ids) != 1 {
+				t.Errorf("%d instances: %s is kept by %v", instances, service, ids)
+			}
+			for id := range ids {
+				kept[id]++
+			}
+		}
+		for id, n := range kept {
+			if n > (6+instances-1)/instances {
+				t.Errorf("%d instances: %s keeps %d of 6 services", instances, id, n)
+			}
+		}
+	}
+}
+
+// manyServices returns instance i of a region with six services.
+func manyServices(t *testing.T, i, instances int) *decider.Model {
+	t.Helper()
+	d := configurer.Defaults{
+		FleetSize: instances,
+		Regions:   []configurer.Region{{Name: "west", FailureDomains: []string{"west-a"}}},
+		Teams:     []configurer.Team{{Name: "team-0", RatePerSecond: 1e6, Burst: 1e6, Weight: 1}},
+	}
+	for k := range 6 {
+		name := fmt.Sprint("svc-", k)
+		d.Services = append(d.Services, configurer.Service{Name: name, Timeout: configurer.Duration(time.Second), Endpoints: []configurer.Endpoint{
+			{Address: fmt.Sprint("10.0.0.", k+1, ":1"), Region: "west", FailureDomain: "west-a", Slots: 3, MaxConnections: 60},
+		}})
+		d.Routes = append(d.Routes, configurer.Route{PathPrefix: fmt.Sprint("/", k, "/"), Service: name, OpenToAll: true})
+	}
+	c, err := configurer.New(configurer.Document{Defaults: d}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := decider.New(decider.WithSelf(decider.NewSelf(nodeName(i), "west", "west-a")))
+	m.Update(faker.Epoch, decider.ConfigChanged{Config: c})
+	m.Update(faker.Epoch, decider.KeysChanged{Keys: authenticator.NewKeyring([]authenticator.Record{{Digest: teamKey(0), Team: "team-0"}})})
+	var peers []decider.Peer
+	for p := range instances {
+		peers = append(peers, decider.Peer{ID: nodeName(p), Region: "west"})
+	}
+	m.Update(faker.Epoch, decider.PeersChanged{Peers: peers})
+	return m
+}
+
+// TestDroppedServiceRefusesWhatWaits takes a service out of the configuration
+// while a request waits for it.
+func TestDroppedServiceRefusesWhatWaits(t *testing.T) {
+	m := manyServices(t, 0, 1)
+	ask := decider.RequestArrived{HasKey: true, Key: teamKey(0), Path: "/5/x"}
+	for id := range uint64(4) {
+		ask.ID = id
+		m.Update(faker.Epoch, ask)
+	}
+	f := newFleet(t, shapes[0])
+	m.Update(faker.Epoch, decider.ConfigChanged{Config: f.configure(t, 2, nil)})
+	if r := only[decider.Refuse](t, m.Update(faker.Epoch, decider.Ticked{})); r.Code != coder.NoUpstream || r.Ran != coder.NotRun {
+		t.Errorf("got %#v", r)
+	}
+}
+
+func TestPeersHearOfDrainsOnce(t *testing.T) {
+	f := newFleet(t, shapes[0])
+	now := f.world.Now()
+	address := f.upstreams[0].address
+	f.models[0].Update(now, decider.LoadReported{Service: "svc", Endpoint: address, Draining: true})
+	loads := f.models[0].Loads(now)
+	if len(loads) != 1 || !loads[0].Draining {
+		t.Fatalf("got %v", loads)
+	}
+	f.models[1].Update(now, decider.PeerLoadHeard{Peer: nodeName(0), Loads: loads})
+	if told := f.models[1].Loads(now); len(told) != 0 {
+		t.Errorf("a peer's word was told on: %v", told)
+	}
+	for id := range uint64(20) {
+		ask := decider.PassedArrived{ID: id, Team: "team-0", Service: "svc", Deadline: now.Add(time.Second)}
+		for _, cmd := range f.models[1].Update(now, ask) {
+			if c, ok := cmd.(decider.Forward); ok && c.Endpoint == address {
+				t.Fatal("a draining endpoint got new work")
+			}
+		}
+	}
+}
--- a/seam/decider/keys.go
+++ b/seam/decider/keys.go
@@ -25,12 +25,15 @@
 	var cmds []Cmd
 	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
 		r := m.requests[id]
+		if r.passed {
+			continue
+		}
 		if _, ok := m.keys.TeamAt(r.key, now); ok || !r.cutAt.IsZero() {
 			continue
 		}
 		if r.queued {
 			m.services[r.service].queue.Remove(r.team, r.id)
-			cmds = append(cmds, m.giveUp(now, r, coder.KeyUnknown, coder.NotRun)...)
+			cmds = append(cmds, m.giveUp(now, r, coder.KeyUnknown, r.ran, 0)...)
 			continue
 		}
 		r.cutAt = now.Add(withdrawnGrace)
@@ -45,15 +48,17 @@
 	id uint64
 }
 
-// cutWithdrawn cancels the requests whose grace is over.
+// cutWithdrawn cancels the requests whose grace is over, and again at every
+// tick until they have ended: an attempt may begin after the first cancel.
 func (m *Model) cutWithdrawn(now time.Time) []Cmd {
 	var cmds []Cmd
-	for len(m.cuts) > 0 && !now.Before(m.cuts[0].at) {
-		if r, ok := m.requests[m.cuts[0].id]; ok && r.endpoint != "" {
-			cmds = append(cmds, Cancel{ID: r.id, Endpoint: r.endpoint})
+	m.cuts = slices.DeleteFunc(m.cuts, func(c cut) bool {
+		r, ok := m.requests[c.id]
+		if ok && !now.Before(c.at) {
+			cmds = append(cmds, r.cancelLegs()...)
 		}
-		m.cuts = m.cuts[1:]
-	}
+		return !ok
+	})
 	return cmds
 }
 
@@ -65,5 +70,5 @@
 	m.config = m.config.At(now)
 	m.expiry, _ = m.config.NextExpiry(now)
 	m.configureLimits(now)
-	m.updatePools()
+	m.updatePools(now)
 }
--- a/seam/storer/storer.go
+++ b/seam/storer/storer.go
@@ -32,6 +32,10 @@
 	KindClientMap Kind = "clientMap"
 	KindSeat      Kind = "seat"
 	KindStatus    Kind = "status"
+	// KindTicketKey holds the key that signs tickets.
+	KindTicketKey Kind = "ticketKey"
+	// KindHandover names who has the records of a home that stopped.
+	KindHandover Kind = "handover"
 )
 
 // ConfigName is the name of the configuration in force.
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -25,8 +25,10 @@
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/deduplicator"
 	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
+	"primroseseam.org/seam/ticketer"
 	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/seamd/loader"
 )
@@ -54,7 +56,6 @@
 	keyVersions map[string]int64
 	peerClient  *http.Client
 	security    security
-	cancels     cancels
 	clients     *clients
 	// work ends when the daemon has shut down, stopping when it starts to.
 	work      context.Context
@@ -62,6 +63,13 @@
 	leaving   atomic.Bool
 	intake    intake
 	directory directory
+	// forwarding holds the forwarder's options that tests set.
+	forwarding []forwarder.Option
+	addresses  atomic.Pointer[map[string]string]
+	signer     atomic.Pointer[ticketer.Signer]
+	home       *deduplicator.Home
+	// toldPeers belongs to the goroutine that reads the instance list.
+	toldPeers []decider.Peer
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
@@ -105,11 +113,10 @@
 // New binds the listeners of an instance. Errors say which address failed.
 func New(settings loader.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
-		settings:  settings,
-		clock:     clockwork.NewRealClock(),
-		log:       zap.NewNop(),
-		forwarder: forwarder.New(),
-		metrics:   metrics.NewSet(),
+		settings: settings,
+		clock:    clockwork.NewRealClock(),
+		log:      zap.NewNop(),
+		metrics:  metrics.NewSet(),
 
 		keyRecords:  map[string]authenticator.Record{},
 		keyVersions: map[string]int64{},
@@ -133,6 +140,7 @@
 	if err := d.secure(); err != nil {
 		return nil, err
 	}
+	d.forwarder = d.newForwarder()
 	d.incarnation = uint64(d.clock.Now().UnixNano())
 	seed := settings.Seed
 	if seed == 0 {
@@ -140,10 +148,10 @@
 	}
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed), decider.WithIncarnation(d.incarnation))
+	d.home = deduplicator.New(settings.Instance.ID, d.incarnation)
 	d.meters = newMeters(d.metrics)
 	d.loop = newLoop(model, d.clock, newDecisionLog(d.log, settings.Log.Sampling), d.meters)
 	d.clients = newClients(d)
-	d.loop.cancel = d.cancels.stop
 	d.ledger = newLedgerCalls(d)
 	d.loop.ledger = d.ledger.carryOut
 	d.spread = newSpread(d, seed)
@@ -196,6 +204,7 @@
 	background.Go(func() error { d.spread.run(work); return nil })
 	background.Go(func() error { d.clients.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
+	background.Go(func() error { d.watchTicketKey(work); return nil })
 
 	servers := []*server{
 		{"callers", d.listeners.callers, d.callerServer()},
--- a/seamd/daemon/logs.go
+++ b/seamd/daemon/logs.go
@@ -8,6 +8,7 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/seamd/loader"
 )
 
@@ -40,6 +41,16 @@
 		zap.Int("code", int(coder.OK)), zap.Int("attempt", c.Attempt), zap.Duration("waited", c.Decision.Waited))
 }
 
+func (l decisionLog) passed(c decider.Pass) {
+	entry := l.log.Check(zapcore.InfoLevel, "route: passed")
+	if entry == nil {
+		return
+	}
+	entry.Write(
+		zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team), zap.String("service", c.Decision.Service),
+		zap.String("choice", c.Peer), zap.Bool("home", c.Home))
+}
+
 func (l decisionLog) refused(c decider.Refuse) {
 	entry := l.log.Check(zapcore.InfoLevel, "route: refused")
 	if entry == nil {
@@ -48,5 +59,5 @@
 	entry.Write(
 		zap.Uint64("request", c.ID), zap.String("team", c.Decision.Team), zap.String("service", c.Decision.Service),
 		zap.Int("candidates", c.Decision.Candidates), zap.Int("code", int(c.Code)), zap.Stringer("reason", c.Code),
-		zap.String("notRun", notRun(c.Ran)), zap.Duration("waited", c.Decision.Waited))
+		zap.String("notRun", forwarder.RanText(c.Ran)), zap.Duration("waited", c.Decision.Waited))
 }
--- a/seamd/daemon/loop_test.go
+++ b/seamd/daemon/loop_test.go
@@ -46,7 +46,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		id++
-		cmd := <-l.request(decider.RequestArrived{ID: id, HasKey: true, Key: key, Path: "/lessons/1", Repeatable: true})
+		cmd := <-l.request(id, decider.RequestArrived{ID: id, HasKey: true, Key: key, Path: "/lessons/1", Repeatable: true})
 		forward, ok := cmd.(decider.Forward)
 		if !ok {
 			b.Fatalf("got %#v", cmd)
--- a/seamd/daemon/mechanisms.go
+++ b/seamd/daemon/mechanisms.go
@@ -35,9 +35,9 @@
 		d.without = m
 		switch m {
 		case KeyStripping:
-			d.forwarder = forwarder.New(forwarder.WithKeysPassedOn())
+			d.forwarding = append(d.forwarding, forwarder.WithKeysPassedOn())
 		case EchoCheck:
-			d.forwarder = forwarder.New(forwarder.WithoutEchoCheck())
+			d.forwarding = append(d.forwarding, forwarder.WithoutEchoCheck())
 		}
 	}
 }
--- a/seamd/daemon/operators.go
+++ b/seamd/daemon/operators.go
@@ -12,6 +12,7 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seamd/forwarder"
 )
 
 // explainedDecisions is the number of decisions that can still be explained.
@@ -121,7 +122,7 @@
 
 func explainRefuse(at time.Time, c decider.Refuse) Explanation {
 	e := explain(at, c.Decision)
-	e.Code, e.Reason, e.NotRun = int(c.Code), c.Code.String(), notRun(c.Ran)
+	e.Code, e.Reason, e.NotRun = int(c.Code), c.Code.String(), forwarder.RanText(c.Ran)
 	return e
 }
 
--- a/seamd/daemon/peers.go
+++ b/seamd/daemon/peers.go
@@ -8,6 +8,7 @@
 
 	peerv1 "primroseseam.org/seam/gen/peer/v1"
 	"primroseseam.org/seam/gen/peer/v1/peerv1connect"
+	"primroseseam.org/seamd/forwarder"
 )
 
 // peerHandler serves the protocols between instances.
@@ -16,8 +17,13 @@
 	mux.Handle(peerv1connect.NewMembershipServiceHandler(&membershipService{daemon: d}))
 	mux.Handle(peerv1connect.NewRelayServiceHandler(&relayService{daemon: d}))
 	d.operatorHandler(mux)
+	mux.Handle(peerv1connect.NewHomesServiceHandler(&homesService{daemon: d}))
 	mux.Handle(peerv1connect.NewLedgerServiceHandler(&ledgerService{calls: d.ledger}))
-	return d.authenticatePeers(mux)
+	outer := http.NewServeMux()
+	outer.Handle("/", d.authenticatePeers(mux))
+	// Passed requests are streamed and checked by their own proof.
+	outer.HandleFunc(forwarder.PassPath, d.servePass)
+	return outer
 }
 
 // membershipService answers peers' heartbeats.
--- a/seamd/daemon/shutdown.go
+++ b/seamd/daemon/shutdown.go
@@ -46,6 +46,9 @@
 	d.loop.send(decider.StopRequested{})
 	var errs []error
 	for _, s := range servers {
+		if s.name == "peers" {
+			d.handOver(ctx)
+		}
 		if err := s.http.Shutdown(ctx); err != nil {
 			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
 		}
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -62,6 +62,7 @@
 	}
 	c = d.weakened(c)
 	d.config.Store(c)
+	d.forwarder.SetConnectionLimits(connectionLimits(c))
 	d.clients.wakeUp()
 	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
 		d.configInForce(c)
@@ -104,6 +105,7 @@
 			d.spread.setInstances(ctx, list)
 			d.ledger.membersChanged()
 			d.directory.setFromPlatform(list)
+			d.tellPeers(list)
 		}
 		d.sleep(ctx, instancesEvery)
 	}
--- a/seamd/daemon/tls.go
+++ b/seamd/daemon/tls.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"primroseseam.org/seam/certifier"
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/prover"
 	"primroseseam.org/seam/storer"
+	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/seamd/loader"
 )
 
@@ -65,6 +67,13 @@
 
 // secureListener wraps a listener in TLS if the settings say so.
 func (d *Daemon) secureListener(name string, l net.Listener) net.Listener {
+	if name == "callers" {
+		return headListener{d.encrypted(name, l)}
+	}
+	return d.encrypted(name, l)
+}
+
+func (d *Daemon) encrypted(name string, l net.Listener) net.Listener {
 	if c, ok := d.security.listeners[name]; ok {
 		return tls.NewListener(l, c.Server())
 	}
@@ -87,6 +96,18 @@
 	return d.security.prover.Transport(base)
 }
 
+// newForwarder passes requests to peers as the settings say.
+func (d *Daemon) newForwarder() *forwarder.Forwarder {
+	opts := append(slices.Clone(d.forwarding), forwarder.WithPeerDial(d.peerDial))
+	if c, ok := d.security.listeners["peers"]; ok {
+		opts = append(opts, forwarder.WithPeerTLS(c.Client()))
+	}
+	if d.security.prover != nil {
+		opts = append(opts, forwarder.WithProver(d.security.prover))
+	}
+	return forwarder.New(opts...)
+}
+
 // authenticatePeers lets only peers and operators through that have proved
 // themselves, by a certificate or by the shared secret.
 func (d *Daemon) authenticatePeers(next http.Handler) http.Handler {
