--- /dev/null
+++ b/seam/gossiper/compose.go
@@ -0,0 +1,166 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+)
+
+const (
+	// wordsPerHeartbeat bounds the news in one heartbeat.
+	wordsPerHeartbeat = 12
+	// loadsPerHeartbeat bounds the other instances' loads in one heartbeat.
+	loadsPerHeartbeat = 4
+	// sumsPerHeartbeat bounds the other regions' sums in one heartbeat.
+	sumsPerHeartbeat = 4
+	// syncAfter is how long two instances must differ about a region before
+	// one sends the other the whole of it.
+	syncAfter = 5 * time.Second
+)
+
+// compose fills a heartbeat to a member within the byte budget: news first,
+// then sums, then loads.
+func (m *Model) compose(now time.Time, to *member) Heartbeat {
+	h := Heartbeat{Sender: m.self, Load: m.load, Introduce: to.PeerAddress == ""}
+	if to.introduced {
+		h.Sender = brief(m.self)
+	}
+	if to.Status != Alive {
+		h.Words = append(h.Words, brief(to.Member))
+	}
+	h.Words = append(h.Words, m.news(to.ID)...)
+	h.Digests = m.digests()
+	if to.Region != m.self.Region {
+		h.Load.Services = nil
+		h.Load.Endpoints = nil
+		h.Regions = []RegionSum{m.ownSum(now)}
+		return h
+	}
+	if m.budget.left > m.budget.perSecond/2 {
+		h.Regions = m.freshSums(now)
+		h.Loads = m.freshLoads(now, to.ID)
+	}
+	return h
+}
+
+// brief leaves out what a receiver should know already.
+func brief(m Member) Member {
+	return Member{ID: m.ID, Incarnation: m.Incarnation, Revision: m.Revision, Status: m.Status}
+}
+
+// news returns the words that still have to be passed on, the newest first.
+func (m *Model) news(to string) []Member {
+	var fresh []*member
+	for _, id := range m.ids() {
+		if p := m.members[id]; p.sends > 0 && id != to {
+			fresh = append(fresh, p)
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b *member) int { return cmp.Compare(b.sends, a.sends) })
+	words := make([]Member, 0, min(wordsPerHeartbeat, len(fresh)))
+	for _, p := range fresh[:min(wordsPerHeartbeat, len(fresh))] {
+		p.sends--
+		words = append(words, word(p.Member))
+	}
+	return words
+}
+
+// word is brief unless the member may be new to the receiver.
+func word(m Member) Member {
+	if m.Status == Alive && m.Revision == 0 {
+		return m
+	}
+	return brief(m)
+}
+
+// allWords returns what is known about a region, or about all for "".
+func (m *Model) allWords(region string) []Member {
+	var words []Member
+	for _, id := range m.ids() {
+		if p := m.members[id]; region == "" || p.Region == region {
+			words = append(words, p.Member)
+		}
+	}
+	return words
+}
+
+// freshSums returns the newest sums of other regions.
+func (m *Model) freshSums(now time.Time) []RegionSum {
+	var sums []RegionSum
+	for _, s := range m.sums {
+		s.Age = now.Sub(s.at)
+		if s.heard() && s.Age < RegionSilence {
+			sums = append(sums, s.RegionSum)
+		}
+	}
+	slices.SortFunc(sums, func(a, b RegionSum) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Region, b.Region))
+	})
+	return sums[:min(sumsPerHeartbeat, len(sums))]
+}
+
+// freshLoads returns the newest loads of others of the region. Their counts at
+// endpoints are passed on first hand only.
+func (m *Model) freshLoads(now time.Time, to string) []MemberLoad {
+	loads := slices.DeleteFunc(m.Loads(now), func(l MemberLoad) bool { return l.ID == to })
+	slices.SortStableFunc(loads, func(a, b MemberLoad) int { return cmp.Compare(a.Age, b.Age) })
+	loads = loads[:min(loadsPerHeartbeat, len(loads))]
+	for i := range loads {
+		loads[i].Load.Endpoints = nil
+	}
+	return loads
+}
+
+// digests returns the digest of the own region and, in turn, of another.
+func (m *Model) digests() []RegionDigest {
+	digests := []RegionDigest{{Region: m.self.Region, Digest: m.digest(m.self.Region)}}
+	others := m.otherRegions()
+	if len(others) == 0 {
+		return digests
+	}
+	m.digestTurn++
+	other := others[m.digestTurn%len(others)].region
+	return append(digests, RegionDigest{Region: other, Digest: m.digest(other)})
+}
+
+// digest sums up the usable members of a region, whatever their order.
+func (m *Model) digest(region string) uint64 {
+	var digest uint64
+	if m.self.Region == region && m.self.Usable() {
+		digest = digestOf(m.self)
+	}
+	for _, p := range m.members {
+		if p.Region == region && p.Usable() {
+			digest ^= digestOf(p.Member)
+		}
+	}
+	return digest
+}
+
+func digestOf(m Member) uint64 {
+	return weight(m.ID, string([]byte{
+		byte(m.Incarnation), byte(m.Incarnation >> 8), byte(m.Incarnation >> 16), byte(m.Incarnation >> 24),
+		byte(m.Incarnation >> 32), byte(m.Incarnation >> 40), byte(m.Incarnation >> 48), byte(m.Incarnation >> 56),
+	}))
+}
+
+// wordsFor returns the whole of a region about which a peer has differed for
+// some time.
+func (m *Model) wordsFor(now time.Time, digests []RegionDigest) []Member {
+	var words []Member
+	for _, d := range digests {
+		since, differed := m.synced[d.Region]
+		switch {
+		case d.Digest == m.digest(d.Region):
+			delete(m.synced, d.Region)
+		case !differed:
+			m.synced[d.Region] = now
+		case now.Sub(since) >= syncAfter:
+			m.synced[d.Region] = now
+			m.stats.Syncs++
+			words = append(words, m.allWords(d.Region)...)
+		}
+	}
+	return words
+}
--- a/seam/gossiper/member.go
+++ b/seam/gossiper/member.go
@@ -1,5 +1,7 @@
 package gossiper
 
+import "cmp"
+
 // Status is what an instance is believed to be.
 type Status uint8
 
@@ -29,3 +31,14 @@
 	Revision uint32
 	Status   Status
 }
+// compare orders two words about the same instance, the older one first.
+func compare(a, b Member) int {
+	return cmp.Or(
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Revision, b.Revision),
+		cmp.Compare(a.Status, b.Status),
+	)
+}
+
+// Usable reports whether the instance may be sent work.
+func (m Member) Usable() bool { return m.Status == Alive || m.Status == Suspect }
