Let instances find each other and miss those that are gone

Cause: look-ups followed the platform's lagging list alone, so a crashed or leaving instance stayed in them for as long as the list lagged, and nobody was found while the store was down.

The daemon carries it over connect-go, with 'peers' in its settings as seeds, and the look-up table and the directory follow it.

Conclusion: direct evidence leads; the platform's list only hints.

--- a/seam/gossiper/compose.go
+++ b/seam/gossiper/compose.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
 )
 
 const (
--- a/seam/gossiper/gossiper.go
+++ b/seam/gossiper/gossiper.go
@@ -72,13 +72,15 @@
 	seeds   []string
 	load    Load
 	members map[string]*member
-	sums    map[string]sum
-	calls   map[uint64]call
-	nextID  uint64
-	probes  []string
-	remote  map[string]time.Time
-	listed  []Member
-	synced  map[string]time.Time
+	// order holds the sorted ids, or nil if it is out of date.
+	order  []string
+	sums   map[string]sum
+	calls  map[uint64]call
+	nextID uint64
+	probes []string
+	remote map[string]time.Time
+	listed []Member
+	synced map[string]time.Time
 
 	budget        budget
 	callBudget    budget
--- a/seam/gossiper/member.go
+++ b/seam/gossiper/member.go
@@ -31,6 +31,7 @@
 	Revision uint32
 	Status   Status
 }
+
 // compare orders two words about the same instance, the older one first.
 func compare(a, b Member) int {
 	return cmp.Or(
--- a/seam/gossiper/merge.go
+++ b/seam/gossiper/merge.go
@@ -69,6 +69,7 @@
 	}
 	p := &member{Member: w}
 	m.members[w.ID] = p
+	m.order = nil
 	if _, heard := m.sums[w.Region]; !heard && w.Region != m.self.Region {
 		m.sums[w.Region] = sum{RegionSum: RegionSum{Region: w.Region}, at: now}
 	}
@@ -155,6 +156,7 @@
 			m.spread(now, p, Suspect)
 		case !p.Usable() && now.Sub(p.ended) >= tombstoneTime:
 			delete(m.members, id)
+			m.order = nil
 			m.changed = true
 		}
 	}
--- a/seam/gossiper/probe.go
+++ b/seam/gossiper/probe.go
@@ -21,8 +21,14 @@
 
 func compareStrings(a, b string) int { return cmp.Compare(a, b) }
 
-// ids returns the known ids in order, so that runs repeat.
-func (m *Model) ids() []string { return slices.Sorted(maps.Keys(m.members)) }
+// ids returns the known ids in order, so that runs repeat. The caller must not
+// change the list.
+func (m *Model) ids() []string {
+	if m.order == nil {
+		m.order = slices.Sorted(maps.Keys(m.members))
+	}
+	return m.order
+}
 
 // ticked starts the heartbeats that are due.
 func (m *Model) ticked(now time.Time) []Cmd {
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -45,9 +45,11 @@
 	table     atomic.Pointer[steerer.Table]
 	config    atomic.Pointer[configurer.Config]
 	// keyRecords belongs to the goroutine that watches keys.
-	keyRecords map[string]authenticator.Record
-	leaving    atomic.Bool
-	directory  directory
+	keyRecords   map[string]authenticator.Record
+	leaving      atomic.Bool
+	directory    directory
+	membership   *membership
+	memberClient *http.Client
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
@@ -77,12 +79,13 @@
 // New binds the listeners of an instance. Errors say which address failed.
 func New(settings loader.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
-		settings:  settings,
-		clock:     clockwork.NewRealClock(),
-		log:       zap.NewNop(),
-		store:     storer.NewHTTP(settings.Platform.Address),
-		forwarder: forwarder.New(),
-		metrics:   metrics.NewSet(),
+		settings:     settings,
+		clock:        clockwork.NewRealClock(),
+		log:          zap.NewNop(),
+		store:        storer.NewHTTP(settings.Platform.Address),
+		forwarder:    forwarder.New(),
+		metrics:      metrics.NewSet(),
+		memberClient: newMemberClient(),
 
 		keyRecords: map[string]authenticator.Record{},
 	}
@@ -98,7 +101,11 @@
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
 	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
 	d.table.Store(steerer.NewTable(nil, nil))
-	return d, d.bind()
+	if err := d.bind(); err != nil {
+		return nil, err
+	}
+	d.membership = newMembership(d, seed)
+	return d, nil
 }
 
 func (d *Daemon) bind() error {
@@ -140,6 +147,7 @@
 	background.Go(func() error { d.loop.run(work); return nil })
 	background.Go(func() error { d.watchStore(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
+	background.Go(func() error { d.membership.run(work); return nil })
 
 	servers := []*server{
 		{"callers", d.listeners.callers, d.callerServer()},
@@ -156,6 +164,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
+	case <-d.membership.superseded:
 	case err = <-failed:
 	}
 	err = errors.Join(err, d.shutDown(servers))
@@ -170,6 +179,7 @@
 func (d *Daemon) shutDown(servers []*server) error {
 	d.leaving.Store(true)
 	d.loop.send(decider.StopRequested{})
+	d.membership.leave(context.Background())
 	d.clock.Sleep(time.Duration(d.settings.Shutdown.Linger))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
 	defer cancel()
@@ -184,6 +194,7 @@
 
 // Kill ends the instance at once, as a crash would. For tests of failures.
 func (d *Daemon) Kill() {
+	d.membership.end()
 	_ = d.listeners.callers.Close()
 	_ = d.listeners.lookups.Close()
 	_ = d.listeners.peers.Close()
--- a/seamd/daemon/directory.go
+++ b/seamd/daemon/directory.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"sync/atomic"
-
-	"primroseseam.org/seam/storer"
 )
 
 // Peer says where an instance is and how to reach it.
@@ -66,14 +64,3 @@
 	}
 	d.peers.Store(&peers)
 }
-
-// setFromPlatform takes the platform's lagging list.
-func (d *directory) setFromPlatform(list []storer.Instance) {
-	peers := make([]Peer, 0, len(list))
-	for _, i := range list {
-		if i.State == storer.InstanceLive {
-			peers = append(peers, Peer{id: i.ID, region: i.Region, failureDomain: i.FailureDomain, address: i.PeerAddress})
-		}
-	}
-	d.set(peers)
-}
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,7 @@
 	replies map[uint64]chan decider.Cmd
 	forward *metrics.Counter
 	refuse  *metrics.Counter
+	loads   atomic.Pointer[[]decider.ServiceLoad]
 }
 
 // envelope is a message and, for a new request, where its commands go.
@@ -83,6 +85,8 @@
 			return
 		case <-ticker.Chan():
 			l.update(decider.Ticked{})
+			loads := l.model.ServiceLoads()
+			l.loads.Store(&loads)
 		case e := <-l.inbox:
 			l.handle(e)
 		}
--- /dev/null
+++ b/seamd/daemon/membership_test.go
@@ -0,0 +1,91 @@
+package daemon_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/storer"
+	"primroseseam.org/seamd/daemon"
+	"primroseseam.org/seamd/loader"
+)
+
+// downStore is a store that never answers in time.
+type downStore struct{ storer.Store }
+
+var errDown = coder.Errorf(coder.StoreUnavailable, "", "down")
+
+func (downStore) List(context.Context, storer.Kind) (storer.Events, error) {
+	return storer.Events{}, errDown
+}
+
+func (downStore) Watch(context.Context, storer.Kind, int64, time.Duration) (storer.Events, error) {
+	return storer.Events{}, errDown
+}
+
+func (downStore) Instances(context.Context) ([]storer.Instance, error) { return nil, errDown }
+
+// running is a daemon with what stops it.
+type running struct {
+	*daemon.Daemon
+	id   string
+	stop context.CancelFunc
+	done chan error
+}
+
+func startWithoutStore(t *testing.T, id string, peers ...string) *running {
+	t.Helper()
+	const loopback = "127.0.0.1:0"
+	d, err := daemon.New(loader.Settings{
+		Instance: loader.Instance{ID: id, Region: "west", FailureDomain: "west-a"},
+		Listen:   loader.Listen{Callers: loopback, Lookups: loopback, Peers: loopback, Metrics: loopback},
+		Peers:    peers,
+		Shutdown: loader.Shutdown{Linger: configurer.Duration(2 * time.Second), Timeout: configurer.Duration(time.Second)},
+	}, daemon.WithStore(downStore{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	r := &running{Daemon: d, id: id, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-r.done; err != nil && !errors.Is(err, context.Canceled) {
+			t.Logf("%s: %v", id, err)
+		}
+	})
+	return r
+}
+
+// knows waits until an instance knows just the given ones.
+func knows(t *testing.T, limit time.Duration, observers []*running, ids ...string) {
+	t.Helper()
+	started := time.Now()
+	for _, o := range observers {
+		for !slices.Equal(o.PeerIDs(), ids) {
+			if time.Since(started) > limit {
+				t.Fatalf("%s knows %v instead of %v after %v", o.id, o.PeerIDs(), ids, limit)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	t.Logf("%d instances know %v after %v", len(observers), ids, time.Since(started).Round(time.Millisecond))
+}
+
+func TestInstancesFindEachOtherWithoutTheStore(t *testing.T) {
+	first := startWithoutStore(t, "i0")
+	fleet := []*running{first}
+	for i := 1; i < 4; i++ {
+		fleet = append(fleet, startWithoutStore(t, fmt.Sprintf("i%d", i), first.PeerAddress()))
+	}
+	knows(t, 3*time.Second, fleet, "i0", "i1", "i2", "i3")
+	fleet[3].stop()
+	knows(t, time.Second, fleet[:3], "i0", "i1", "i2")
+	fleet[2].Kill()
+	knows(t, 10*time.Second, fleet[:2], "i0", "i1")
+}
--- a/seamd/daemon/peers.go
+++ b/seamd/daemon/peers.go
@@ -1,12 +1,8 @@
 package daemon
 
 import (
-	"context"
 	"net/http"
 
-	"connectrpc.com/connect"
-
-	peerv1 "primroseseam.org/seam/gen/peer/v1"
 	"primroseseam.org/seam/gen/peer/v1/peerv1connect"
 )
 
@@ -16,31 +12,3 @@
 	mux.Handle(peerv1connect.NewMembershipServiceHandler(&membershipService{daemon: d}))
 	return mux
 }
-
-// membershipService answers peers' heartbeats.
-type membershipService struct{ daemon *Daemon }
-
-// Heartbeat implements peerv1connect.MembershipServiceHandler.
-func (s *membershipService) Heartbeat(
-	_ context.Context, _ *connect.Request[peerv1.HeartbeatRequest],
-) (*connect.Response[peerv1.HeartbeatResponse], error) {
-	return connect.NewResponse(&peerv1.HeartbeatResponse{Receiver: s.daemon.member()}), nil
-}
-
-// member describes this instance to peers.
-func (d *Daemon) member() *peerv1.Member {
-	m := &peerv1.Member{
-		Id:            d.settings.Instance.ID,
-		Incarnation:   d.incarnation,
-		Region:        d.settings.Instance.Region,
-		FailureDomain: d.settings.Instance.FailureDomain,
-		CallerAddress: d.CallerAddress(),
-		LookupAddress: d.LookupAddress(),
-		PeerAddress:   d.PeerAddress(),
-		Leaving:       d.leaving.Load(),
-	}
-	if c := d.config.Load(); c != nil {
-		m.ConfigVersion = c.Version()
-	}
-	return m
-}
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -90,29 +90,27 @@
 	d.loop.send(decider.KeysChanged{Keys: ring})
 }
 
-// watchInstances turns the platform's instance list into the look-up table.
+// watchInstances passes the platform's instance list to the membership.
 func (d *Daemon) watchInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		if list, err := d.store.Instances(ctx); err == nil {
-			d.table.Store(d.newTable(list))
-			d.directory.setFromPlatform(list)
+			d.membership.setListed(ctx, list)
 		}
 		d.sleep(ctx, instancesEvery)
 	}
 }
 
-func (d *Daemon) newTable(list []storer.Instance) *steerer.Table {
+// publishTable swaps in a look-up table of the members that may be used.
+func (d *Daemon) publishTable() {
 	var entries []steerer.Instance
-	for _, i := range list {
-		if i.State == storer.InstanceLive {
-			entries = append(entries, steerer.Instance{ID: i.ID, Region: i.Region, Address: i.CallerAddress})
-		}
+	for _, m := range d.membership.usable() {
+		entries = append(entries, steerer.Instance{ID: m.ID, Region: m.Region, Address: m.CallerAddress})
 	}
 	var blocks []steerer.Block
 	if c := d.config.Load(); c != nil {
 		blocks = clientBlocks(c)
 	}
-	return steerer.NewTable(entries, blocks)
+	d.table.Store(steerer.NewTable(entries, blocks))
 }
 
 func clientBlocks(c *configurer.Config) []steerer.Block {
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -14,6 +14,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/netip"
 	"net/url"
@@ -40,6 +41,9 @@
 	Platform Platform `json:"platform"`
 	Shutdown Shutdown `json:"shutdown"`
 	Log      Log      `json:"log"`
+	// Peers lists the IP addresses and ports of peers to join by.
+	Peers      []string   `json:"peers,omitempty"`
+	Membership Membership `json:"membership"`
 	// Seed seeds random choices; 0 takes the time of the start.
 	Seed uint64 `json:"seed,omitempty"`
 }
@@ -59,6 +63,13 @@
 	Metrics string `json:"metrics"`
 }
 
+// Membership bounds what instances tell each other about themselves.
+type Membership struct {
+	// BytesPerSecond is the budget for heartbeats sent and received; 0 takes
+	// the default.
+	BytesPerSecond int `json:"bytesPerSecond,omitempty"`
+}
+
 // Platform says where the platform's object service answers.
 type Platform struct {
 	Address string `json:"address"`
@@ -137,6 +148,14 @@
 			return coder.Errorf(coder.SettingsInvalid, a.path, "%q is not an IP address with a port", a.value)
 		}
 	}
+	for i, address := range s.Peers {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return coder.Errorf(coder.SettingsInvalid, fmt.Sprintf("peers[%d]", i), "%q is not an IP address with a port", address)
+		}
+	}
+	if s.Membership.BytesPerSecond < 0 {
+		return coder.Errorf(coder.SettingsInvalid, "membership.bytesPerSecond", "must not be negative")
+	}
 	if u, err := url.Parse(s.Platform.Address); err != nil || u.Host == "" {
 		return coder.Errorf(coder.SettingsInvalid, "platform.address", "%q is not an http or https address", s.Platform.Address)
 	}
