--- a/seam/gossiper/probe.go
+++ b/seam/gossiper/probe.go
@@ -144,18 +144,6 @@
 	return regions
 }
 
-// gatewayTo reports whether this instance speaks to a region for its own.
-func (m *Model) gatewayTo(region string) bool {
-	ids := []string{m.self.ID}
-	for id, p := range m.members {
-		if p.Region == m.self.Region && p.Status == Alive {
-			ids = append(ids, id)
-		}
-	}
-	ranked := rendezvous("gateway/"+region, ids)
-	return slices.Contains(ranked[:min(gatewaysPerRegion, len(ranked))], m.self.ID)
-}
-
 // join calls a seed or an instance of the platform's list.
 func (m *Model) join(now time.Time) []Cmd {
 	addresses := m.strangers()
--- a/seamd/daemon/membership.go
+++ b/seamd/daemon/membership.go
@@ -4,8 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
 	peerv1 "primroseseam.org/seam/gen/peer/v1"
 	"primroseseam.org/seam/gen/peer/v1/peerv1connect"
@@ -45,6 +45,9 @@
 	superseded   chan struct{}
 	calls        sync.WaitGroup
 
+	publishedConfig *configurer.Config
+	publishedList   *[]storer.Instance
+
 	sent     *metrics.Counter
 	received *metrics.Counter
 }
@@ -111,9 +114,7 @@
 	for {
 		s.update(ctx, gossiper.LoadMeasured{Load: s.ownLoad()})
 		s.update(ctx, gossiper.Ticked{})
-		s.mu.Lock()
-		s.publish()
-		s.mu.Unlock()
+		s.publishNews(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -122,6 +123,18 @@
 	}
 }
 
+// publishNews publishes anew if the configuration or the platform's list changed.
+func (s *membership) publishNews(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	config, listed := s.daemon.config.Load(), s.listed.Load()
+	if config == s.publishedConfig && listed == s.publishedList {
+		return
+	}
+	s.publishedConfig, s.publishedList = config, listed
+	s.publish(ctx)
+}
+
 // leave tells peers that this instance shuts down.
 func (s *membership) leave(ctx context.Context) { s.update(ctx, gossiper.LeaveRequested{}) }
 
@@ -156,7 +169,7 @@
 	case gossiper.Changed:
 		s.logChanges(c.View)
 		s.view.Store(&c.View)
-		s.publish()
+		s.publish(ctx)
 	case gossiper.Superseded:
 		s.supersede(c.By)
 	}
@@ -176,7 +189,7 @@
 func (s *membership) call(ctx context.Context, c gossiper.Call) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	client := peerv1connect.NewMembershipServiceClient(s.daemon.memberClient, s.daemon.memberURL(c.Address))
+	client := peerv1connect.NewMembershipServiceClient(s.daemon.peerClient, s.daemon.peerURL(c.Address))
 	request := &peerv1.HeartbeatRequest{Heartbeat: c.Heartbeat.Proto()}
 	s.sent.Add(c.Heartbeat.Size())
 	resp, err := client.Heartbeat(ctx, connect.NewRequest(request))
@@ -252,7 +265,9 @@
 // there is to go by until a peer has been heard.
 func (s *membership) setListed(ctx context.Context, list []storer.Instance) {
 	s.storeContact.Store(s.daemon.clock.Now().UnixNano())
-	s.listed.Store(&list)
+	if old := s.listed.Load(); old == nil || !slices.Equal(*old, list) {
+		s.listed.Store(&list)
+	}
 	s.update(ctx, gossiper.PlatformListed{Members: listedMembers(list)})
 }
 
@@ -298,18 +313,29 @@
 	return members
 }
 
-// publish rebuilds what others read: the directory and the look-up table. The
-// caller holds the lock.
-func (s *membership) publish() {
+// joined reports whether peers are heard.
+func (s *membership) joined() bool {
+	view := s.view.Load()
+	return len(view.Members) > 1 && !view.Alone
+}
+
+// publish rebuilds what others read: the directory, the watchers of the store
+// and the look-up table. The caller holds the lock.
+func (s *membership) publish(ctx context.Context) {
 	members := s.usable()
 	peers := make([]Peer, 0, len(members))
+	instances := make([]storer.Instance, 0, len(members))
 	for _, m := range members {
 		peers = append(peers, Peer{
 			id: m.ID, region: m.Region, failureDomain: m.FailureDomain, address: m.PeerAddress, incarnation: m.Incarnation,
 		})
+		instances = append(instances, storer.Instance{
+			ID: m.ID, Region: m.Region, FailureDomain: m.FailureDomain, PeerAddress: m.PeerAddress, State: storer.InstanceLive,
+		})
 	}
 	s.daemon.directory.set(peers)
-	s.daemon.publishTable()
+	s.daemon.spread.setInstances(ctx, instances)
+	s.daemon.publishTable(members)
 }
 
 // logChanges writes a line for every member whose status changed.
@@ -333,24 +359,3 @@
 	}
 	return nil
 }
-
-// memberURL returns the base address of a peer.
-func (d *Daemon) memberURL(address string) string { return "http://" + address }
-
-const (
-	memberDialTimeout = 500 * time.Millisecond
-	// memberIdleTimeout keeps connections open between two heartbeats to the
-	// same peer.
-	memberIdleTimeout = 90 * time.Second
-)
-
-// newMemberClient returns a client that talks to peers directly, never through
-// a proxy of the environment.
-func newMemberClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: memberDialTimeout}).DialContext,
-		IdleConnTimeout:     memberIdleTimeout,
-		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
-	}}
-}
--- a/seamd/daemon/peers.go
+++ b/seamd/daemon/peers.go
@@ -10,5 +10,6 @@
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMembershipServiceHandler(&membershipService{daemon: d}))
-	return mux
+	mux.Handle(peerv1connect.NewRelayServiceHandler(&relayService{daemon: d}))
+	return d.authenticatePeers(mux)
 }
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -44,6 +44,7 @@
 	// Peers lists the IP addresses and ports of peers to join by.
 	Peers      []string   `json:"peers,omitempty"`
 	Membership Membership `json:"membership"`
+	Security   Security   `json:"security"`
 	// Seed seeds random choices; 0 takes the time of the start.
 	Seed uint64 `json:"seed,omitempty"`
 }
@@ -165,5 +166,5 @@
 	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
 		return coder.Errorf(coder.SettingsInvalid, "log.level", "%q is not a level", s.Log.Level)
 	}
-	return nil
+	return s.Security.check()
 }
