Steer callers between regions in steps that wait for their effect

Cause: look-ups offered the own region in random order, whatever its load, and a lost region's callers had nowhere else to go by headroom.

One instance of each region decides and its heartbeats carry the shares. Callers of a silent region go to the others by room. Each caller keeps its region by weighted rendezvous hashing.

--- a/seam/gossiper/gateways.go
+++ b/seam/gossiper/gateways.go
@@ -11,19 +11,10 @@
 // gateways rank highest by rendezvous hashing, so that one member's change
 // moves one of them at most, and are of different failure domains if possible.
 func (m *Model) gatewayTo(region string) bool {
-	candidates := []Member{m.self}
-	for _, p := range m.members {
-		if p.Region == m.self.Region && p.Status == Alive {
-			candidates = append(candidates, p.Member)
-		}
-	}
-	key := "gateway/" + region
-	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weight(key, b.ID), weight(key, a.ID)), cmp.Compare(a.ID, b.ID))
-	})
+	candidates := m.ranked("gateway/" + region)
 	first := candidates[0]
-	if first.ID == m.self.ID {
-		return true
+	if first.ID == m.self.ID || len(candidates) == 1 {
+		return first.ID == m.self.ID
 	}
 	i := slices.IndexFunc(candidates, func(c Member) bool { return c.FailureDomain != first.FailureDomain })
 	if i < 0 {
@@ -32,4 +23,27 @@
 	return candidates[i].ID == m.self.ID
 }
 
+// Steering returns the id of the instance that steers the region's callers.
+func (m *Model) Steering() string { return m.ranked("steer")[0].ID }
+
+// ranked orders the region's live members, this one included, for a purpose.
+func (m *Model) ranked(purpose string) []Member {
+	var candidates []Member
+	if m.self.Status == Alive {
+		candidates = append(candidates, m.self)
+	}
+	for _, p := range m.members {
+		if p.Region == m.self.Region && p.Status == Alive {
+			candidates = append(candidates, p.Member)
+		}
+	}
+	if len(candidates) == 0 {
+		return []Member{m.self}
+	}
+	slices.SortFunc(candidates, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(weight(purpose, b.ID), weight(purpose, a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return candidates
+}
+
 func weight(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
--- a/seam/gossiper/loads.go
+++ b/seam/gossiper/loads.go
@@ -38,6 +38,10 @@
 func (m *Model) ownSum(now time.Time) RegionSum {
 	total := RegionSum{Region: m.self.Region, Instances: 1, ConfigVersion: m.load.ConfigVersion}
 	total.add(m.load)
+	steering := m.Steering()
+	if steering == m.self.ID {
+		total.Shares = m.load.Shares
+	}
 	for _, id := range m.ids() {
 		p := m.members[id]
 		if p.Region != m.self.Region || !p.Usable() {
@@ -47,6 +51,9 @@
 		if now.Sub(p.loadAt) < loadFresh {
 			total.add(p.load)
 		}
+		if id == steering {
+			total.Shares = p.load.Shares
+		}
 	}
 	return total
 }
--- a/seam/gossiper/messages.go
+++ b/seam/gossiper/messages.go
@@ -96,6 +96,14 @@
 	StoreContactAge time.Duration
 	Services        []ServiceLoad
 	Endpoints       []EndpointLoad
+	// Shares says where the region's callers go, if this instance decides it.
+	Shares []Share
+}
+
+// Share is a part of a region's callers that use another region.
+type Share struct {
+	Region   string
+	PerMille int
 }
 
 // ServiceLoad is an instance's or a region's load of one service.
@@ -129,6 +137,7 @@
 	Instances     int
 	ConfigVersion int64
 	Services      []ServiceLoad
+	Shares        []Share
 }
 
 // RegionDigest sums up whom the sender holds live in a region.
--- a/seam/gossiper/wire.go
+++ b/seam/gossiper/wire.go
@@ -32,7 +32,7 @@
 	for _, r := range h.Regions {
 		p.Regions = append(p.Regions, &peerv1.RegionSum{
 			Region: r.Region, AgeMs: milliseconds(r.Age), Instances: uint32(r.Instances),
-			ConfigVersion: r.ConfigVersion, Services: servicesProto(r.Services),
+			ConfigVersion: r.ConfigVersion, Services: servicesProto(r.Services), Shares: sharesProto(r.Shares),
 		})
 	}
 	for _, d := range h.Digests {
@@ -58,7 +58,7 @@
 	for _, r := range p.GetRegions() {
 		h.Regions = append(h.Regions, RegionSum{
 			Region: r.GetRegion(), Age: duration(r.GetAgeMs()), Instances: int(r.GetInstances()),
-			ConfigVersion: r.GetConfigVersion(), Services: servicesOf(r.GetServices()),
+			ConfigVersion: r.GetConfigVersion(), Services: servicesOf(r.GetServices()), Shares: sharesOf(r.GetShares()),
 		})
 	}
 	for _, d := range p.GetDigests() {
@@ -96,7 +96,7 @@
 func loadProto(l Load) *peerv1.Load {
 	p := &peerv1.Load{
 		ConfigVersion: l.ConfigVersion, StoreContactAgeMs: milliseconds(l.StoreContactAge),
-		Services: servicesProto(l.Services),
+		Services: servicesProto(l.Services), Shares: sharesProto(l.Shares),
 	}
 	for _, e := range l.Endpoints {
 		p.Endpoints = append(p.Endpoints, &peerv1.EndpointLoad{Endpoint: e.Endpoint, InFlight: uint32(e.InFlight), Draining: e.Draining})
@@ -107,7 +107,7 @@
 func loadOf(p *peerv1.Load) Load {
 	l := Load{
 		ConfigVersion: p.GetConfigVersion(), StoreContactAge: duration(p.GetStoreContactAgeMs()),
-		Services: servicesOf(p.GetServices()),
+		Services: servicesOf(p.GetServices()), Shares: sharesOf(p.GetShares()),
 	}
 	for _, e := range p.GetEndpoints() {
 		l.Endpoints = append(l.Endpoints, EndpointLoad{Endpoint: e.GetEndpoint(), InFlight: int(e.GetInFlight()), Draining: e.GetDraining()})
@@ -115,6 +115,22 @@
 	return l
 }
 
+func sharesProto(shares []Share) []*peerv1.Share {
+	list := make([]*peerv1.Share, 0, len(shares))
+	for _, s := range shares {
+		list = append(list, &peerv1.Share{Region: s.Region, PartPermille: uint32(s.PerMille)})
+	}
+	return list
+}
+
+func sharesOf(list []*peerv1.Share) []Share {
+	var shares []Share
+	for _, s := range list {
+		shares = append(shares, Share{Region: s.GetRegion(), PerMille: int(min(s.GetPartPermille(), 1000))})
+	}
+	return shares
+}
+
 func servicesProto(services []ServiceLoad) []*peerv1.ServiceLoad {
 	list := make([]*peerv1.ServiceLoad, 0, len(services))
 	for _, s := range services {
--- a/seam/steerer/steerer.go
+++ b/seam/steerer/steerer.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	t := steerer.NewTable(instances, blocks)
-//	answer := t.Entries(netip.MustParseAddr("10.1.2.3"), rng)
+//	answer := t.Entries("kolkata", callerID, rng)
 package steerer
 
 import (
@@ -54,6 +54,8 @@
 type Table struct {
 	instances []Instance
 	blocks    []Block
+	shares    Shares
+	silent    []string
 }
 
 // NewTable returns a table; longer prefixes go before shorter ones.
@@ -75,21 +77,11 @@
 	return ""
 }
 
-// Entries orders the instances for a client's region: its own region's first,
-// in random order, so that callers spread.
-func (t *Table) Entries(region string, rng *rand.Rand) Answer {
-	list := slices.Clone(t.instances)
-	rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b Instance) int {
-		return distance(a, region) - distance(b, region)
-	})
+// Entries orders the instances for a client's region by the region's shares, in
+// random order inside each region, so that callers spread. The caller is
+// anything that stays the same from one look-up to the next.
+func (t *Table) Entries(region, caller string, rng *rand.Rand) Answer {
+	list := t.order(region, caller, rng)
 	jitter := time.Duration(rng.Int64N(int64(answerTTL / 2)))
 	return Answer{Region: region, Instances: list, TTL: answerTTL + jitter}
 }
-
-func distance(i Instance, region string) int {
-	if i.Region == region {
-		return 0
-	}
-	return 1
-}
--- a/seamd/daemon/lookups.go
+++ b/seamd/daemon/lookups.go
@@ -34,7 +34,16 @@
 		region = d.settings.Instance.Region
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	_ = ctx.JSON(table.Entries(region, rng))
+	_ = ctx.JSON(table.Entries(region, callerName(ctx), rng))
+}
+
+// callerName tells callers apart: by the name that they give, else by their
+// connection.
+func callerName(ctx iris.Context) string {
+	if name := ctx.URLParam("caller"); name != "" {
+		return name
+	}
+	return ctx.Request().RemoteAddr
 }
 
 func clientAddress(ctx iris.Context) netip.Addr {
--- a/seamd/daemon/membership.go
+++ b/seamd/daemon/membership.go
@@ -18,6 +18,7 @@
 	peerv1 "primroseseam.org/seam/gen/peer/v1"
 	"primroseseam.org/seam/gen/peer/v1/peerv1connect"
 	"primroseseam.org/seam/gossiper"
+	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
 )
 
@@ -45,6 +46,7 @@
 	superseded   chan struct{}
 	calls        sync.WaitGroup
 
+	steering        steering
 	publishedConfig *configurer.Config
 	publishedList   *[]storer.Instance
 
@@ -63,6 +65,7 @@
 		model:      gossiper.New(d.member(), opts...),
 		answers:    map[uint64]chan gossiper.Heartbeat{},
 		superseded: make(chan struct{}),
+		steering:   steering{steps: steerer.NewSteps(d.settings.Instance.Region)},
 		sent:       d.metrics.NewCounter("seam_membership_sent_bytes_total"),
 		received:   d.metrics.NewCounter("seam_membership_received_bytes_total"),
 	}
@@ -127,6 +130,7 @@
 func (s *membership) publishNews(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.steer(s.daemon.clock.Now())
 	config, listed := s.daemon.config.Load(), s.listed.Load()
 	if config == s.publishedConfig && listed == s.publishedList {
 		return
@@ -258,6 +262,7 @@
 			Service: l.Service, InFlight: l.InFlight, Queued: l.Queued, FreeSlots: l.FreeSlots,
 		})
 	}
+	load.Shares = s.ownShares()
 	return load
 }
 
@@ -335,7 +340,7 @@
 	}
 	s.daemon.directory.set(peers)
 	s.daemon.spread.setInstances(ctx, instances)
-	s.daemon.publishTable(members)
+	s.daemon.publishTable(members, s.steering)
 }
 
 // logChanges writes a line for every member whose status changed.
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -114,7 +114,7 @@
 }
 
 // publishTable swaps in a look-up table of the members that may be used.
-func (d *Daemon) publishTable(members []gossiper.Member) {
+func (d *Daemon) publishTable(members []gossiper.Member, s steering) {
 	var entries []steerer.Instance
 	for _, m := range members {
 		entries = append(entries, steerer.Instance{ID: m.ID, Region: m.Region, Address: m.CallerAddress})
@@ -123,7 +123,7 @@
 	if c := d.config.Load(); c != nil {
 		blocks = clientBlocks(c)
 	}
-	d.table.Store(steerer.NewTable(entries, blocks))
+	d.table.Store(steerer.NewTable(entries, blocks).WithShares(s.shares, s.silent))
 }
 
 func clientBlocks(c *configurer.Config) []steerer.Block {
