--- a/seam/gossiper/gossiper_test.go
+++ b/seam/gossiper/gossiper_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"primroseseam.org/seam/faker"
 	"primroseseam.org/seam/gossiper"
 	"primroseseam.org/seam/rehearser"
@@ -165,6 +167,10 @@
 			len(got.Words) != len(c.Heartbeat.Words) || len(got.Regions) != len(c.Heartbeat.Regions) || got.Size() != c.Heartbeat.Size() {
 			t.Fatalf("sent %#v, got %#v", c.Heartbeat, got)
 		}
+		exact := proto.Size(c.Heartbeat.Proto())
+		if estimate := c.Heartbeat.Size() - gossiper.CallOverhead; estimate < exact*9/10 || estimate > exact*11/10 {
+			t.Fatalf("estimated %d bytes for %d", estimate, exact)
+		}
 	}
 }
 
--- a/seam/gossiper/wire.go
+++ b/seam/gossiper/wire.go
@@ -3,18 +3,9 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	peerv1 "primroseseam.org/seam/gen/peer/v1"
 )
 
-// CallOverhead estimates the bytes of headers and frames around a heartbeat on
-// a connection that is already open.
-const CallOverhead = 180
-
-// Size returns the bytes that the heartbeat takes between instances.
-func (h Heartbeat) Size() int { return proto.Size(h.Proto()) + CallOverhead }
-
 // Proto returns the heartbeat as it is sent.
 func (h Heartbeat) Proto() *peerv1.Heartbeat {
 	p := &peerv1.Heartbeat{
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -195,13 +195,14 @@
 	return err
 }
 
-// shutDown lets callers learn of the stop, then waits for open requests.
+// shutDown takes the instance out of look-ups, goes on serving until callers'
+// cached answers have expired, then waits for open requests.
 func (d *Daemon) shutDown(servers []*server) error {
 	d.leaving.Store(true)
 	close(d.stopping)
-	d.loop.send(decider.StopRequested{})
 	d.membership.leave(context.Background())
 	d.clock.Sleep(time.Duration(d.settings.Shutdown.Linger))
+	d.loop.send(decider.StopRequested{})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
 	defer cancel()
 	var errs []error
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -29,7 +29,7 @@
 
 // Defaults for settings that may be left out.
 const (
-	defaultShutdownLinger  = 2 * time.Second
+	defaultShutdownLinger  = 8 * time.Second
 	defaultShutdownTimeout = 30 * time.Second
 	defaultLogLevel        = "info"
 )
@@ -78,8 +78,8 @@
 
 // Shutdown bounds a graceful shutdown.
 type Shutdown struct {
-	// Linger is how long new requests are still refused politely, so that
-	// callers with cached look-up answers learn of the stop.
+	// Linger is how long new requests are still served after the instance has
+	// left the look-ups, so that callers' cached answers can expire.
 	Linger configurer.Duration `json:"linger,omitempty"`
 	// Timeout is how long requests in progress may go on.
 	Timeout configurer.Duration `json:"timeout,omitempty"`
