--- a/seamd/daemon/membership_test.go
+++ b/seamd/daemon/membership_test.go
@@ -39,6 +39,11 @@
 }
 
 func startWithoutStore(t testing.TB, id string, peers ...string) *running {
+	t.Helper()
+	return start(t, id, daemon.WithStore(downStore{}), peers...)
+}
+
+func start(t testing.TB, id string, store daemon.Option, peers ...string) *running {
 	t.Helper()
 	const loopback = "127.0.0.1:0"
 	d, err := daemon.New(loader.Settings{
@@ -46,7 +51,7 @@
 		Listen:   loader.Listen{Callers: loopback, Lookups: loopback, Peers: loopback, Metrics: loopback},
 		Peers:    peers,
 		Shutdown: loader.Shutdown{Linger: configurer.Duration(2 * time.Second), Timeout: configurer.Duration(time.Second)},
-	}, daemon.WithStore(downStore{}))
+	}, store)
 	if err != nil {
 		t.Fatal(err)
 	}
