--- a/seam/rehearser/recovery_test.go
+++ b/seam/rehearser/recovery_test.go
@@ -13,7 +13,7 @@
 const callersPerRegion = 10
 
 // leaveLinger is the default time that a leaving instance goes on serving.
-const leaveLinger = 8 * time.Second
+const leaveLinger = 10 * time.Second
 
 // scenario is a fault and what it may cost the callers.
 type scenario struct {
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,7 @@
 	forwarder *forwarder.Forwarder
 	loop      *loop
 	metrics   *metrics.Set
+	meters    *meters
 	table     atomic.Pointer[steerer.Table]
 	config    atomic.Pointer[configurer.Config]
 	inForce   atomic.Pointer[inForce]
@@ -55,14 +57,23 @@
 	work       context.Context
 	stopping   chan struct{}
 	leaving    atomic.Bool
+	intake     intake
 	directory  directory
 	membership *membership
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
 	listeners   listeners
+	// without is the mechanism that a test turned off, or 0.
+	without  Mechanism
+	peerDial PeerDial
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
+// PeerDial opens a connection to another instance.
+type PeerDial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // listeners holds the bound sockets.
 type listeners struct {
 	callers net.Listener
@@ -83,6 +94,9 @@
 // WithStore sets the platform's object service.
 func WithStore(s storer.Store) Option { return func(d *Daemon) { d.store = s } }
 
+// WithPeerDial sets how connections to other instances are opened.
+func WithPeerDial(dial PeerDial) Option { return func(d *Daemon) { d.peerDial = dial } }
+
 // New binds the listeners of an instance. Errors say which address failed.
 func New(settings loader.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
@@ -95,6 +109,8 @@
 		keyRecords:  map[string]authenticator.Record{},
 		keyVersions: map[string]int64{},
 		stopping:    make(chan struct{}),
+		peerDial:    (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		killed:      make(chan struct{}),
 	}
 	d.inForce.Store(&inForce{})
 	for _, opt := range opts {
@@ -117,8 +133,10 @@
 	}
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
 	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
-	d.loop = newLoop(model, d.clock, d.log.Named("route"), d.metrics)
+	d.meters = newMeters(d.metrics)
+	d.loop = newLoop(model, d.clock, newDecisionLog(d.log, settings.Log.Sampling), d.meters)
 	d.spread = newSpread(d, seed)
+	d.meters.addState(d)
 	d.table.Store(steerer.NewTable(nil, nil))
 	if err := d.bind(); err != nil {
 		return nil, err
@@ -143,7 +161,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", s.name, err)
 		}
-		*s.socket = d.secureListener(s.name, l)
+		*s.socket = d.secureListener(s.name, newBacklogListener(l))
 	}
 	return nil
 }
@@ -184,10 +202,19 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		if d.without == GracefulStop {
+			cutAll(servers)
+			break
+		}
+		err = d.shutDown(servers)
+	case <-d.killed:
+		d.membership.end()
+		cutAll(servers)
 	case <-d.membership.superseded:
+		err = d.shutDown(servers)
 	case err = <-failed:
+		err = errors.Join(err, d.shutDown(servers))
 	}
-	err = errors.Join(err, d.shutDown(servers))
 	stopWork()
 	_ = background.Wait()
 	d.forwarder.Close()
@@ -195,33 +222,8 @@
 	return err
 }
 
-// shutDown takes the instance out of look-ups, goes on serving until callers'
-// cached answers have expired, then waits for open requests.
-func (d *Daemon) shutDown(servers []*server) error {
-	d.leaving.Store(true)
-	close(d.stopping)
-	d.membership.leave(context.Background())
-	d.clock.Sleep(time.Duration(d.settings.Shutdown.Linger))
-	d.loop.send(decider.StopRequested{})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Shutdown.Timeout))
-	defer cancel()
-	var errs []error
-	for _, s := range servers {
-		if err := s.http.Shutdown(ctx); err != nil {
-			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
-		}
-	}
-	return errors.Join(errs...)
-}
-
 // Kill ends the instance at once, as a crash would. For tests of failures.
-func (d *Daemon) Kill() {
-	d.membership.end()
-	_ = d.listeners.callers.Close()
-	_ = d.listeners.lookups.Close()
-	_ = d.listeners.peers.Close()
-	_ = d.listeners.metrics.Close()
-}
+func (d *Daemon) Kill() { d.killOnce.Do(func() { close(d.killed) }) }
 
 // server is one HTTP listener.
 type server struct {
--- a/seamd/daemon/membership.go
+++ b/seamd/daemon/membership.go
@@ -115,11 +115,12 @@
 	defer ticker.Stop()
 	defer s.calls.Wait()
 	for {
-		s.update(ctx, gossiper.LoadMeasured{Load: s.ownLoad()})
-		s.update(ctx, gossiper.Ticked{})
-		s.publishNews(ctx)
+		s.update(gossiper.LoadMeasured{Load: s.ownLoad()})
+		s.update(gossiper.Ticked{})
+		s.publishNews()
 		select {
 		case <-ctx.Done():
+			s.end()
 			return
 		case <-ticker.Chan():
 		}
@@ -127,7 +128,7 @@
 }
 
 // publishNews publishes anew if the configuration or the platform's list changed.
-func (s *membership) publishNews(ctx context.Context) {
+func (s *membership) publishNews() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.steer(s.daemon.clock.Now())
@@ -136,11 +137,11 @@
 		return
 	}
 	s.publishedConfig, s.publishedList = config, listed
-	s.publish(ctx)
+	s.publish()
 }
 
 // leave tells peers that this instance shuts down.
-func (s *membership) leave(ctx context.Context) { s.update(ctx, gossiper.LeaveRequested{}) }
+func (s *membership) leave() { s.update(gossiper.LeaveRequested{}) }
 
 // end silences the instance as a crash would.
 func (s *membership) end() {
@@ -150,21 +151,21 @@
 }
 
 // update gives the model a message and carries its commands out.
-func (s *membership) update(ctx context.Context, msg gossiper.Msg) {
+func (s *membership) update(msg gossiper.Msg) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		return
 	}
 	for _, cmd := range s.model.Update(s.daemon.clock.Now(), msg) {
-		s.carryOut(ctx, cmd)
+		s.carryOut(cmd)
 	}
 }
 
-func (s *membership) carryOut(ctx context.Context, cmd gossiper.Cmd) {
+func (s *membership) carryOut(cmd gossiper.Cmd) {
 	switch c := cmd.(type) {
 	case gossiper.Call:
-		s.calls.Go(func() { s.call(ctx, c) })
+		s.calls.Go(func() { s.call(s.daemon.work, c) })
 	case gossiper.Answer:
 		if reply, ok := s.answers[c.Token]; ok {
 			delete(s.answers, c.Token)
@@ -173,7 +174,7 @@
 	case gossiper.Changed:
 		s.logChanges(c.View)
 		s.view.Store(&c.View)
-		s.publish(ctx)
+		s.publish()
 	case gossiper.Superseded:
 		s.supersede(c.By)
 	}
@@ -197,15 +198,14 @@
 	request := &peerv1.HeartbeatRequest{Heartbeat: c.Heartbeat.Proto()}
 	s.sent.Add(c.Heartbeat.Size())
 	resp, err := client.Heartbeat(ctx, connect.NewRequest(request))
-	ctx = context.WithoutCancel(ctx)
 	if err != nil {
 		s.log.Debug("member: no answer", zap.String("peer", c.Address), zap.Error(err))
-		s.update(ctx, gossiper.CallFailed{ID: c.ID})
+		s.update(gossiper.CallFailed{ID: c.ID})
 		return
 	}
 	h := gossiper.FromProto(resp.Msg.GetHeartbeat())
 	s.received.Add(h.Size())
-	s.update(ctx, gossiper.AnswerArrived{ID: c.ID, Heartbeat: h})
+	s.update(gossiper.AnswerArrived{ID: c.ID, Heartbeat: h})
 }
 
 // membershipService answers peers' heartbeats.
@@ -237,7 +237,7 @@
 	token := s.token
 	s.answers[token] = reply
 	s.mu.Unlock()
-	s.update(context.WithoutCancel(ctx), gossiper.HeartbeatArrived{Token: token, Heartbeat: h})
+	s.update(gossiper.HeartbeatArrived{Token: token, Heartbeat: h})
 	ctx, cancel := context.WithTimeout(ctx, memberAnswerTimeout)
 	defer cancel()
 	select {
@@ -268,12 +268,12 @@
 
 // setListed takes the platform's lagging list: hints of whom to call, and all
 // there is to go by until a peer has been heard.
-func (s *membership) setListed(ctx context.Context, list []storer.Instance) {
+func (s *membership) setListed(list []storer.Instance) {
 	s.storeContact.Store(s.daemon.clock.Now().UnixNano())
 	if old := s.listed.Load(); old == nil || !slices.Equal(*old, list) {
 		s.listed.Store(&list)
 	}
-	s.update(ctx, gossiper.PlatformListed{Members: listedMembers(list)})
+	s.update(gossiper.PlatformListed{Members: listedMembers(list)})
 }
 
 // listedMembers returns the live instances of the platform's list.
@@ -326,7 +326,7 @@
 
 // publish rebuilds what others read: the directory, the watchers of the store
 // and the look-up table. The caller holds the lock.
-func (s *membership) publish(ctx context.Context) {
+func (s *membership) publish() {
 	members := s.usable()
 	peers := make([]Peer, 0, len(members))
 	instances := make([]storer.Instance, 0, len(members))
@@ -339,7 +339,7 @@
 		})
 	}
 	s.daemon.directory.set(peers)
-	s.daemon.spread.setInstances(ctx, instances)
+	s.daemon.spread.setInstances(s.daemon.work, instances)
 	s.daemon.publishTable(members, s.steering)
 }
 
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -58,6 +58,7 @@
 		d.log.Error("config: ignored an invalid version", zap.Int64("version", o.Version), zap.Error(err))
 		return
 	}
+	c = d.weakened(c)
 	d.config.Store(c)
 	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
 		d.configInForce(c)
@@ -76,6 +77,7 @@
 			d.log.Error("key: ignored an invalid record", zap.String("name", o.Name), zap.Error(err))
 			continue
 		}
+		r.Withdrawn = r.Withdrawn && d.without != KeyWithdrawal
 		d.keyRecords[o.Name] = r
 		d.keyVersions[o.Name] = o.Version
 	}
@@ -95,7 +97,7 @@
 func (d *Daemon) watchInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		if list, err := d.store.Instances(ctx); err == nil {
-			d.membership.setListed(ctx, list)
+			d.membership.setListed(list)
 		}
 		d.sleep(ctx, d.instancesWait())
 	}
