--- /dev/null
+++ b/seam/allocator/faults_test.go
@@ -0,0 +1,305 @@
+package allocator
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"primroseseam.org/seam/faker"
+)
+
+// schedules is the number of random schedules that the property test runs.
+var schedules = flag.Int("ledger.schedules", 60, "random fault schedules to run")
+
+// fault is one fault of a schedule.
+type fault struct {
+	kind   int
+	node   int
+	other  int
+	at     time.Duration
+	length time.Duration
+}
+
+const (
+	faultPause = iota
+	faultCrash
+	faultPartition
+	faultRegionCut
+	faultStoreDown
+	faultStoreCut
+	faultLostAnswers
+	faultLoss
+	faultStop
+	faultKinds
+)
+
+// schedule is a run's demand, network and faults.
+type schedule struct {
+	seed   uint64
+	delay  time.Duration
+	loss   float64
+	twice  float64
+	replan bool
+	// pair runs two instances that spend fast in place of ten.
+	pair bool
+	// spenders is the number of instances that spend.
+	spenders int
+	faults   []fault
+}
+
+const (
+	// steady has one seat, that of the first instance.
+	steady = "steady2"
+	bursty = "bursty"
+	// scheduleLength is the length of a run; burstFrom is when the bursty team
+	// starts to ask, with full buckets.
+	scheduleLength = 40 * time.Second
+	burstFrom      = 22 * time.Second
+)
+
+func drawSchedule(t *rapid.T) schedule {
+	s := schedule{
+		seed:     rapid.Uint64Range(1, 1<<40).Draw(t, "seed"),
+		delay:    time.Duration(rapid.IntRange(1, 390).Draw(t, "delay")) * time.Millisecond,
+		loss:     float64(rapid.IntRange(0, 20).Draw(t, "loss")) / 100,
+		twice:    float64(rapid.IntRange(0, 20).Draw(t, "twice")) / 100,
+		replan:   rapid.IntRange(0, 3).Draw(t, "replan") == 0,
+		pair:     rapid.IntRange(0, 3).Draw(t, "pair") == 0,
+		spenders: rapid.IntRange(1, 10).Draw(t, "spenders"),
+	}
+	for range rapid.IntRange(1, 10).Draw(t, "faults") {
+		s.faults = append(s.faults, fault{
+			kind:   rapid.IntRange(0, faultKinds-1).Draw(t, "kind"),
+			node:   rapid.IntRange(0, 9).Draw(t, "node"),
+			other:  rapid.IntRange(0, 9).Draw(t, "other"),
+			at:     time.Duration(rapid.IntRange(0, 30_000).Draw(t, "at")) * time.Millisecond,
+			length: time.Duration(rapid.IntRange(50, 15_000).Draw(t, "length")) * time.Millisecond,
+		})
+	}
+	return s
+}
+
+// testCapacities differ in what they show: a team with a high rate and a small
+// burst shows rates that are spent twice, one with a large burst shows tokens
+// from nothing.
+func testCapacities() []Capacity {
+	return []Capacity{
+		team(steady, 300, 4), team(bursty, 4, 80),
+		{Resource: Resource{Kind: LinkBytes, Name: "r0>r1"}, Rate: 20_000, Burst: 10_000},
+		{Resource: Resource{Kind: RegionSlots, Name: "r1"}, Burst: 9},
+	}
+}
+
+// run plays a schedule and returns what was granted too much.
+func (s schedule) run(p plants) (*fleet, []string) {
+	instances, regions, gap := 10, 3, time.Duration(s.spenders)*6*time.Millisecond
+	if s.pair {
+		instances, regions, s.spenders, gap = 2, 1, 2, 4*time.Millisecond
+	}
+	f := newPlantedFleet(s.seed, instances, regions, testCapacities(), p,
+		faker.WithDelay(time.Millisecond, s.delay+time.Millisecond), faker.WithLoss(s.loss), faker.WithDuplicates(s.twice))
+	for _, n := range f.nodes[:s.spenders] {
+		n.spend(gap)
+	}
+	for _, x := range s.faults {
+		f.world.After("", 5*time.Second+x.at, func() { f.begin(x) })
+	}
+	if s.replan {
+		f.world.After("", 15*time.Second, func() { f.replan(2, 0.5) })
+		f.world.After("", 25*time.Second, func() { f.replan(3, 0.75) })
+	}
+	f.world.Run(scheduleLength)
+	return f, f.broken()
+}
+
+// replan changes every limit to a part of the first; the greatest stays the
+// bound of the check.
+func (f *fleet) replan(version int64, part float64) {
+	capacities := testCapacities()
+	for i := range capacities {
+		capacities[i].Rate *= part
+		capacities[i].Burst *= part
+	}
+	f.plan = NewPlan(version, f.domains, capacities)
+	for _, n := range f.nodes {
+		f.world.After(n.name, time.Duration(f.world.Rand().Int64N(int64(3*time.Second))), func() {
+			n.feed(PlanChanged{Plan: f.plan})
+		})
+	}
+}
+
+// spend asks for random amounts of everything, more than there is.
+func (n *node) spend(gap time.Duration) {
+	w := n.fleet.world
+	w.After("", time.Duration(w.Rand().Int64N(int64(2*gap))), func() {
+		if !n.dead && !w.Paused(n.name) {
+			n.spendOnce()
+		}
+		n.spend(gap)
+	})
+}
+
+func (n *node) spendOnce() {
+	rng := n.fleet.world.Rand()
+	for _, c := range testCapacities() {
+		switch {
+		case c.Resource.Kind == RegionSlots:
+			n.occupy(c.Resource, time.Duration(rng.Int64N(int64(3*time.Second))))
+		case c.Resource.Kind == LinkBytes:
+			n.transfer(c.Resource, float64(rng.IntN(3000)))
+		case c.Resource.Name == steady || n.fleet.world.Now().After(faker.Epoch.Add(burstFrom)):
+			n.drainTokens(c.Resource)
+		}
+	}
+}
+
+// drainTokens takes all whole tokens that are there, and asks for more.
+func (n *node) drainTokens(r Resource) {
+	for range 6 {
+		if !n.request(r, 1) {
+			n.ledger.Missing(r, 3)
+			return
+		}
+	}
+}
+
+// transfer reserves bytes and later uses a part of them.
+func (n *node) transfer(r Resource, bytes float64) {
+	hold, ok := n.ledger.Take(n.now(), r, bytes)
+	n.ledger.Missing(r, 0)
+	if !ok {
+		n.ledger.Missing(r, bytes)
+		return
+	}
+	l, check := n.ledger, n.fleet.checks[r]
+	check.add(n.fleet.world.Now(), bytes)
+	used := bytes * n.fleet.world.Rand().Float64()
+	n.fleet.world.After(n.name, 200*time.Millisecond, func() {
+		before := l.Tokens(n.now(), r)
+		l.Settle(n.now(), hold, used)
+		check.add(n.fleet.world.Now(), before-l.Tokens(n.now(), r))
+	})
+}
+
+// occupy takes a slot until a deadline; it is free then whatever happens.
+func (n *node) occupy(r Resource, length time.Duration) {
+	hold, ok := n.ledger.TakeSlot(n.now(), r, n.now().Add(length))
+	n.ledger.Missing(r, 0)
+	if !ok {
+		n.ledger.Missing(r, 1)
+		return
+	}
+	check := n.fleet.checks[r]
+	check.add(n.fleet.world.Now(), 1)
+	l := n.ledger
+	n.fleet.world.After("", length, func() { check.level-- })
+	n.fleet.world.After(n.name, length, func() { l.FreeSlot(n.now(), hold) })
+}
+
+// begin starts a fault and plans its end.
+func (f *fleet) begin(x fault) {
+	a, b := f.nodes[x.node%len(f.nodes)], f.nodes[x.other%len(f.nodes)]
+	end := func(run func()) { f.world.After("", x.length, run) }
+	switch x.kind {
+	case faultPause:
+		f.world.Pause(a.name)
+		end(func() { f.world.Resume(a.name) })
+	case faultCrash:
+		f.crash(a)
+		end(func() { f.restart(a) })
+	case faultPartition:
+		f.network.SetCut(a.name, b.name, true)
+		end(func() { f.network.SetCut(a.name, b.name, false) })
+	case faultRegionCut:
+		f.cutRegion(a.domain.Region, true)
+		end(func() { f.cutRegion(a.domain.Region, false) })
+	case faultStoreDown:
+		f.store.SetDown(true)
+		end(func() { f.store.SetDown(false) })
+	case faultStoreCut:
+		f.network.SetCut(a.name, faker.StoreNode, true)
+		end(func() { f.network.SetCut(a.name, faker.StoreNode, false) })
+	case faultLostAnswers:
+		f.store.LoseAnswers(x.other + 1)
+	case faultLoss:
+		f.network.SetLoss(0.5)
+		end(func() { f.network.SetLoss(0.02) })
+	case faultStop:
+		a.feed(StopRequested{})
+		end(func() { f.crash(a); f.restart(a) })
+	}
+}
+
+func (f *fleet) crash(n *node) {
+	f.world.Crash(n.name)
+	n.dead = true
+}
+
+func (f *fleet) restart(n *node) {
+	if n.dead {
+		n.start()
+	}
+}
+
+// cutRegion cuts a region from the others and from the store.
+func (f *fleet) cutRegion(region string, on bool) {
+	for _, a := range f.nodes {
+		if a.domain.Region != region {
+			continue
+		}
+		f.network.SetCut(a.name, faker.StoreNode, on)
+		for _, b := range f.nodes {
+			if b.domain.Region != region {
+				f.network.SetCut(a.name, b.name, on)
+			}
+		}
+	}
+}
+
+func TestLimitsHoldUnderRandomFaults(t *testing.T) {
+	if err := flag.Set("rapid.checks", fmt.Sprint(*schedules)); err != nil {
+		t.Fatal(err)
+	}
+	granted := map[string]float64{}
+	rapid.Check(t, func(t *rapid.T) {
+		f, broken := drawSchedule(t).run(plants{})
+		if len(broken) > 0 {
+			t.Fatalf("granted too much: %v", broken)
+		}
+		for r, c := range f.checks {
+			granted[r.Name] += c.granted
+		}
+	})
+	t.Logf("granted in all: %v", granted)
+}
+
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for name, p := range map[string]plants{
+		"term counted from receipt": {termFromReceipt: true},
+		"tokens minted at takeover": {mintAtTakeover: true},
+		"claim without guard":       {claimWithoutGuard: true, ignoreRosters: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tries, found := firstFound(p, 120)
+			if !found {
+				t.Errorf("not found in %d schedules", tries)
+			}
+			t.Logf("found by schedule %d", tries)
+		})
+	}
+}
+
+// firstFound returns the number of the first schedule that shows a plant.
+func firstFound(p plants, tries int) (int, bool) {
+	for seed := range tries {
+		s := rapid.Custom(drawSchedule).Example(seed)
+		if _, broken := s.run(p); len(broken) > 0 {
+			return seed, true
+		}
+	}
+	return tries, false
+}
--- a/seam/spreader/calls.go
+++ b/seam/spreader/calls.go
@@ -25,7 +25,7 @@
 // that the store has to be read directly.
 func (m *Model) abandoned() bool { return m.follow.failures >= len(m.nearWatchers()) }
 
-// nearWatchers returns the other watchers of this region.
+// nearWatchers returns the other watchers of this region, ordered by id.
 func (m *Model) nearWatchers() []Watcher {
 	var near []Watcher
 	for _, w := range m.watchers {
@@ -33,9 +33,21 @@
 			near = append(near, w)
 		}
 	}
+	slices.SortFunc(near, func(a, b Watcher) int { return cmp.Compare(a.ID, b.ID) })
 	return near
 }
 
+// choose returns the watcher whose turn it is: first each one of this region,
+// starting at this instance's rank, then the others.
+func (m *Model) choose(list []Watcher) Watcher {
+	near := len(m.nearWatchers())
+	turn := m.follow.next % len(list)
+	if turn < near {
+		return list[(m.follow.rank+turn)%near]
+	}
+	return list[turn]
+}
+
 // candidates returns the watchers to follow, those of this region first.
 func (m *Model) candidates() []Watcher {
 	list := m.nearWatchers()
@@ -109,7 +121,7 @@
 		return nil
 	}
 	m.follow.busy = true
-	peer := list[m.follow.next%len(list)]
+	peer := m.choose(list)
 	return []Cmd{Follow{Peer: peer, Request: m.request(peer, relayWait)}}
 }
 
@@ -131,7 +143,7 @@
 		return cmds
 	}
 	m.follow.busy = false
-	if msg.Answer.EvidenceAge > staleAfter {
+	if msg.Answer.EvidenceAge > staleAfter && !msg.Answer.More {
 		m.tryAnother(now)
 		return cmds
 	}
@@ -172,17 +184,31 @@
 	return time.Duration(m.rng.Int64N(int64(d)))
 }
 
-// Answer returns what this instance holds beyond a peer's request.
+// Answer returns what this instance holds beyond a peer's request, up to a
+// size. An answer that is cut there leaves the peer's positions as they are.
 func (m *Model) Answer(now time.Time, r Request, waited time.Duration) Answer {
-	return Answer{
+	answer := Answer{
 		Positions:        maps.Clone(m.positions),
 		Incarnation:      m.incarnation,
 		Serial:           m.serial,
-		Objects:          m.beyond(r),
 		Waited:           waited,
 		EvidenceAge:      m.evidence.age(now),
 		StoreUnreachable: m.Watching() && m.evidence.storeDown,
 	}
+	size := 0
+	for _, e := range m.beyond(r) {
+		if size > answerBytes {
+			answer.Positions = nil
+			answer.EvidenceAge = unknownAge
+			answer.More = true
+			return answer
+		}
+		size += len(e.object.Value)
+		answer.Objects = append(answer.Objects, e.object)
+		answer.Serial = e.serial
+	}
+	answer.Serial = m.serial
+	return answer
 }
 
 // HasNews reports whether an answer to the request would carry an object.
@@ -193,9 +219,9 @@
 	return len(m.beyond(r)) > 0
 }
 
-// beyond returns the objects that the sender of a request lacks: those taken
-// since its last answer, or else those after its positions.
-func (m *Model) beyond(r Request) []storer.Object {
+// beyond returns the entries that the sender of a request lacks, in the order
+// of taking: those since its last answer, or else those after its positions.
+func (m *Model) beyond(r Request) []entry {
 	var entries []entry
 	for _, kind := range kinds {
 		for _, e := range m.objects[kind] {
@@ -206,11 +232,7 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.serial, b.serial) })
-	objects := make([]storer.Object, 0, len(entries))
-	for _, e := range entries {
-		objects = append(objects, e.object)
-	}
-	return objects
+	return entries
 }
 
 func (r Request) position(kind storer.Kind) int64 {
--- a/seam/spreader/messages.go
+++ b/seam/spreader/messages.go
@@ -10,7 +10,12 @@
 type Msg interface{ isMsg() }
 
 // WatchersChanged brings the watchers of all regions.
-type WatchersChanged struct{ Watchers []Watcher }
+type WatchersChanged struct {
+	Watchers []Watcher
+	// Rank is the place of this instance among its region's followers, by
+	// which they share the watchers evenly.
+	Rank int
+}
 
 // StoreAnswered carries the answer to a ReadStore.
 type StoreAnswered struct {
@@ -91,6 +96,8 @@
 	Incarnation uint64
 	Serial      uint64
 	Objects     []storer.Object
+	// More means that the answer was cut at its size.
+	More bool
 	// Waited is how long the peer held the call.
 	Waited time.Duration
 	// EvidenceAge is how old the peer's evidence for its keys was.
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -48,11 +48,14 @@
 	config    atomic.Pointer[configurer.Config]
 	inForce   atomic.Pointer[inForce]
 	spread    *spread
+	ledger    *ledgerCalls
 	// keyRecords and keyVersions are guarded by the spread's lock.
 	keyRecords  map[string]authenticator.Record
 	keyVersions map[string]int64
 	peerClient  *http.Client
 	security    security
+	cancels     cancels
+	clients     *clients
 	// work ends when the daemon has shut down, stopping when it starts to.
 	work       context.Context
 	stopping   chan struct{}
@@ -123,6 +126,7 @@
 		}
 		d.store = store
 	}
+	d.store = storer.Observe(d.store, d.countStoreCall)
 	if err := d.secure(); err != nil {
 		return nil, err
 	}
@@ -132,9 +136,13 @@
 		seed = d.incarnation
 	}
 	self := decider.NewSelf(settings.Instance.ID, settings.Instance.Region, settings.Instance.FailureDomain)
-	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed))
+	model := decider.New(decider.WithSelf(self), decider.WithSeed(seed), decider.WithIncarnation(d.incarnation))
 	d.meters = newMeters(d.metrics)
 	d.loop = newLoop(model, d.clock, newDecisionLog(d.log, settings.Log.Sampling), d.meters)
+	d.clients = newClients(d)
+	d.loop.cancel = d.cancels.stop
+	d.ledger = newLedgerCalls(d)
+	d.loop.ledger = d.ledger.carryOut
 	d.spread = newSpread(d, seed)
 	d.meters.addState(d)
 	d.table.Store(steerer.NewTable(nil, nil))
@@ -175,6 +183,9 @@
 // PeerAddress returns the bound address for other instances.
 func (d *Daemon) PeerAddress() string { return d.listeners.peers.Addr().String() }
 
+// MetricsAddress returns the bound address for metrics.
+func (d *Daemon) MetricsAddress() string { return d.listeners.metrics.Addr().String() }
+
 // Run serves until ctx ends, then shuts down gracefully: requests in progress
 // go on, new ones are refused, and nothing is cut.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -184,6 +195,7 @@
 	background, _ := errgroup.WithContext(work)
 	background.Go(func() error { d.loop.run(work); return nil })
 	background.Go(func() error { d.spread.run(work); return nil })
+	background.Go(func() error { d.clients.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
 	background.Go(func() error { d.membership.run(work); return nil })
 
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/decider"
 )
 
@@ -29,6 +30,10 @@
 	done    chan struct{}
 	replies map[uint64]chan decider.Cmd
 	loads   atomic.Pointer[[]decider.ServiceLoad]
+	// cancel stops an attempt that is under way.
+	cancel func(decider.Cancel)
+	// ledger carries out the commands of the fleet-wide ledger.
+	ledger func(allocator.Cmd)
 }
 
 // envelope is a message and, for a new request, where its commands go.
@@ -49,6 +54,7 @@
 		inbox:   make(chan envelope, inboxSize),
 		done:    make(chan struct{}),
 		replies: map[uint64]chan decider.Cmd{},
+		cancel:  func(decider.Cancel) {},
 	}
 }
 
@@ -126,7 +132,10 @@
 		l.meters.refused(c.Code)
 		l.log.refused(c)
 	case decider.Cancel:
+		l.cancel(c)
 		l.deliver(c.ID, c)
+	case decider.LedgerCall:
+		l.ledger(c.Call)
 	}
 }
 
--- a/seamd/daemon/membership.go
+++ b/seamd/daemon/membership.go
@@ -339,6 +339,7 @@
 		})
 	}
 	s.daemon.directory.set(peers)
+	s.daemon.ledger.membersChanged()
 	s.daemon.spread.setInstances(s.daemon.work, instances)
 	s.daemon.publishTable(members, s.steering)
 }
--- a/seamd/daemon/membership_test.go
+++ b/seamd/daemon/membership_test.go
@@ -28,6 +28,14 @@
 	return storer.Events{}, errDown
 }
 
+func (downStore) Get(context.Context, storer.Kind, string) (storer.Object, error) {
+	return storer.Object{}, errDown
+}
+
+func (downStore) Put(context.Context, storer.Object) (storer.Object, error) {
+	return storer.Object{}, errDown
+}
+
 func (downStore) Instances(context.Context) ([]storer.Instance, error) { return nil, errDown }
 
 // running is a daemon with what stops it.
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"time"
@@ -27,6 +28,15 @@
 	instancesEveryJoined = 30 * time.Second
 )
 
+// countStoreCall counts a call to the platform's service.
+func (d *Daemon) countStoreCall(c storer.Call) {
+	labels := fmt.Sprintf(`{method=%q,kind=%q,result=%q}`, c.Method, string(c.Kind), c.Result)
+	d.metrics.GetOrCreateCounter(metricStoreCalls + labels).Inc()
+	if c.Method != "watch" {
+		d.metrics.GetOrCreateHistogram(metricStoreSeconds).Update(c.Took.Seconds())
+	}
+}
+
 // readKind lists a kind or watches it, as the call says.
 func (d *Daemon) readKind(ctx context.Context, call spreader.ReadStore) (storer.Events, error) {
 	if call.Position < 0 {
@@ -45,6 +55,7 @@
 		}
 	}
 	d.takeKeys(keys)
+	d.takeClients(objects)
 	for _, o := range objects {
 		if o.Kind == storer.KindConfig && o.Name == storer.ConfigName {
 			d.takeConfig(o)
@@ -60,6 +71,7 @@
 	}
 	c = d.weakened(c)
 	d.config.Store(c)
+	d.clients.wakeUp()
 	d.loop.sendThen(decider.ConfigChanged{Config: c}, func() {
 		d.configInForce(c)
 		d.log.Info("config: in force", zap.Int64("version", o.Version), zap.String("change", c.Change().ID))
