--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -68,8 +68,9 @@
 	addresses  atomic.Pointer[map[string]string]
 	signer     atomic.Pointer[ticketer.Signer]
 	home       *deduplicator.Home
-	// toldPeers belongs to the goroutine that reads the instance list.
-	toldPeers []decider.Peer
+	// toldPeers is guarded by the membership's lock.
+	toldPeers  []decider.Peer
+	membership *membership
 	// incarnation orders the starts of this instance.
 	incarnation uint64
 	nextID      atomic.Uint64
@@ -157,7 +158,11 @@
 	d.spread = newSpread(d, seed)
 	d.meters.addState(d)
 	d.table.Store(steerer.NewTable(nil, nil))
-	return d, d.bind()
+	if err := d.bind(); err != nil {
+		return nil, err
+	}
+	d.membership = newMembership(d, seed)
+	return d, nil
 }
 
 func (d *Daemon) bind() error {
@@ -204,6 +209,7 @@
 	background.Go(func() error { d.spread.run(work); return nil })
 	background.Go(func() error { d.clients.run(work); return nil })
 	background.Go(func() error { d.watchInstances(work); return nil })
+	background.Go(func() error { d.membership.run(work); return nil })
 	background.Go(func() error { d.watchTicketKey(work); return nil })
 
 	servers := []*server{
@@ -229,7 +235,10 @@
 	case <-d.drained:
 		err = d.shutDown(servers)
 	case <-d.killed:
+		d.membership.end()
 		cutAll(servers)
+	case <-d.membership.superseded:
+		err = d.shutDown(servers)
 	case err = <-failed:
 		err = errors.Join(err, d.shutDown(servers))
 	}
--- /dev/null
+++ b/seamd/daemon/join_test.go
@@ -0,0 +1,28 @@
+package daemon_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"primroseseam.org/standin/responder"
+)
+
+func TestNewInstanceServesWhileTheStoreIsDown(t *testing.T) {
+	w := newWorld(t, responder.New(responder.WithSlots(10)))
+	fresh := startWithoutStore(t, "i1", w.daemon.PeerAddress())
+	started := time.Now()
+	status := 0
+	for time.Since(started) < 8*time.Second {
+		resp, err := exchange(http.DefaultClient, "http://"+fresh.CallerAddress()+"/lessons/1", w.secret, strings.NewReader("x"))
+		if err == nil {
+			if status = resp.StatusCode; status == http.StatusOK {
+				t.Logf("serves after %v", time.Since(started).Round(time.Millisecond))
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("doesn't serve after 8 s: status %d", status)
+}
--- a/seamd/daemon/lookups.go
+++ b/seamd/daemon/lookups.go
@@ -34,11 +34,20 @@
 		region = d.settings.Instance.Region
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	answer := table.Entries(region, rng)
+	answer := table.Entries(region, callerName(ctx), rng)
 	answer.Ticket = d.ticket()
 	_ = ctx.JSON(answer)
 }
 
+// callerName tells callers apart: by the name that they give, else by their
+// connection.
+func callerName(ctx iris.Context) string {
+	if name := ctx.URLParam("caller"); name != "" {
+		return name
+	}
+	return ctx.Request().RemoteAddr
+}
+
 func clientAddress(ctx iris.Context) netip.Addr {
 	if addr, err := netip.ParseAddr(ctx.URLParam("client")); err == nil {
 		return addr
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -28,6 +29,7 @@
 	inbox   chan envelope
 	done    chan struct{}
 	replies map[uint64]chan decider.Cmd
+	loads   atomic.Pointer[[]decider.ServiceLoad]
 	// decisions are kept for operators who ask why.
 	decisions *decisions
 	// ledger carries out the commands of the fleet-wide ledger.
@@ -91,6 +93,8 @@
 			return
 		case <-ticker.Chan():
 			l.update(decider.Ticked{})
+			loads := l.model.ServiceLoads(l.clock.Now())
+			l.loads.Store(&loads)
 		case e := <-l.inbox:
 			l.handle(e)
 		}
--- a/seamd/daemon/shutdown.go
+++ b/seamd/daemon/shutdown.go
@@ -32,10 +32,12 @@
 	started := d.clock.Now()
 	d.leaving.Store(true)
 	close(d.stopping)
+	d.membership.leave()
 	d.log.Info("daemon: leaving", zap.Duration("linger", time.Duration(d.settings.Shutdown.Linger)))
 	select {
 	case <-d.clock.After(time.Duration(d.settings.Shutdown.Linger)):
 	case <-d.killed:
+		d.membership.end()
 		cutAll(servers)
 		return nil
 	}
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,13 +12,21 @@
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/gossiper"
 	"primroseseam.org/seam/spreader"
 	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
 )
 
-// instancesEvery is the time between two reads of the instance list.
-const instancesEvery = time.Second
+// The times between two reads of the instance list.
+const (
+	// instancesEvery holds until a peer has been heard.
+	instancesEvery = time.Second
+	// instancesEveryWatching holds for the watchers of the store.
+	instancesEveryWatching = 5 * time.Second
+	// instancesEveryJoined is the mean for all others.
+	instancesEveryJoined = 30 * time.Second
+)
 
 // countStoreCall counts a call to the platform's service.
 func (d *Daemon) countStoreCall(c storer.Call) {
@@ -97,32 +106,39 @@
 	})
 }
 
-// watchInstances turns the platform's instance list into the look-up table.
+// watchInstances passes the platform's instance list to the membership.
 func (d *Daemon) watchInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		if list, err := d.store.Instances(ctx); err == nil {
-			d.table.Store(d.newTable(list))
-			d.spread.setInstances(ctx, list)
-			d.ledger.membersChanged()
-			d.directory.setFromPlatform(list)
-			d.tellPeers(list)
+			d.membership.setListed(list)
 		}
-		d.sleep(ctx, instancesEvery)
+		d.sleep(ctx, d.instancesWait())
+	}
+}
+
+// instancesWait caps the calls for the list: once peers are heard the list only
+// hints, so most instances need it seldom.
+func (d *Daemon) instancesWait() time.Duration {
+	if !d.membership.joined() {
+		return instancesEvery
+	}
+	if d.spread.state().watching {
+		return instancesEveryWatching
 	}
+	return instancesEveryJoined/2 + time.Duration(rand.Int64N(int64(instancesEveryJoined)))
 }
 
-func (d *Daemon) newTable(list []storer.Instance) *steerer.Table {
+// publishTable swaps in a look-up table of the members that may be used.
+func (d *Daemon) publishTable(members []gossiper.Member, s steering) {
 	var entries []steerer.Instance
-	for _, i := range list {
-		if i.State == storer.InstanceLive {
-			entries = append(entries, steerer.Instance{ID: i.ID, Region: i.Region, Address: i.CallerAddress})
-		}
+	for _, m := range members {
+		entries = append(entries, steerer.Instance{ID: m.ID, Region: m.Region, Address: m.CallerAddress})
 	}
 	var blocks []steerer.Block
 	if c := d.config.Load(); c != nil {
 		blocks = clientBlocks(c)
 	}
-	return steerer.NewTable(entries, blocks)
+	d.table.Store(steerer.NewTable(entries, blocks).WithShares(s.shares, s.silent))
 }
 
 func clientBlocks(c *configurer.Config) []steerer.Block {
--- a/seamd/daemon/tls.go
+++ b/seamd/daemon/tls.go
@@ -20,7 +20,7 @@
 	// peerDialTimeout bounds a new connection to a peer.
 	peerDialTimeout = time.Second
 	// peerIdleTimeout closes connections to peers that are not used.
-	peerIdleTimeout = 30 * time.Second
+	peerIdleTimeout = 90 * time.Second
 	// peerIdleConns bounds the unused connections to one peer.
 	peerIdleConns = 4
 )
--- a/seamd/loader/check.go
+++ b/seamd/loader/check.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -16,7 +17,7 @@
 // check returns the first fault of the settings.
 func (s Settings) check() error {
 	checks := []func() error{
-		s.checkInstance, s.checkListen, s.checkPlatform, s.checkShutdown, s.checkLog, s.Security.check,
+		s.checkInstance, s.checkListen, s.checkPeers, s.checkPlatform, s.checkShutdown, s.checkLog, s.Security.check,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -70,6 +71,18 @@
 	return nil
 }
 
+func (s Settings) checkPeers() error {
+	for i, address := range s.Peers {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return invalid(fmt.Sprintf("peers[%d]", i), `%q is not an IP address with a port; write it as "10.0.0.1:8002"`, address)
+		}
+	}
+	if s.Membership.BytesPerSecond < 0 {
+		return invalid("membership.bytesPerSecond", "must not be negative; 0 takes the default")
+	}
+	return nil
+}
+
 func (s Settings) checkPlatform() error {
 	u, err := url.Parse(s.Platform.Address)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- a/seamd/loader/settings.go
+++ b/seamd/loader/settings.go
@@ -38,7 +38,10 @@
 	Platform Platform `json:"platform"`
 	Shutdown Shutdown `json:"shutdown"`
 	Log      Log      `json:"log"`
-	Security Security `json:"security"`
+	// Peers lists the IP addresses and ports of peers to join by.
+	Peers      []string   `json:"peers,omitempty"`
+	Membership Membership `json:"membership"`
+	Security   Security   `json:"security"`
 	// Seed seeds random choices; 0 takes the time of the start.
 	Seed uint64 `json:"seed,omitempty"`
 }
@@ -58,6 +61,13 @@
 	Metrics string `json:"metrics"`
 }
 
+// Membership bounds what instances tell each other about themselves.
+type Membership struct {
+	// BytesPerSecond is the budget for heartbeats sent and received; 0 takes
+	// the default.
+	BytesPerSecond int `json:"bytesPerSecond,omitempty"`
+}
+
 // Platform says where the platform's object service answers.
 type Platform struct {
 	Address string `json:"address"`
