Let the callers' client use names that homes accept

Cause: the client made names of the form ticket/id-counter while homes read only ticket.counter, so every named request of the client was refused as malformed; without a ticket it sent names that no home can read. Change: the client names a request by the ticket of its look-up and a counter, and sends no name without a ticket, so that it then repeats only what did not run. Conclusion: the documented client and the daemon now speak of the same names.

--- a/seam/caller/caller.go
+++ b/seam/caller/caller.go
@@ -51,7 +51,7 @@
 	// Idempotent means that the request may run more than once.
 	Idempotent bool
 	// Name identifies a request that must run at most once. It is chosen if it
-	// is empty; give the same one to try again later.
+	// is empty; give the one of an earlier answer to try again later.
 	Name string
 }
 
@@ -73,7 +73,8 @@
 	scheme   string
 	http     *http.Client
 	clock    clockwork.Clock
-	id       string
+	// id tells this client's look-ups apart from those of others.
+	id string
 
 	mu      sync.Mutex
 	entries entries
@@ -124,7 +125,6 @@
 // safe or doesn't help. The error is a [*Refusal] if the system refused, or
 // carries OutcomeUnknown if the request may have run without an answer.
 func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
-	ticket := false
 	var last error
 	for try := range c.attempts {
 		instance, err := c.instance(ctx)
@@ -132,14 +132,14 @@
 			return Answer{}, errors.Join(last, err)
 		}
 		if !r.Idempotent && r.Name == "" {
-			r.Name, ticket = c.nextName()
+			r.Name = c.nextName()
 		}
 		answer, err := c.send(ctx, instance, r)
 		if err == nil {
 			return answer, nil
 		}
 		last = err
-		wait, again := c.next(instance, r, ticket, err)
+		wait, again := c.next(instance, r, err)
 		if !again || try == c.attempts-1 || !c.sleep(ctx, wait) {
 			break
 		}
@@ -147,26 +147,26 @@
 	return Answer{}, last
 }
 
-// nextName returns a name of this client's own. With a ticket the name says
-// where its record is, so that it may be sent to any instance.
-func (c *Client) nextName() (name string, ticket bool) {
+// nextName returns a name that no other request has: the ticket of the look-up
+// and a counter. It says where the request's record is, so that it may be sent
+// to any instance. Without a ticket there is no name.
+func (c *Client) nextName() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counter++
-	prefix := c.entries.Ticket
-	if prefix == "" {
-		prefix = c.id
+	if c.entries.Ticket == "" {
+		return ""
 	}
-	return prefix + "/" + c.id + "-" + strconv.FormatUint(c.counter, 10), c.entries.Ticket != ""
+	c.counter++
+	return c.entries.Ticket + "." + strconv.FormatUint(c.counter, 10)
 }
 
 // next says whether and when to try again after an error.
-func (c *Client) next(instance string, r Request, ticket bool, err error) (time.Duration, bool) {
+func (c *Client) next(instance string, r Request, err error) (time.Duration, bool) {
 	soon := shortestWait/2 + mathrand.N(shortestWait)
 	var refusal *Refusal
 	if !errors.As(err, &refusal) {
 		c.avoidFor(instance)
-		return soon, r.Idempotent || ticket || isDial(err)
+		return soon, r.Idempotent || r.Name != "" || isDial(err)
 	}
 	if refusal.ran != coder.NotRun {
 		return max(soon, refusal.retryAfter), r.Idempotent
--- a/seamd/daemon/homes_test.go
+++ b/seamd/daemon/homes_test.go
@@ -8,9 +8,33 @@
 	"testing"
 	"time"
 
+	"primroseseam.org/seam/caller"
 	"primroseseam.org/seam/storer"
 )
 
+func TestCallersClientNamesWhatRunsOnce(t *testing.T) {
+	r := newRig(t, 3)
+	client := caller.New([]string{"http://" + r.daemons[0].LookupAddress()}, caller.WithKey(r.secret))
+	request := caller.Request{Method: http.MethodPost, Path: "/stamp", Body: []byte("bundle")}
+	first, err := client.Do(t.Context(), request)
+	if err != nil || first.Name == "" {
+		t.Fatalf("got %+v, %v", first, err)
+	}
+	request.Name = first.Name
+	again, err := client.Do(t.Context(), request)
+	if err != nil || string(again.Body) != string(first.Body) {
+		t.Errorf("a repeat got %q, %v", again.Body, err)
+	}
+	request.Name = ""
+	other, err := client.Do(t.Context(), request)
+	if err != nil || other.Name == first.Name {
+		t.Errorf("another request got %+v, %v", other, err)
+	}
+	if seen := r.requests(); len(seen) != 2 {
+		t.Errorf("the upstream ran 2 names %d times", len(seen))
+	}
+}
+
 func TestNamedRequestRunsOnceWhereverItIsSent(t *testing.T) {
 	r := newRig(t, 3)
 	name := r.lookUp(1).Ticket + ".1"
