Never trust keys on one's own word alone

Cause: once an instance that is cut off declares all others dead, its list of watchers holds only itself, and 'all others say that the store is unreachable' was true of nobody. It trusted withdrawn keys without end. The measurement of a cut-off instance had stopped showing it, since the membership tells instances' own addresses and calls went round the measurement's gates. Change: the regions of the configuration and those ever seen must each be heard before an outage is concluded; the list never shrinks. The gates stand in the dialer. Conclusion: the freshness rule holds with a membership that gives up peers.

--- a/seam/generator/faults.go
+++ b/seam/generator/faults.go
@@ -141,7 +141,7 @@
 		id := fmt.Sprintf("seamd-%d", i+1)
 		at := faultAt + time.Duration(i)*step
 		m.at(at, tracer.InstanceStopped{Instance: id})
-		m.at(at+step*3/4, tracer.InstanceStarted{Instance: id})
+		m.at(at+step*9/10, tracer.InstanceStarted{Instance: id})
 	}
 	m.refusedAtMost(0)
 	m.latencies(0)
--- a/seam/replayer/callers.go
+++ b/seam/replayer/callers.go
@@ -181,8 +181,13 @@
 	}
 }
 
-// refused ends a request with a numbered refusal.
+// refused ends a request with a numbered refusal. An instance that stops sends
+// its callers to the next one.
 func (c *callers) refused(k *call, code coder.Code, ran coder.Ran) {
+	if code == coder.Stopping && ran == coder.NotRun && len(k.targets) > 0 {
+		c.sendElsewhere(k)
+		return
+	}
 	if !k.ended {
 		k.ended = true
 		c.replay.recorder.refused(k, code, ran)
--- a/seam/replayer/instance.go
+++ b/seam/replayer/instance.go
@@ -18,8 +18,9 @@
 	tickEvery = 50 * time.Millisecond
 	// readEvery is the time between two reads of the store.
 	readEvery = time.Second
-	// stopLinger is how long a stopping instance still answers callers.
-	stopLinger = 2 * time.Second
+	// stopLinger is how long a leaving instance still serves callers whose
+	// look-up answer is older, as the daemon does by default.
+	stopLinger = 10 * time.Second
 )
 
 // instance is a decision core with fakes around it.
@@ -44,7 +45,11 @@
 	i.start()
 }
 
+// restartInstance starts an instance; one that still runs ends first.
 func (r *replay) restartInstance(id string) {
+	if r.instances[id].alive {
+		r.instances[id].crash()
+	}
 	r.instances[id].start()
 }
 
@@ -83,8 +88,10 @@
 		i.crash()
 		return
 	}
-	i.update(decider.StopRequested{})
-	i.replay.world.After(i.info.ID, stopLinger, i.endWhenIdle)
+	i.replay.world.After(i.info.ID, stopLinger, func() {
+		i.update(decider.StopRequested{})
+		i.endWhenIdle()
+	})
 }
 
 func (i *instance) endWhenIdle() {
--- a/seam/spreader/evidence.go
+++ b/seam/spreader/evidence.go
@@ -1,6 +1,7 @@
 package spreader
 
 import (
+	"maps"
 	"time"
 )
 
@@ -14,10 +15,25 @@
 	storeDown bool
 	// claims holds the regions whose watchers can't reach the store.
 	claims map[string]time.Time
-	asked  time.Time
+	// regions holds every region that was configured or had a watcher. It never
+	// shrinks: a region that is not heard may still reach the store.
+	regions map[string]bool
+	asked   time.Time
 }
 
-func newEvidence() evidence { return evidence{claims: map[string]time.Time{}} }
+func newEvidence() evidence {
+	return evidence{claims: map[string]time.Time{}, regions: map[string]bool{}}
+}
+
+// know adds regions that must be heard before the store counts as unreachable.
+func (e *evidence) know(msg WatchersChanged) {
+	for _, region := range msg.Regions {
+		e.regions[region] = true
+	}
+	for _, w := range msg.Watchers {
+		e.regions[w.Region] = true
+	}
+}
 
 func (e *evidence) prove(at time.Time) {
 	if at.After(e.at) {
@@ -90,11 +106,8 @@
 		return
 	}
 	oldest := now
-	for _, w := range m.watchers {
-		if w.ID == m.self {
-			continue
-		}
-		at, ok := m.evidence.claims[w.Region]
+	for region := range m.mustHear() {
+		at, ok := m.evidence.claims[region]
 		if !ok || now.Sub(at) > claimLife {
 			return
 		}
@@ -105,6 +118,19 @@
 	m.evidence.prove(oldest)
 }
 
+// mustHear returns the regions whose word an outage needs: all others, and the
+// own one while it has another watcher.
+func (m *Model) mustHear() map[string]bool {
+	regions := maps.Clone(m.evidence.regions)
+	delete(regions, m.region)
+	for _, w := range m.watchers {
+		if w.ID != m.self {
+			regions[w.Region] = true
+		}
+	}
+	return regions
+}
+
 // KeyEvidence returns a time at which the keys held were all that had been
 // accepted, or the zero time.
 func (m *Model) KeyEvidence() time.Time { return m.evidence.at }
--- a/seam/spreader/evidence_test.go
+++ b/seam/spreader/evidence_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"primroseseam.org/seam/faker"
+	"primroseseam.org/seam/spreader"
 	"primroseseam.org/seam/storer"
 )
 
@@ -44,6 +45,20 @@
 	}
 }
 
+// TestBelievingAllOthersDeadProvesNothing cuts an instance off until its
+// membership gives up the others. It must not take its own word for theirs.
+func TestBelievingAllOthersDeadProvesNothing(t *testing.T) {
+	s := evidenceFleet(t)
+	alone := s.nodes[0]
+	s.cutOff(alone)
+	self := spreader.Watcher{ID: alone.id, Region: alone.region}
+	alone.update(spreader.WatchersChanged{Watchers: []spreader.Watcher{self}})
+	s.world.Run(time.Minute)
+	if age := alone.model.EvidenceAge(s.world.Now()); age < 50*time.Second {
+		t.Errorf("evidence is %v old after a minute alone", age)
+	}
+}
+
 func TestKeysStayTrustedWhileTheStoreIsDownForAll(t *testing.T) {
 	s := evidenceFleet(t)
 	s.store.SetDown(true)
--- a/seam/spreader/messages.go
+++ b/seam/spreader/messages.go
@@ -12,6 +12,9 @@
 // WatchersChanged brings the watchers of all regions.
 type WatchersChanged struct {
 	Watchers []Watcher
+	// Regions lists the configured regions, also those that have no live
+	// watcher now.
+	Regions []string
 	// Rank is the place of this instance among its region's followers, by
 	// which they share the watchers evenly.
 	Rank int
--- a/seam/spreader/spreader.go
+++ b/seam/spreader/spreader.go
@@ -180,6 +180,7 @@
 // among those of their region, and turn to the rest in random order.
 func (m *Model) watchersChanged(msg WatchersChanged) {
 	m.follow.rank = msg.Rank
+	m.evidence.know(msg)
 	if sameWatchers(m.watchers, msg.Watchers) {
 		return
 	}
--- a/seamctl/demonstrator/demonstrator.go
+++ b/seamctl/demonstrator/demonstrator.go
@@ -31,7 +31,7 @@
 const (
 	defaultDuration = 20 * time.Second
 	// readyTimeout bounds how long daemons may take until they serve.
-	readyTimeout = 10 * time.Second
+	readyTimeout = 30 * time.Second
 	readyPoll    = 20 * time.Millisecond
 	loopback     = "127.0.0.1:0"
 	// callersPerTeam is the number of a team's callers, each with its own
--- a/seamctl/measurer/fleet.go
+++ b/seamctl/measurer/fleet.go
@@ -59,7 +59,9 @@
 	address string
 	secret  []byte
 	daemons []*daemon.Daemon
-	gates   []*gate
+	// mu guards gates while instances start.
+	mu    sync.Mutex
+	gates []*gate
 	// storeGates stand between each instance and the store.
 	storeGates []*gate
 	freshness  time.Duration
@@ -199,7 +201,7 @@
 	}
 	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
 	log := zap.New(zapcore.NewCore(encoder, zapcore.AddSync(&f.logs), zap.DebugLevel))
-	d, err := daemon.New(settings, daemon.WithLogger(log))
+	d, err := daemon.New(settings, daemon.WithLogger(log), daemon.WithPeerDial(f.dialPeer))
 	if err != nil {
 		return err
 	}
@@ -208,10 +210,10 @@
 		return err
 	}
 	f.daemons = append(f.daemons, d)
-	f.gates = append(f.gates, g)
+	f.addGate(g)
 	f.keeper.SetInstance(storer.Instance{
 		ID: settings.Instance.ID, Region: region, FailureDomain: domain,
-		CallerAddress: d.CallerAddress(), LookupAddress: d.LookupAddress(), PeerAddress: g.address(), State: storer.InstanceLive,
+		CallerAddress: d.CallerAddress(), LookupAddress: d.LookupAddress(), PeerAddress: d.PeerAddress(), State: storer.InstanceLive,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.running.Go(func() { _ = d.Run(ctx) })
@@ -219,6 +221,29 @@
 	return nil
 }
 
+func (f *fleet) addGate(g *gate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gates = append(f.gates, g)
+}
+
+// dialPeer reaches another instance through its gate, whoever told its address.
+func (f *fleet) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, network, f.gateOf(address))
+}
+
+func (f *fleet) gateOf(address string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.gates {
+		if g.target == address {
+			return g.address()
+		}
+	}
+	return address
+}
+
 func (f *fleet) stop() {
 	for i := len(f.stops) - 1; i >= 0; i-- {
 		f.stops[i]()
--- a/seamd/daemon/relay.go
+++ b/seamd/daemon/relay.go
@@ -37,6 +37,7 @@
 	changed  chan struct{}
 	watchers []spreader.Watcher
 	rank     int
+	regions  []string
 	evidence time.Time
 
 	calls sync.WaitGroup
@@ -129,19 +130,33 @@
 	s.update(ctx, spreader.PeerAnswered{Call: call, Sent: sent, Answer: decodeAnswer(resp.Msg)})
 }
 
-// setInstances takes the platform's list of instances.
+// setInstances takes the live instances and the regions that are configured.
 func (s *spread) setInstances(ctx context.Context, list []storer.Instance) {
+	regions := s.daemon.regionNames()
 	watchers := spreader.ChooseWatchers(list)
 	rank := spreader.RankOf(s.daemon.settings.Instance.ID, list, watchers)
 	s.mu.Lock()
-	same := slices.Equal(watchers, s.watchers) && rank == s.rank
-	s.watchers, s.rank = watchers, rank
+	same := slices.Equal(watchers, s.watchers) && rank == s.rank && slices.Equal(regions, s.regions)
+	s.watchers, s.rank, s.regions = watchers, rank, regions
 	s.mu.Unlock()
 	if !same {
-		s.update(ctx, spreader.WatchersChanged{Watchers: watchers, Rank: rank})
+		s.update(ctx, spreader.WatchersChanged{Watchers: watchers, Regions: regions, Rank: rank})
 	}
 }
 
+// regionNames lists the configured regions.
+func (d *Daemon) regionNames() []string {
+	c := d.config.Load()
+	if c == nil {
+		return nil
+	}
+	var names []string
+	for _, r := range c.Regions() {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
 // state is what the status page says of the spread.
 type spreadState struct {
 	evidenceAge    time.Duration
