Pass seats on before a planned stop ends

Cause: a stopping instance ended before its seats were released, so others had to wait for its lease; when the whole fleet had stopped nobody was left to acknowledge a takeover, and a new instance refused all requests as over the team's rate, for a minute and longer. Change: an instance releases its seats when it starts to leave, lives on loans through its linger, and waits for the release up to the linger again. A ledger that stops goes on borrowing. Conclusion: a planned stop of everything no longer looks like the loss of everything. After a crash of more than half of the roster it still does.

--- a/seam/allocator/borrower.go
+++ b/seam/allocator/borrower.go
@@ -248,9 +248,6 @@
 // askLoans asks holders of seats for what the demand needs, before it is used
 // up.
 func (l *Ledger) askLoans(now time.Time) []Cmd {
-	if l.stop {
-		return nil
-	}
 	wants := l.wants(now)
 	var cmds []Cmd
 	for _, name := range l.plan().seats {
--- a/seam/allocator/ledger.go
+++ b/seam/allocator/ledger.go
@@ -184,6 +184,9 @@
 	return append(cmds, l.askLoans(now)...)
 }
 
+// Seats returns the number of seats that this instance holds.
+func (l *Ledger) Seats() int { return len(l.held) }
+
 // plan returns the newest plan.
 func (l *Ledger) plan() *Plan { return l.plans[len(l.plans)-1] }
 
--- a/seam/allocator/messages.go
+++ b/seam/allocator/messages.go
@@ -175,7 +175,7 @@
 // Ticked says that time has passed.
 type Ticked struct{}
 
-// StopRequested makes the ledger release its seats.
+// StopRequested makes the ledger release its seats. It goes on borrowing.
 type StopRequested struct{}
 
 func (LoanAsked) isMsg()            {}
--- a/seam/decider/decider.go
+++ b/seam/decider/decider.go
@@ -136,6 +136,8 @@
 		return append(append(m.cutWithdrawn(now), m.ticked(now)...), m.tickLimits(now)...)
 	case LedgerReported:
 		return m.ledgerReported(now, msg)
+	case LeaveRequested:
+		return m.ledger(now, allocator.StopRequested{})
 	case StopRequested:
 		m.stopping = true
 		return m.ledger(now, allocator.StopRequested{})
@@ -143,6 +145,9 @@
 	return nil
 }
 
+// Seats returns the number of seats of fleet-wide limits held here.
+func (m *Model) Seats() int { return m.limits.ledger.Seats() }
+
 // Requests returns the number of requests that wait or are being answered.
 func (m *Model) Requests() int { return len(m.requests) + m.limits.count }
 
--- a/seam/decider/messages.go
+++ b/seam/decider/messages.go
@@ -121,6 +121,10 @@
 // Ticked says that time has passed.
 type Ticked struct{}
 
+// LeaveRequested says that a graceful shutdown is near: the instance passes its
+// seats on and still serves, with what it borrows.
+type LeaveRequested struct{}
+
 // StopRequested starts a graceful shutdown: requests in progress go on and new
 // ones are refused.
 type StopRequested struct{}
@@ -137,4 +141,5 @@
 func (KeysChanged) isMsg()    {}
 func (KeyEvidence) isMsg()    {}
 func (Ticked) isMsg()         {}
+func (LeaveRequested) isMsg() {}
 func (StopRequested) isMsg()  {}
--- a/seam/replayer/instance.go
+++ b/seam/replayer/instance.go
@@ -88,6 +88,7 @@
 		i.crash()
 		return
 	}
+	i.update(decider.LeaveRequested{})
 	i.replay.world.After(i.info.ID, stopLinger, func() {
 		i.update(decider.StopRequested{})
 		i.endWhenIdle()
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -32,6 +32,8 @@
 	loads   atomic.Pointer[[]decider.ServiceLoad]
 	// decisions are kept for operators who ask why.
 	decisions *decisions
+	// seats is the number of seats held, as of the last tick.
+	seats atomic.Int64
 	// ledger carries out the commands of the fleet-wide ledger.
 	ledger func(allocator.Cmd)
 }
@@ -93,6 +95,7 @@
 			return
 		case <-ticker.Chan():
 			l.update(decider.Ticked{})
+			l.seats.Store(int64(l.model.Seats()))
 			loads := l.model.ServiceLoads(l.clock.Now())
 			l.loads.Store(&loads)
 		case e := <-l.inbox:
--- a/seamd/daemon/rig_test.go
+++ b/seamd/daemon/rig_test.go
@@ -39,6 +39,7 @@
 	secret string
 	// secretFile holds what instances prove themselves with.
 	secretFile string
+	linger     time.Duration
 	daemons    []*daemon.Daemon
 	stops      []func()
 
@@ -49,7 +50,7 @@
 // newRig starts daemons before upstreams; without any, it starts two responders.
 func newRig(t testing.TB, daemons int, upstreams ...http.Handler) *rig {
 	t.Helper()
-	r := &rig{t: t, keeper: storekeeper.New()}
+	r := &rig{t: t, keeper: storekeeper.New(), linger: 50 * time.Millisecond}
 	r.url = r.serve(r.keeper)
 	r.secretFile = filepath.Join(t.TempDir(), "secret")
 	if err := os.WriteFile(r.secretFile, []byte(strings.Repeat("s", 40)), 0o600); err != nil {
@@ -133,7 +134,7 @@
 		Instance: loader.Instance{ID: fmt.Sprint("seamd-", i), Region: "west", FailureDomain: "west-a"},
 		Listen:   loader.Listen{Callers: anyPort, Lookups: anyPort, Peers: anyPort, Metrics: anyPort},
 		Platform: loader.Platform{Address: r.url},
-		Shutdown: loader.Shutdown{Linger: configurer.Duration(50 * time.Millisecond), Timeout: configurer.Duration(10 * time.Second)},
+		Shutdown: loader.Shutdown{Linger: configurer.Duration(r.linger), Timeout: configurer.Duration(10 * time.Second)},
 	}
 	d, err := daemon.New(settings)
 	if err != nil {
--- a/seamd/daemon/shutdown.go
+++ b/seamd/daemon/shutdown.go
@@ -28,11 +28,14 @@
 //  2. New requests are refused as not run. Those whose body is still arriving
 //     are taken, and open ones go on.
 //  3. The sockets close when the last open request has its answer.
+//  4. The seats of fleet-wide limits have been passed on, or that takes longer
+//     than the linger.
 func (d *Daemon) shutDown(servers []*server) error {
 	started := d.clock.Now()
 	d.leaving.Store(true)
 	close(d.stopping)
 	d.membership.leave()
+	d.loop.send(decider.LeaveRequested{})
 	d.log.Info("daemon: leaving", zap.Duration("linger", time.Duration(d.settings.Shutdown.Linger)))
 	select {
 	case <-d.clock.After(time.Duration(d.settings.Shutdown.Linger)):
@@ -55,10 +58,21 @@
 			errs = append(errs, fmt.Errorf("shut down %s: %w", s.name, err))
 		}
 	}
+	d.awaitRelease(ctx)
 	d.log.Info("daemon: drained", zap.Duration("took", d.clock.Since(started)), zap.Int("cut", len(errs)))
 	return errors.Join(errs...)
 }
 
+// awaitRelease waits until others can take over this instance's seats. A store
+// that is down makes that impossible, so the wait is bounded by the linger.
+func (d *Daemon) awaitRelease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Shutdown.Linger))
+	defer cancel()
+	for ctx.Err() == nil && d.loop.seats.Load() > 0 {
+		d.sleep(ctx, tickEvery)
+	}
+}
+
 // awaitIntake waits until no request is between its headers and the loop.
 func (d *Daemon) awaitIntake(ctx context.Context) {
 	for ctx.Err() == nil && d.intake.entering() > 0 {
