Tell peers of the region about endpoints in heartbeats

Cause: heartbeats had room for counts and drains of endpoints, but the daemon neither filled nor read them; an instance that becomes keeper of a service sent a request to an endpoint whose drain its predecessor knew of. After 10 s a known drain was tried again with a caller's request. Change: the loop's counts go into heartbeats and those of peers into the loop; a drain goes before counts when the budget is short; an endpoint's own notice holds for 30 s and each further notice renews it. Conclusion: keepers start with what their region knows of its endpoints.

--- a/seam/configurer/configurer.go
+++ b/seam/configurer/configurer.go
@@ -153,6 +153,8 @@
 	change   Change
 	teams    map[string]Team
 	services map[string]Service
+	// byEndpoint holds the service of each endpoint's address.
+	byEndpoint map[string]string
 }
 
 // Parse decodes and checks a document. Errors carry [coder.ConfigInvalid] and
@@ -183,12 +185,16 @@
 func (c *Config) build(inForce func(Exception) bool) {
 	c.teams = make(map[string]Team, len(c.document.Defaults.Teams))
 	c.services = make(map[string]Service, len(c.document.Defaults.Services))
+	c.byEndpoint = map[string]string{}
 	for _, t := range c.document.Defaults.Teams {
 		c.teams[t.Name] = t
 	}
 	for _, s := range c.document.Defaults.Services {
 		s.Endpoints = append([]Endpoint(nil), s.Endpoints...)
 		c.services[s.Name] = s
+		for _, p := range s.Endpoints {
+			c.byEndpoint[p.Address] = s.Name
+		}
 	}
 	for _, e := range c.document.Exceptions {
 		if inForce(e) {
@@ -244,6 +250,12 @@
 	return s, ok
 }
 
+// ServiceOf returns the service of the endpoint at an address.
+func (c *Config) ServiceOf(address string) (string, bool) {
+	name, ok := c.byEndpoint[address]
+	return name, ok
+}
+
 // Services returns all services, exceptions applied, in document order.
 func (c *Config) Services() []Service {
 	services := make([]Service, 0, len(c.services))
--- a/seam/gossiper/compose.go
+++ b/seam/gossiper/compose.go
@@ -55,17 +55,31 @@
 	return h
 }
 
-// busiest returns the endpoints with the most requests of this instance.
+// busiest returns the endpoints that matter most to peers: those that drain,
+// then those with the most requests of this instance.
 func busiest(endpoints []EndpointLoad, limit int) []EndpointLoad {
 	limit = max(limit, minEndpoints)
 	if len(endpoints) <= limit {
 		return endpoints
 	}
 	sorted := slices.Clone(endpoints)
-	slices.SortStableFunc(sorted, func(a, b EndpointLoad) int { return cmp.Compare(b.InFlight, a.InFlight) })
+	slices.SortStableFunc(sorted, func(a, b EndpointLoad) int {
+		if a.Draining != b.Draining {
+			return compareDraining(a)
+		}
+		return cmp.Compare(b.InFlight, a.InFlight)
+	})
 	return sorted[:limit]
 }
 
+// compareDraining orders an endpoint that drains before one that doesn't.
+func compareDraining(first EndpointLoad) int {
+	if first.Draining {
+		return -1
+	}
+	return 1
+}
+
 // allowance is the size that a heartbeat should have, so that the budget lasts.
 // An instance in debt says just what it must.
 func (m *Model) allowance() int {
--- a/seam/picker/endpoint.go
+++ b/seam/picker/endpoint.go
@@ -22,7 +22,7 @@
 	maxEjection = 30 * time.Second
 	// drainHold is how long an endpoint's own notice of a drain counts. Each
 	// answer with the notice renews it.
-	drainHold = 10 * time.Second
+	drainHold = 30 * time.Second
 	// shedHold is how long an endpoint that shed a request is left alone.
 	shedHold = 5 * time.Millisecond
 )
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -32,6 +32,8 @@
 	loads   atomic.Pointer[[]decider.ServiceLoad]
 	// decisions are kept for operators who ask why.
 	decisions *decisions
+	// endpoints is what peers should know of endpoints, as of the last tick.
+	endpoints atomic.Pointer[[]decider.EndpointLoad]
 	// seats is the number of seats held, as of the last tick.
 	seats atomic.Int64
 	// ledger carries out the commands of the fleet-wide ledger.
@@ -98,6 +100,8 @@
 			l.seats.Store(int64(l.model.Seats()))
 			loads := l.model.ServiceLoads(l.clock.Now())
 			l.loads.Store(&loads)
+			endpoints := l.model.Loads(l.clock.Now())
+			l.endpoints.Store(&endpoints)
 		case e := <-l.inbox:
 			l.handle(e)
 		}
--- a/seamd/daemon/membership.go
+++ b/seamd/daemon/membership.go
@@ -205,6 +205,7 @@
 	}
 	h := gossiper.FromProto(resp.Msg.GetHeartbeat())
 	s.received.Add(h.Size())
+	s.tellLoads(h)
 	s.update(gossiper.AnswerArrived{ID: c.ID, Heartbeat: h})
 }
 
@@ -221,6 +222,7 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("a heartbeat needs a sender"))
 	}
 	s.received.Add(h.Size())
+	s.tellLoads(h)
 	answer, err := s.arrived(ctx, h)
 	if err != nil {
 		return nil, err
@@ -251,6 +253,23 @@
 	}
 }
 
+// tellLoads gives the loop what a peer of the own region says of endpoints.
+func (s *membership) tellLoads(h gossiper.Heartbeat) {
+	config := s.daemon.config.Load()
+	if config == nil || h.Sender.Region != s.daemon.settings.Instance.Region {
+		return
+	}
+	heard := decider.PeerLoadHeard{Peer: h.Sender.ID}
+	for _, e := range h.Load.Endpoints {
+		if service, ok := config.ServiceOf(e.Endpoint); ok {
+			heard.Loads = append(heard.Loads, decider.EndpointLoad{
+				Service: service, Endpoint: e.Endpoint, Load: e.InFlight, Draining: e.Draining,
+			})
+		}
+	}
+	s.daemon.loop.send(heard)
+}
+
 // ownLoad is what this instance tells its peers about itself.
 func (s *membership) ownLoad() gossiper.Load {
 	load := gossiper.Load{StoreContactAge: s.daemon.clock.Now().Sub(time.Unix(0, s.storeContact.Load()))}
@@ -262,6 +281,13 @@
 			Service: l.Service, InFlight: l.InFlight, Queued: l.Queued, FreeSlots: l.FreeSlots,
 		})
 	}
+	if endpoints := s.daemon.loop.endpoints.Load(); endpoints != nil {
+		for _, e := range *endpoints {
+			load.Endpoints = append(load.Endpoints, gossiper.EndpointLoad{
+				Endpoint: e.Endpoint, InFlight: e.Load, Draining: e.Draining,
+			})
+		}
+	}
 	load.Shares = s.ownShares()
 	return load
 }
