Let a new instance borrow while the store is down

Cause: an instance that had never read the store knew no holder of a seat, so it had nobody to ask for loans and refused every request as over its team's rate. Change: an instance without a roster asks two members for a word; the answer then carries who holds which seat. It is a hint of whom to ask; claims still need a listing of the store, and holders lend by their own lease and epoch. Ruled out: reading seats from the platform's instance list, which is down too. Conclusion: joining needs one live peer, not the store.

--- a/seamd/daemon/ledgerservice.go
+++ b/seamd/daemon/ledgerservice.go
@@ -68,7 +68,13 @@
 	if !ok {
 		return nil, errUnexpectedAnswer
 	}
-	return connect.NewResponse(&peerv1.VouchResponse{Receiver: start(c.Answer.From), Granted: c.Answer.Granted}), nil
+	resp := &peerv1.VouchResponse{Receiver: start(c.Answer.From), Granted: c.Answer.Granted}
+	for _, s := range c.Answer.Seats {
+		resp.Seats = append(resp.Seats, &peerv1.KnownSeat{
+			Seat: s.Name, Version: s.Version, Epoch: s.Record.Epoch, Plan: s.Record.Plan, Holder: start(s.Record.Holder),
+		})
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // membersChanged tells the ledger which instances live, if that has changed.
