Explain requests that were passed on, and hide drains whole when broken

Cause: explain kept only forwards and refusals, so a request that went to the keeper of its service was unknown where its caller had sent it. A replay with drains turned off hid only the configuration's; since an endpoint's own notice holds for 30 s it did the work, and the check saw no loss. Change: passes are kept and name the next instance; a broken drain hides the endpoint's notices too.

--- a/seam/replayer/tasks.go
+++ b/seam/replayer/tasks.go
@@ -109,7 +109,7 @@
 	if answer.load < 0 {
 		return
 	}
-	report := decider.LoadReported{Service: service, Endpoint: key.target, Load: answer.load, Draining: answer.draining}
+	report := decider.LoadReported{Service: service, Endpoint: key.target, Load: answer.load, Draining: answer.draining && i.replay.broken != BreakDrain}
 	i.replay.world.After(i.info.ID, i.reportLag(service), func() { i.update(report) })
 }
 
--- a/seamd/daemon/loop.go
+++ b/seamd/daemon/loop.go
@@ -143,6 +143,7 @@
 		l.log.refused(c)
 	case decider.Pass:
 		l.deliver(c.ID, c)
+		l.decisions.add(l.clock.Now(), c)
 		l.log.passed(c)
 	case decider.Cancel:
 		l.deliver(c.ID, c)
--- a/seamd/daemon/operators.go
+++ b/seamd/daemon/operators.go
@@ -25,7 +25,7 @@
 	Team       string    `json:"team"`
 	Service    string    `json:"service"`
 	Candidates int       `json:"candidates"`
-	// Choice is the endpoint, or "" for a refusal.
+	// Choice is the endpoint or the next instance, or "" for a refusal.
 	Choice   string  `json:"choice"`
 	Attempt  int     `json:"attempt"`
 	Code     int     `json:"code"`
@@ -104,6 +104,10 @@
 			if c.ID == id {
 				list = append(list, explainForward(entry.at, c))
 			}
+		case decider.Pass:
+			if c.ID == id {
+				list = append(list, explainPass(entry.at, c))
+			}
 		case decider.Refuse:
 			if c.ID == id {
 				list = append(list, explainRefuse(entry.at, c))
@@ -120,6 +124,14 @@
 	return e
 }
 
+// explainPass names the instance that went on with the request; it keeps the
+// decisions that followed.
+func explainPass(at time.Time, c decider.Pass) Explanation {
+	e := explain(at, c.Decision)
+	e.Choice, e.Reason, e.NotRun = c.Peer, coder.OK.String(), forwarder.RanText(coder.MayHaveRun)
+	return e
+}
+
 func explainRefuse(at time.Time, c decider.Refuse) Explanation {
 	e := explain(at, c.Decision)
 	e.Code, e.Reason, e.NotRun = int(c.Code), c.Code.String(), forwarder.RanText(c.Ran)
