--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -45,6 +45,8 @@
 	NoUpstream Code = 113
 	// Stopping means that the instance is shutting down.
 	Stopping Code = 114
+	// NoConfiguration means that the instance knows no configuration yet.
+	NoConfiguration Code = 116
 	// LinkCapReached means that the link's cap leaves no room for the request.
 	LinkCapReached Code = 115
 
--- /dev/null
+++ b/seam/conductor/conductor.go
@@ -0,0 +1,195 @@
+// Package conductor decides what becomes of each request on an instance.
+//
+// It is one state and one loop: messages go in through [Model.Update], commands
+// come out. It reads no clock and makes no calls, so that a list of messages
+// gives the same decisions again. The commands of a message about a request
+// concern that request alone.
+//
+// # Usage
+//
+//	m := conductor.New(conductor.WithSelf("edge-1", "zone-1", zones))
+//	for _, cmd := range m.Update(now, conductor.RequestArrived{...}) {
+//		switch cmd := cmd.(type) {
+//		case conductor.Send:
+//		case conductor.Refuse:
+//		case conductor.Deliver:
+//		}
+//	}
+package conductor
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"primroseseam.org/seam/placer"
+	"primroseseam.org/seam/rationer"
+	"primroseseam.org/seam/router"
+)
+
+// Bounds are the fleet-wide limits that don't come with the configuration.
+type Bounds struct {
+	// RetryRatio and RetryExtra bound the arrivals beyond the first of each
+	// request: the ratio of a service's requests in RetryWindow, plus the extra.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	// ColdOver is how many times its rate a cold endpoint bears, ColdSlack what
+	// it bears beyond in a second.
+	ColdOver  float64
+	ColdSlack float64
+}
+
+// Model is the state of an instance. It is not safe for concurrent use.
+type Model struct {
+	id     string
+	zone   string
+	region string
+	zones  map[string]string
+	bounds Bounds
+	rng    *rand.Rand
+
+	config   *router.Config
+	board    *placer.Board
+	requests map[uint64]*request
+	teams    map[string]*teamState
+	retries  map[string]*retryState
+	peers    map[string]*peer
+	known    map[string]bool
+	splits   map[string]*split
+	// longest is the most time that callers of a route said to have; a caller
+	// that says less has come back.
+	longest  map[string]time.Duration
+	stopping time.Time
+	// keepers caches who keeps cold endpoints.
+	live []string
+}
+
+// Option changes a model at its creation.
+type Option func(*Model)
+
+// WithSelf sets who and where the instance is; zones maps zones to regions.
+func WithSelf(id, zone string, zones map[string]string) Option {
+	return func(m *Model) {
+		m.id = id
+		m.zone = zone
+		m.zones = zones
+		m.region = zones[zone]
+	}
+}
+
+// WithBounds sets the fleet-wide limits.
+func WithBounds(b Bounds) Option { return func(m *Model) { m.bounds = b } }
+
+// WithSeed seeds the random choices.
+func WithSeed(seed uint64) Option {
+	return func(m *Model) { m.rng = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a model without a configuration.
+func New(opts ...Option) *Model {
+	m := &Model{
+		rng:      rand.New(rand.NewPCG(1, 1)),
+		requests: map[uint64]*request{},
+		teams:    map[string]*teamState{},
+		retries:  map[string]*retryState{},
+		peers:    map[string]*peer{},
+		known:    map[string]bool{},
+		splits:   map[string]*split{},
+		longest:  map[string]time.Duration{},
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	m.board = placer.New(m.zone, m.zones)
+	m.board.SetKeeper(m.keepsCold)
+	m.refreshLive()
+	return m
+}
+
+// Update takes one message at the time now and returns what is to be done.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case RequestArrived:
+		return m.requestArrived(now, msg)
+	case AttemptEnded:
+		return m.attemptEnded(now, msg)
+	case CallerLeft:
+		m.forget(msg.ID)
+	case RequestEnded:
+		m.forget(msg.ID)
+	case ConfigSeen:
+		m.configSeen(now, msg.Config)
+	case EndpointsSeen:
+		m.board.SetEndpoints(now, msg.Endpoints, m.config)
+	case EvacuationsSeen:
+		m.board.SetEvacuated(now, msg.Zones)
+	case InstancesSeen:
+		m.instancesSeen(msg.IDs)
+	case BeatHeard:
+		m.beatHeard(now, msg.Beat)
+	case Ticked:
+		m.ticked(now)
+	case StopRequested:
+		m.stopping = now
+	}
+	return nil
+}
+
+// configSeen takes a configuration unless it is older than the one in force.
+func (m *Model) configSeen(now time.Time, c *router.Config) {
+	if m.config != nil && c.Version() <= m.config.Version() {
+		return
+	}
+	m.config = c
+	m.board.SetServices(c)
+	for name := range m.teams {
+		if _, ok := c.Teams()[name]; !ok {
+			delete(m.teams, name)
+		}
+	}
+	m.refreshRates(now)
+}
+
+// Version returns the version in force, or 0.
+func (m *Model) Version() uint64 {
+	if m.config == nil {
+		return 0
+	}
+	return m.config.Version()
+}
+
+// Limits returns what a caller may send; a limit of 0 is not known yet.
+func (m *Model) Limits() router.Limits {
+	if m.config == nil {
+		return router.Limits{}
+	}
+	return m.config.Limits()
+}
+
+// Requests returns the number of requests under way.
+func (m *Model) Requests() int { return len(m.requests) }
+
+// ticked forgets silent peers and renews the parts of fleet-wide rates.
+func (m *Model) ticked(now time.Time) {
+	m.forgetSilent(now)
+	m.refreshRates(now)
+	m.board.SetColdRate(now, 1)
+}
+
+// keepsCold reports whether this instance is the one that sends to a cold
+// endpoint: the first of those alive in an order that all agree on.
+func (m *Model) keepsCold(endpoint uint32) bool {
+	return placer.First(m.live, endpoint) == m.id
+}
+
+// fleet counts the instances.
+func (m *Model) fleet() rationer.Fleet {
+	known := map[string]bool{m.id: true}
+	for id := range m.known {
+		known[id] = true
+	}
+	for id := range m.peers {
+		known[id] = true
+	}
+	return rationer.Fleet{Known: len(known), Heard: len(m.live)}
+}
--- /dev/null
+++ b/seam/conductor/messages.go
@@ -0,0 +1,162 @@
+package conductor
+
+import (
+	"time"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/placer"
+	"primroseseam.org/seam/router"
+)
+
+// Msg is a message to the loop. The set of messages is closed.
+type Msg interface{ isMsg() }
+
+// ConfigSeen brings a configuration.
+type ConfigSeen struct{ Config *router.Config }
+
+// EndpointsSeen brings the list of all endpoints.
+type EndpointsSeen struct{ Endpoints []router.Endpoint }
+
+// EvacuationsSeen brings the zones whose endpoints get no new requests.
+type EvacuationsSeen struct{ Zones []string }
+
+// InstancesSeen brings the instances of which the store knows.
+type InstancesSeen struct{ IDs []string }
+
+// BeatHeard brings the heartbeat of another instance.
+type BeatHeard struct{ Beat Beat }
+
+// Ticked says that time has passed.
+type Ticked struct{}
+
+// StopRequested starts a planned stop.
+type StopRequested struct{}
+
+// RequestArrived says that a caller's request has been read.
+type RequestArrived struct {
+	ID   uint64
+	Host string
+	Path string
+	Key  string
+	// Object is the hash of the object that the request concerns, or 0.
+	Object uint32
+	// CallerLeft is how long the caller will wait, or 0 if it doesn't say.
+	CallerLeft time.Duration
+	// Read is when the request had been read.
+	Read time.Time
+	// Once means that the body is streamed and can't be sent again.
+	Once bool
+}
+
+// AttemptEnded says how an attempt ended.
+type AttemptEnded struct {
+	ID      uint64
+	Outcome Outcome
+}
+
+// CallerLeft says that the caller is gone.
+type CallerLeft struct{ ID uint64 }
+
+// RequestEnded says that the caller has its answer.
+type RequestEnded struct{ ID uint64 }
+
+func (ConfigSeen) isMsg()      {}
+func (EndpointsSeen) isMsg()   {}
+func (EvacuationsSeen) isMsg() {}
+func (InstancesSeen) isMsg()   {}
+func (BeatHeard) isMsg()       {}
+func (Ticked) isMsg()          {}
+func (StopRequested) isMsg()   {}
+func (RequestArrived) isMsg()  {}
+func (AttemptEnded) isMsg()    {}
+func (CallerLeft) isMsg()      {}
+func (RequestEnded) isMsg()    {}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	// Answered means that a whole answer with a proper frame came.
+	Answered bool
+	Status   int
+	// NotRun means that the request is known not to have run.
+	NotRun bool
+	// Misdirected means that another endpoint has the address.
+	Misdirected bool
+	// Unreachable means that no connection could be opened.
+	Unreachable bool
+	// TimedOut means that the time ran out.
+	TimedOut bool
+	// Left means that the caller left.
+	Left bool
+	// Begun means that a part of the answer is with the caller.
+	Begun bool
+	// Connect is how long a new connection took, or 0.
+	Connect time.Duration
+}
+
+// Cmd is a command of the loop. The set of commands is closed.
+type Cmd interface{ isCmd() }
+
+// Send asks for an attempt at an endpoint.
+type Send struct {
+	ID       uint64
+	Endpoint string
+	Address  string
+	// Team is the caller's, or "".
+	Team string
+	// Budget is the time that the endpoint is given, Patience the time after
+	// which this instance gives the attempt up.
+	Budget   time.Duration
+	Deadline time.Time
+	// Repeatable means that the request may be sent on a connection that may
+	// have been closed meanwhile.
+	Repeatable bool
+	Attempt    int
+	// Choice is what is expected, for the log.
+	Choice placer.Choice
+}
+
+// Refuse asks to answer the caller without an endpoint's answer.
+type Refuse struct {
+	ID     uint64
+	Status int
+	Code   coder.Code
+	// RetryAfter is set if the caller should come back.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// Deliver asks to give the caller the endpoint's last whole answer.
+type Deliver struct{ ID uint64 }
+
+func (Send) isCmd()    {}
+func (Refuse) isCmd()  {}
+func (Deliver) isCmd() {}
+
+// Beat is what an instance tells the others, several times a second.
+type Beat struct {
+	ID string
+	// Started orders the lifetimes of an instance, Serial its heartbeats.
+	Started int64
+	Serial  uint64
+	Region  string
+	Zone    string
+	// Callers is the address for callers, Peers that for other instances.
+	Callers string
+	Peers   string
+	Leaving bool
+	// Config is the version in force.
+	Config  uint64
+	Loads   []placer.Load
+	Touches []placer.Touch
+	Demand  []Demand
+	// Down lists endpoints that could not be reached.
+	Down []uint32
+	// Known lists the addresses of other instances, now and then.
+	Known []string
+}
+
+// Demand is the rate of a team's requests at an instance, per second.
+type Demand struct {
+	Team uint32
+	Rate float64
+}
--- /dev/null
+++ b/seam/placer/endpoint.go
@@ -0,0 +1,177 @@
+package placer
+
+import (
+	"hash/fnv"
+	"time"
+
+	"primroseseam.org/seam/rationer"
+	"primroseseam.org/seam/router"
+)
+
+const (
+	// keptWarm is how long an object counts as warm at an endpoint that has not
+	// handled it again. Endpoints keep a number of objects, not for a time.
+	keptWarm = 25 * time.Second
+	// learnFast and learnSlow weigh a new measurement against the old mean.
+	learnFast = 0.3
+	learnSlow = 0.08
+	// failuresToEject is how many attempts in a row must fail.
+	failuresToEject = 3
+	// ejectFor is how long a failed endpoint rests; it doubles up to ejectMost.
+	ejectFor  = 1500 * time.Millisecond
+	ejectMost = 6 * time.Second
+	// slowMost bounds how many times slower than its service an endpoint counts.
+	slowMost = 20
+	// slowForget is the time in which the belief that an endpoint is slow fades
+	// to a third, if no answers renew it.
+	slowForget = 4 * time.Second
+	// coldSlowdown is how many times longer a cold endpoint takes.
+	coldSlowdown = 2.0
+)
+
+// Hash32 names an endpoint or an object in messages between instances.
+func Hash32(text string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(text))
+	return h.Sum32()
+}
+
+// mix returns well spread bits of two hashes.
+func mix(a, b uint32) uint32 {
+	x := uint64(a)<<32 | uint64(b)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return uint32(x)
+}
+
+// endpoint is what an instance knows of one lifetime of an endpoint.
+type endpoint struct {
+	spec   router.Endpoint
+	region string
+	hash   uint32
+	// own is the number of attempts of this instance under way, others that of
+	// the other instances as they last said.
+	own    int
+	others int
+	// queued is what the endpoint itself reported beyond what was known of, and
+	// when.
+	sends []time.Time
+	// warm holds when each object was last handled.
+	warm map[uint32]time.Time
+	// slow is how many times longer than its service the endpoint takes.
+	slow   float64
+	slowAt time.Time
+	// failed is the part of attempts that failed lately.
+	failed      float64
+	failedAt    time.Time
+	failures    int
+	ejectedTill time.Time
+	ejections   int
+	// coldTill is when the endpoint is warm again; coldBudget is what this
+	// instance may send it until then.
+	coldTill   time.Time
+	coldBudget rationer.Bucket
+	// suspectTill is until when other instances could not reach it.
+	suspectTill time.Time
+	// joined is when the endpoint appeared, if that was after the first list.
+	joined time.Time
+}
+
+func (e *endpoint) load() int { return e.own + e.others }
+
+// slowness returns how many times longer than its service the endpoint takes.
+func (e *endpoint) slowness(now time.Time) float64 {
+	if e.slow == 0 {
+		return 1
+	}
+	fade := now.Sub(e.slowAt).Seconds() / slowForget.Seconds()
+	return 1 + (e.slow-1)/(1+fade+fade*fade)
+}
+
+// failing returns the part of attempts that fail, fading while none are made.
+func (e *endpoint) failing(now time.Time) float64 {
+	fade := now.Sub(e.failedAt).Seconds() / slowForget.Seconds()
+	return e.failed / (1 + fade + fade*fade)
+}
+
+func (e *endpoint) cold(now time.Time) bool {
+	return now.Before(e.coldTill) || now.Before(e.suspectTill)
+}
+
+func (e *endpoint) ejected(now time.Time) bool { return now.Before(e.ejectedTill) }
+
+// isWarm reports whether the endpoint handled the object lately.
+func (e *endpoint) isWarm(now time.Time, object uint32) bool {
+	at, ok := e.warm[object]
+	return ok && now.Sub(at) < keptWarm
+}
+
+// stalled returns how long the oldest attempt of this instance has been under
+// way.
+func (e *endpoint) stalled(now time.Time) time.Duration {
+	if len(e.sends) == 0 {
+		return 0
+	}
+	return now.Sub(e.sends[0])
+}
+
+// sent notes an attempt.
+func (e *endpoint) sent(now time.Time) {
+	e.own++
+	e.sends = append(e.sends, now)
+}
+
+// ended forgets an attempt that was sent at a time.
+func (e *endpoint) ended(sentAt time.Time) {
+	e.own = max(e.own-1, 0)
+	for i, at := range e.sends {
+		if at.Equal(sentAt) {
+			e.sends = append(e.sends[:i], e.sends[i+1:]...)
+			return
+		}
+	}
+}
+
+// took learns from an answer how slow the endpoint is.
+func (e *endpoint) took(now time.Time, ratio float64) {
+	old := e.slowness(now)
+	weight := learnFast
+	e.slow = min(max(old+weight*(ratio-old), 0.5), slowMost)
+	e.slowAt = now
+}
+
+// succeeded notes an attempt that brought an answer. An endpoint that answers
+// again after it could not be reached may be a new, cold one.
+func (e *endpoint) succeeded(now time.Time, warmup time.Duration) {
+	if e.ejections > 0 {
+		e.coldTill = later(e.coldTill, now.Add(warmup))
+	}
+	e.failed = e.failing(now) * (1 - learnFast/2)
+	e.failedAt = now
+	e.failures = 0
+	e.ejections = 0
+}
+
+// failedOnce notes an attempt that failed.
+func (e *endpoint) failedOnce(now time.Time, unreachable bool) {
+	old := e.failing(now)
+	e.failed = old + learnFast*(1-old)
+	e.failedAt = now
+	e.failures++
+	if e.failures >= failuresToEject || unreachable {
+		rest := min(ejectFor<<min(e.ejections, 4), ejectMost)
+		e.ejectedTill = now.Add(rest)
+		e.ejections++
+		e.warm = map[uint32]time.Time{}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/seam/placer/learn.go
@@ -0,0 +1,210 @@
+package placer
+
+import (
+	"time"
+)
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	// SentAt is when the attempt was sent, as given to Sent.
+	SentAt time.Time
+	Object uint32
+	// Choice is what was expected.
+	Choice Choice
+	// Answered means that a whole answer came, whatever its status.
+	Answered bool
+	// Good means that the answer was a success.
+	Good bool
+	// NotRun means that the endpoint said that it did not run the request.
+	NotRun bool
+	// Unreachable means that no connection could be opened.
+	Unreachable bool
+	// Left means that the caller left, which says nothing of the endpoint.
+	Left bool
+	// Connect is how long a new connection took, or 0.
+	Connect time.Duration
+	// Target is the request's target.
+	Target time.Duration
+}
+
+// Sent notes that an attempt at an endpoint begins.
+func (b *Board) Sent(now time.Time, id string, object uint32) {
+	e, ok := b.byID[id]
+	if !ok {
+		return
+	}
+	e.sent(now)
+	if e.cold(now) {
+		e.coldBudget.Take(now)
+	}
+	if object == 0 {
+		return
+	}
+	if !e.isWarm(now, object) && len(b.touches) < maxTouches {
+		b.touches = append(b.touches, Touch{Endpoint: e.hash, Object: object})
+	}
+	e.warm[object] = now
+}
+
+// SetColdRate sets what this instance may send to each cold endpoint.
+func (b *Board) SetColdRate(now time.Time, share float64) {
+	for _, e := range b.byID {
+		if !e.cold(now) {
+			continue
+		}
+		rate := b.service(e.spec.Service).spec.ColdRate * share
+		e.coldBudget.SetRate(now, rate, max(1, rate/4))
+	}
+}
+
+// Ended notes how an attempt ended and learns from it.
+func (b *Board) Ended(now time.Time, id string, o Outcome) {
+	e, ok := b.byID[id]
+	if !ok {
+		return
+	}
+	e.ended(o.SentAt)
+	if o.Connect > 0 {
+		b.learnDistance(e.region, o.Connect)
+	}
+	s := b.service(e.spec.Service)
+	switch {
+	case o.Left:
+	case o.NotRun:
+		e.failed = e.failing(now) + learnFast*(1-e.failing(now))/2
+		e.failedAt = now
+		delete(e.warm, o.Object)
+	case !o.Answered:
+		e.failedOnce(now, o.Unreachable)
+	default:
+		b.learnTime(now, s, e, o)
+		e.succeeded(now, s.spec.Warmup)
+		if !o.Good {
+			e.failed = e.failing(now) + learnFast*(1-e.failing(now))/2
+		}
+	}
+}
+
+// learnDistance keeps the time to a region and back.
+func (b *Board) learnDistance(region string, took time.Duration) {
+	old, ok := b.distance[region]
+	if !ok || took < old {
+		b.distance[region] = took
+		return
+	}
+	b.distance[region] = old + time.Duration(learnSlow*float64(took-old))
+}
+
+// learnTime compares an answer's time with what was expected.
+func (b *Board) learnTime(now time.Time, s *service, e *endpoint, o Outcome) {
+	warm, cold := s.times(o.Target)
+	run := now.Sub(o.SentAt) - b.distanceTo(e.region) - o.Choice.Wait
+	if run <= 0 {
+		return
+	}
+	expected := cold
+	if o.Choice.Warm {
+		expected = warm
+	}
+	ratio := float64(run) / float64(expected)
+	e.took(now, ratio)
+	if e.cold(now) || e.slowness(now) > 2 || !o.Good {
+		return
+	}
+	mean := expected + time.Duration(learnSlow*float64(run-expected))
+	if o.Choice.Warm {
+		s.warm = mean
+	} else {
+		s.cold = mean
+	}
+}
+
+// PeerLoads takes the attempts under way at an instance. It replaces what the
+// instance said before.
+func (b *Board) PeerLoads(peer string, loads []Load) {
+	b.ForgetPeer(peer)
+	kept := make(map[uint32]int, len(loads))
+	for _, l := range loads {
+		kept[l.Endpoint] = l.Count
+		if e, ok := b.byHash[l.Endpoint]; ok {
+			e.others += l.Count
+		}
+	}
+	b.peers[peer] = kept
+}
+
+// ForgetPeer forgets the attempts of an instance.
+func (b *Board) ForgetPeer(peer string) {
+	for hash, count := range b.peers[peer] {
+		if e, ok := b.byHash[hash]; ok {
+			e.others = max(e.others-count, 0)
+		}
+	}
+	delete(b.peers, peer)
+}
+
+// PeerTouches takes news of which objects are warm where.
+func (b *Board) PeerTouches(now time.Time, touches []Touch) {
+	for _, t := range touches {
+		if e, ok := b.byHash[t.Endpoint]; ok {
+			e.warm[t.Object] = now
+		}
+	}
+}
+
+// Loads returns the attempts of this instance that are under way.
+func (b *Board) Loads() []Load {
+	var loads []Load
+	for _, e := range b.byID {
+		if e.own > 0 {
+			loads = append(loads, Load{Endpoint: e.hash, Count: e.own})
+		}
+	}
+	return loads
+}
+
+// TakeTouches returns the news since the last call.
+func (b *Board) TakeTouches() []Touch {
+	touches := b.touches
+	b.touches = nil
+	return touches
+}
+
+// Down returns the endpoints that could not be reached lately.
+func (b *Board) Down(now time.Time) []uint32 {
+	var down []uint32
+	for _, e := range b.byID {
+		if e.ejected(now) && e.ejections > 0 {
+			down = append(down, e.hash)
+		}
+	}
+	return down
+}
+
+// PeerDown takes news of endpoints that could not be reached by another
+// instance. They rest here for a short while too, so that an endpoint that
+// comes back cold isn't met by all at once.
+func (b *Board) PeerDown(now time.Time, down []uint32) {
+	for _, hash := range down {
+		if e, ok := b.byHash[hash]; ok {
+			e.suspectTill = now.Add(suspectFor)
+		}
+	}
+}
+
+// suspectFor is how long an endpoint that another instance could not reach
+// counts as cold.
+const suspectFor = time.Second
+
+// First returns the instance that comes first for an endpoint, in an order that
+// all instances agree on.
+func First(instances []string, endpoint uint32) string {
+	best := ""
+	var most uint32
+	for _, id := range instances {
+		if weight := mix(Hash32(id), endpoint); best == "" || weight > most {
+			best, most = id, weight
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/seam/placer/placer.go
@@ -0,0 +1,320 @@
+// Package placer chooses the endpoint for a request.
+//
+// A [Board] knows the usable endpoints of all regions, how busy each is (the
+// attempts of this instance and those of which the others tell), which objects
+// are warm where, how far away and how slow each is. [Board.Pick] returns the
+// endpoint that is expected to answer first.
+//
+// The load that this answers: objects are several times faster where they were
+// handled lately, endpoints have few slots, regions are unequal.
+//
+// # Usage
+//
+//	b := placer.New("zone-1", zones)
+//	b.SetEndpoints(now, endpoints)
+//	choice, ok := b.Pick(now, placer.Request{Service: "lessons", Object: object})
+//	b.Sent(now, choice.ID, object)
+//	b.Ended(now, choice.ID, placer.Outcome{...})
+package placer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"primroseseam.org/seam/router"
+)
+
+// Request is what matters of a request for choosing an endpoint.
+type Request struct {
+	Service string
+	// Object is the hash of the object that the request concerns, or 0.
+	Object uint32
+	// Regions are those that may serve the request, if Bound.
+	Regions []string
+	Bound   bool
+	// Tried lists endpoints that must not be chosen again.
+	Tried []string
+	// Target is the time within which an answer has its full benefit.
+	Target time.Duration
+}
+
+// Choice is an endpoint and what is expected of it.
+type Choice struct {
+	ID      string
+	Address string
+	Region  string
+	// Expect is the time until the answer, Wait the part spent in a queue.
+	Expect time.Duration
+	Wait   time.Duration
+	Warm   bool
+	Load   int
+	Slots  int
+}
+
+// Load is a number of attempts under way at an endpoint.
+type Load struct {
+	Endpoint uint32
+	Count    int
+}
+
+// Touch says that an endpoint handles an object.
+type Touch struct {
+	Endpoint uint32
+	Object   uint32
+}
+
+// service is what is known of all endpoints of a service.
+type service struct {
+	endpoints []*endpoint
+	spec      router.Service
+	// warm and cold are the mean times of a run with and without the object
+	// being warm.
+	warm time.Duration
+	cold time.Duration
+}
+
+// Board is the state of all endpoints. It is not safe for concurrent use.
+type Board struct {
+	zone      string
+	region    string
+	zones     map[string]string
+	byID      map[string]*endpoint
+	byHash    map[uint32]*endpoint
+	services  map[string]*service
+	evacuated map[string]bool
+	// distance is the time to a region and back, as connections showed.
+	distance map[string]time.Duration
+	peers    map[string]map[uint32]int
+	touches  []Touch
+	started  bool
+	// keepCold reports whether this instance may send to a cold endpoint.
+	keepCold func(endpoint uint32) bool
+}
+
+const (
+	// nearDistance and farDistance are assumed until connections show more.
+	nearDistance = 2 * time.Millisecond
+	farDistance  = 60 * time.Millisecond
+	// otherZone and otherRegion make nearer endpoints win where the times are
+	// alike: bytes between zones and regions are paid for. They are parts of
+	// the target.
+	otherZone   = 0.04
+	otherRegion = 0.12
+	// spread is the part of a cold run by which instances prefer different
+	// endpoints for different objects, the same for the same object.
+	spread = 0.15
+	// failurePenalty is how many targets a certain failure costs.
+	failurePenalty = 3.0
+	// maxTouches bounds the news of warm objects between two heartbeats.
+	maxTouches = 64
+)
+
+// New returns a board of an instance in a zone; zones maps zones to regions.
+func New(zone string, zones map[string]string) *Board {
+	return &Board{
+		zone: zone, region: zones[zone], zones: zones,
+		byID: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
+		services: map[string]*service{}, evacuated: map[string]bool{},
+		distance: map[string]time.Duration{}, peers: map[string]map[uint32]int{},
+		keepCold: func(uint32) bool { return true },
+	}
+}
+
+// SetKeeper sets which cold endpoints this instance may send to.
+func (b *Board) SetKeeper(keeps func(endpoint uint32) bool) { b.keepCold = keeps }
+
+func (b *Board) service(name string) *service {
+	s, ok := b.services[name]
+	if !ok {
+		s = &service{}
+		b.services[name] = s
+	}
+	return s
+}
+
+// SetServices takes the settings of services from a configuration.
+func (b *Board) SetServices(c *router.Config) {
+	for name, s := range b.services {
+		if spec, ok := c.Service(name); ok {
+			s.spec = spec
+		}
+	}
+}
+
+// SetEndpoints takes the list of all endpoints. Those that are left out are
+// gone.
+func (b *Board) SetEndpoints(now time.Time, list []router.Endpoint, config *router.Config) {
+	seen := make(map[string]bool, len(list))
+	for _, s := range b.services {
+		s.endpoints = s.endpoints[:0]
+	}
+	for _, spec := range list {
+		seen[spec.ID] = true
+		s := b.service(spec.Service)
+		if config != nil {
+			s.spec, _ = config.Service(spec.Service)
+		}
+		s.endpoints = append(s.endpoints, b.setEndpoint(now, spec, s))
+	}
+	for id, e := range b.byID {
+		if !seen[id] {
+			delete(b.byID, id)
+			delete(b.byHash, e.hash)
+		}
+	}
+	for _, s := range b.services {
+		slices.SortFunc(s.endpoints, func(x, y *endpoint) int { return int(int64(x.hash) - int64(y.hash)) })
+	}
+	b.started = true
+}
+
+// setEndpoint adds an endpoint or changes what is known of it.
+func (b *Board) setEndpoint(now time.Time, spec router.Endpoint, s *service) *endpoint {
+	e, ok := b.byID[spec.ID]
+	reborn := ok && (e.spec.Born != spec.Born || e.spec.Address != spec.Address)
+	if !ok || reborn {
+		e = &endpoint{spec: spec, region: b.zones[spec.Zone], hash: Hash32(spec.ID), warm: map[uint32]time.Time{}}
+		if b.started {
+			// It has just started, so it is cold even if it doesn't say so yet.
+			e.joined = now
+			e.coldTill = now.Add(s.spec.Warmup)
+		}
+		b.byID[spec.ID] = e
+		b.byHash[e.hash] = e
+	}
+	if spec.Cold > 0 && (e.spec.Cold != spec.Cold || !ok) {
+		e.coldTill = later(e.coldTill, now.Add(spec.Cold))
+	}
+	e.spec = spec
+	return e
+}
+
+// SetEvacuated takes the zones that get no new requests. The endpoints of a
+// zone that comes back count as cold.
+func (b *Board) SetEvacuated(now time.Time, zones []string) {
+	next := make(map[string]bool, len(zones))
+	for _, z := range zones {
+		next[z] = true
+	}
+	for _, e := range b.byID {
+		if b.evacuated[e.spec.Zone] && !next[e.spec.Zone] {
+			e.coldTill = later(e.coldTill, now.Add(b.service(e.spec.Service).spec.Warmup))
+			e.warm = map[uint32]time.Time{}
+		}
+	}
+	b.evacuated = next
+}
+
+// Usable reports whether the endpoint may still get new requests.
+func (b *Board) Usable(id string) bool {
+	e, ok := b.byID[id]
+	return ok && !e.spec.Draining && !b.evacuated[e.spec.Zone]
+}
+
+// allowed reports whether a request may go to an endpoint at all.
+func (b *Board) allowed(r Request, e *endpoint) bool {
+	if e.spec.Draining || b.evacuated[e.spec.Zone] {
+		return false
+	}
+	if r.Bound && !slices.Contains(r.Regions, e.region) {
+		return false
+	}
+	return !slices.Contains(r.Tried, e.spec.ID)
+}
+
+// Pick returns the best endpoint. It reports false if there is none at all.
+func (b *Board) Pick(now time.Time, r Request) (Choice, bool) {
+	s := b.service(r.Service)
+	best, bestCost := -1, math.Inf(1)
+	var bestChoice Choice
+	for i, e := range s.endpoints {
+		if !b.allowed(r, e) {
+			continue
+		}
+		choice, cost := b.weigh(now, r, s, e)
+		if cost < bestCost {
+			best, bestCost, bestChoice = i, cost, choice
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	return bestChoice, true
+}
+
+// weigh returns what is expected of an endpoint, and its cost in seconds.
+func (b *Board) weigh(now time.Time, r Request, s *service, e *endpoint) (Choice, float64) {
+	warm, cold := s.times(r.Target)
+	c := Choice{
+		ID: e.spec.ID, Address: e.spec.Address, Region: e.region, Load: e.load(), Slots: e.spec.Slots,
+		Warm: r.Object != 0 && e.isWarm(now, r.Object),
+	}
+	run := cold
+	if c.Warm {
+		run = warm
+	}
+	slow := e.slowness(now)
+	if e.cold(now) {
+		slow = max(slow, coldSlowdown)
+	}
+	mean := (3*warm + cold) / 4
+	if waiting := c.Load - c.Slots + 1; waiting > 0 {
+		c.Wait = time.Duration(float64(mean) * slow * float64(waiting) / float64(c.Slots))
+	}
+	c.Expect = b.distanceTo(e.region) + c.Wait + time.Duration(float64(run)*slow)
+	// An attempt that is long overdue says more than earlier answers.
+	if stalled := e.stalled(now); stalled > 3*cold {
+		c.Expect += stalled
+	}
+	cost := c.Expect.Seconds() + b.farness(e, r.Target)
+	cost += failurePenalty * e.failing(now) * r.Target.Seconds()
+	cost += spread * cold.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
+	if e.ejected(now) {
+		cost += ejectedCost
+	}
+	if e.cold(now) && !(b.keepCold(e.hash) && e.coldBudget.Wait(now) == 0) {
+		cost += coldCost
+	}
+	return c, cost
+}
+
+const (
+	// ejectedCost and coldCost put endpoints behind all others, in seconds.
+	ejectedCost = 1000.0
+	coldCost    = 100000.0
+)
+
+// farness returns the cost of leaving the zone or the region, in seconds.
+func (b *Board) farness(e *endpoint, target time.Duration) float64 {
+	switch {
+	case e.spec.Zone == b.zone:
+		return 0
+	case e.region == b.region:
+		return otherZone * target.Seconds()
+	}
+	return (otherZone + otherRegion) * target.Seconds()
+}
+
+func (b *Board) distanceTo(region string) time.Duration {
+	if d, ok := b.distance[region]; ok {
+		return d
+	}
+	if region == b.region {
+		return nearDistance
+	}
+	return farDistance
+}
+
+// times returns the mean times of warm and cold runs. Until answers show them,
+// a cold run is taken to miss its target and a warm one to keep it.
+func (s *service) times(target time.Duration) (warm, cold time.Duration) {
+	warm, cold = s.warm, s.cold
+	if cold == 0 {
+		cold = target * 5 / 4
+	}
+	if warm == 0 {
+		warm = cold * 3 / 8
+	}
+	return warm, cold
+}
--- a/seamd/commander/commander.go
+++ b/seamd/commander/commander.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log"
+	"os"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -18,6 +19,7 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seamd/daemon"
+	"primroseseam.org/seamd/edger"
 	"primroseseam.org/seamd/loader"
 )
 
@@ -39,7 +41,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(runCommand(stderr), settingsCommand())
+	root.AddCommand(runCommand(stderr), edgeCommand(stdout), settingsCommand())
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return exitOK
@@ -77,6 +79,31 @@
 	return cmd
 }
 
+// settingsVariable names the settings file of an edge instance if no flag does.
+const settingsVariable = "PRIMROSESEAM_SETTINGS"
+
+func edgeCommand(stdout io.Writer) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "edge",
+		Short: "Serve on the users' platform until SIGTERM, then shut down gracefully",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := edger.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			e, err := edger.New(settings, stdout)
+			if err != nil {
+				return err
+			}
+			return e.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(settingsVariable), "settings file")
+	return cmd
+}
+
 func settingsCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "settings", Short: "Work with settings files"}
 	parent.AddCommand(&cobra.Command{
--- /dev/null
+++ b/seamd/edger/callers.go
@@ -0,0 +1,347 @@
+package edger
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseseam.org/platform"
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/placer"
+	"primroseseam.org/seamd/exchanger"
+)
+
+const (
+	// bodyHeld is the size in bytes up to which a caller's body is kept, so that
+	// the request can be sent again.
+	bodyHeld = 256 << 10
+	// stoppingRetry is when to come back after a refusal by an instance that
+	// stops; other instances serve at once.
+	stoppingRetry = 50 * time.Millisecond
+	// slowLine is the part of a target beyond which a success is always logged.
+	slowLine = time.Second
+)
+
+// exchange is a caller's request under way.
+type exchange struct {
+	id      uint64
+	name    string
+	request *http.Request
+	arrived time.Time
+	header  http.Header
+	body    []byte
+	rest    io.Reader
+	length  int64
+	// held is an endpoint's failure that is given if nothing better comes.
+	held *exchanger.Answer
+	team string
+	last conductor.Send
+}
+
+// serveCaller answers a caller.
+func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) {
+	e.serving.Add(1)
+	defer e.serving.Add(-1)
+	x := &exchange{
+		id: e.ids.Add(1), name: r.Header.Get(platform.HeaderRequestID), request: r, arrived: time.Now(), length: r.ContentLength,
+	}
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refused := e.checkFrame(w, x); refused {
+		return
+	}
+	msg := conductor.RequestArrived{
+		ID: x.id, Host: hostOf(r.Host), Path: r.URL.EscapedPath(), Key: r.Header.Get(platform.HeaderKey),
+		CallerLeft: callerLeft(r), Read: x.arrived, Once: x.rest != nil,
+	}
+	if affinity := r.Header.Get(platform.HeaderAffinity); affinity != "" {
+		msg.Object = placer.Hash32(affinity)
+	}
+	x.header = forwardHeader(r.Header)
+	e.carry(w, x, e.update(msg))
+	e.update(conductor.RequestEnded{ID: x.id})
+}
+
+// checkFrame reads the body and refuses what can't be read or is too large.
+func (e *Edge) checkFrame(w http.ResponseWriter, x *exchange) bool {
+	if e.closing.Load() {
+		e.refuse(w, x, conductor.Refuse{Status: http.StatusServiceUnavailable, Code: coder.Stopping, RetryAfter: stoppingRetry})
+		return true
+	}
+	if x.name == "" {
+		e.refuse(w, x, conductor.Refuse{Status: http.StatusBadRequest, Code: coder.RequestMalformed})
+		return true
+	}
+	e.mu.Lock()
+	limits := e.model.Limits()
+	e.mu.Unlock()
+	if limits.HeaderBytes > 0 && headerBytes(x.request) > limits.HeaderBytes {
+		e.refuse(w, x, conductor.Refuse{Status: http.StatusRequestHeaderFieldsTooLarge, Code: coder.RequestMalformed})
+		return true
+	}
+	if limits.BodyBytes > 0 && x.length > limits.BodyBytes {
+		e.refuse(w, x, conductor.Refuse{Status: http.StatusRequestEntityTooLarge, Code: coder.RequestMalformed})
+		return true
+	}
+	if x.length == 0 {
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(x.request.Body, bodyHeld))
+	if err != nil {
+		// The caller broke off, or sent a body that isn't framed properly.
+		e.refuse(w, x, conductor.Refuse{Status: http.StatusBadRequest, Code: coder.RequestMalformed, Detail: err.Error()})
+		return true
+	}
+	x.body = body
+	switch {
+	case len(body) == bodyHeld && x.length != bodyHeld:
+		x.rest = x.request.Body
+		if x.length < 0 && limits.BodyBytes > 0 {
+			x.rest = http.MaxBytesReader(w, x.request.Body, limits.BodyBytes-bodyHeld)
+		}
+	default:
+		x.length = int64(len(body))
+	}
+	return false
+}
+
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("HTTP/1.1 Host: ")
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// hostOf returns the host without a port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// callerLeft returns how long the caller will wait, or 0.
+func callerLeft(r *http.Request) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get(platform.HeaderDeadline), 64)
+	if err != nil || ms <= 0 || ms > float64(time.Hour.Milliseconds()) {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// oneHop lists the headers that concern one connection only.
+var oneHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+}
+
+// ownHeaders lists the headers that this system sets, whatever a caller sent.
+var ownHeaders = map[string]bool{
+	platform.HeaderDeadline: true, platform.HeaderExpect: true, platform.HeaderTeam: true, platform.HeaderKey: true,
+}
+
+// forwardHeader returns what is passed on of a caller's header.
+func forwardHeader(in http.Header) http.Header {
+	out := passable(in)
+	for name := range ownHeaders {
+		out.Del(name)
+	}
+	out.Del("Expect")
+	return out
+}
+
+// passable returns a header without what concerns one connection only.
+func passable(in http.Header) http.Header {
+	out := make(http.Header, len(in)+3)
+	for name, values := range in {
+		if !oneHop[name] {
+			out[name] = values
+		}
+	}
+	for _, line := range in["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	return out
+}
+
+// carry carries out the loop's commands about a request, until it has an answer.
+func (e *Edge) carry(w http.ResponseWriter, x *exchange, cmds []conductor.Cmd) {
+	for len(cmds) > 0 {
+		switch cmd := cmds[0].(type) {
+		case conductor.Send:
+			cmds = e.send(w, x, cmd)
+		case conductor.Refuse:
+			e.refuse(w, x, cmd)
+			return
+		case conductor.Deliver:
+			e.deliver(w, x, x.held)
+			return
+		}
+	}
+}
+
+// send makes an attempt and tells the loop how it ended.
+func (e *Edge) send(w http.ResponseWriter, x *exchange, cmd conductor.Send) []conductor.Cmd {
+	x.team = cmd.Team
+	x.last = cmd
+	x.header.Set(platform.HeaderDeadline, strconv.FormatInt(max(cmd.Budget.Milliseconds(), 1), 10))
+	x.header.Set(platform.HeaderExpect, cmd.Endpoint)
+	if cmd.Team != "" {
+		x.header.Set(platform.HeaderTeam, cmd.Team)
+	}
+	start := time.Now()
+	if cmd.Attempt > 1 {
+		e.metrics.retries.Inc()
+	}
+	answer := e.exchanger.Do(x.request.Context(), exchanger.Call{
+		Address: cmd.Address, Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host,
+		Header: x.header, Body: x.body, Rest: x.rest, Length: x.length, RequestID: x.name, IDHeader: platform.HeaderRequestID,
+		Once: !cmd.Repeatable, Deadline: cmd.Deadline,
+	})
+	outcome := e.judge(x, answer)
+	e.metrics.exchanged(outcome.Answered, time.Since(start).Seconds())
+	e.logAttempt(x, cmd, answer, outcome, time.Since(start))
+	if answer.Connect > 0 {
+		e.metrics.connections.Inc()
+	}
+	if outcome.Answered && !outcome.NotRun {
+		x.held = &answer
+	}
+	return e.update(conductor.AttemptEnded{ID: x.id, Outcome: outcome})
+}
+
+// judge says what an answer means.
+func (e *Edge) judge(x *exchange, a exchanger.Answer) conductor.Outcome {
+	o := conductor.Outcome{Connect: a.Connect, Left: x.request.Context().Err() != nil}
+	if a.Err != nil {
+		o.Unreachable = !a.Sent
+		o.NotRun = !a.Sent
+		o.TimedOut = context.Cause(x.request.Context()) == nil && !time.Now().Before(x.last.Deadline)
+		return o
+	}
+	o.Status = a.Status
+	o.Misdirected = a.Status == http.StatusMisdirectedRequest
+	o.NotRun = o.Misdirected || a.Header.Get(platform.HeaderNotRun) != ""
+	// A success without the endpoint's signature is none.
+	o.Answered = a.Status/100 != 2 || a.Header.Get(platform.HeaderSignature) != ""
+	return o
+}
+
+// deliver gives the caller an endpoint's answer.
+func (e *Edge) deliver(w http.ResponseWriter, x *exchange, a *exchanger.Answer) {
+	header := w.Header()
+	for name, values := range passable(a.Header) {
+		header[name] = values
+	}
+	header.Del(platform.HeaderLoad)
+	if a.Tail == nil {
+		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	_, err := w.Write(a.Body)
+	if a.Tail != nil {
+		defer a.Close()
+		if err == nil {
+			_, err = io.Copy(w, a.Tail)
+		}
+	}
+	took := time.Since(x.arrived)
+	e.metrics.answered(coder.OK.String(), a.Status, x.team, took.Seconds())
+	if err != nil {
+		e.log.Warn("request: answer broke off", zap.String("request", x.name), zap.Error(err))
+		// The connection must break, so that the answer doesn't look whole.
+		panic(http.ErrAbortHandler)
+	}
+	now := time.Now()
+	if a.Status < http.StatusInternalServerError && took < slowLine && !e.logs.Ordinary(now) {
+		return
+	}
+	e.log.Info("request: answered", zap.String("request", x.name), zap.String("team", x.team), zap.Int("status", a.Status),
+		zap.String("endpoint", x.last.Endpoint), zap.Int("attempts", x.last.Attempt), zap.Duration("took", took))
+}
+
+// refuse gives the caller an answer of this instance's own.
+func (e *Edge) refuse(w http.ResponseWriter, x *exchange, cmd conductor.Refuse) {
+	header := w.Header()
+	if cmd.RetryAfter > 0 {
+		header.Set(platform.HeaderRetryAfter, strconv.FormatFloat(cmd.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	header.Set(platform.HeaderRequestID, x.name)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := strconv.Itoa(int(cmd.Code)) + " " + cmd.Code.String() + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(cmd.Status)
+	// A caller that is gone needs no answer.
+	_, _ = io.WriteString(w, body)
+	took := time.Since(x.arrived)
+	e.metrics.answered(cmd.Code.String(), cmd.Status, x.team, took.Seconds())
+	e.log.Warn("request: refused", zap.String("request", x.name), zap.Int("status", cmd.Status),
+		zap.Int("code", int(cmd.Code)), zap.String("reason", cmd.Code.String()), zap.Duration("retryAfter", cmd.RetryAfter),
+		zap.String("route", x.request.RequestURI), zap.String("detail", cmd.Detail), zap.Duration("took", took),
+		zap.Int("attempts", x.last.Attempt))
+}
+
+// logAttempt writes what an attempt was expected to be and how it ended.
+func (e *Edge) logAttempt(x *exchange, cmd conductor.Send, a exchanger.Answer, o conductor.Outcome, took time.Duration) {
+	good := o.Answered && !o.NotRun && o.Status < http.StatusInternalServerError
+	if good && !e.logs.Ordinary(time.Now()) {
+		return
+	}
+	write := e.log.Info
+	if !good {
+		write = e.log.Warn
+	}
+	write("request: attempt ended", zap.String("request", x.name), zap.String("team", cmd.Team),
+		zap.String("endpoint", cmd.Endpoint), zap.String("region", cmd.Choice.Region), zap.Int("attempt", cmd.Attempt),
+		zap.Duration("expected", cmd.Choice.Expect), zap.Duration("wait", cmd.Choice.Wait), zap.Bool("warm", cmd.Choice.Warm),
+		zap.Int("load", cmd.Choice.Load), zap.Int("slots", cmd.Choice.Slots), zap.Duration("budget", cmd.Budget),
+		zap.Int("status", o.Status), zap.Bool("notRun", o.NotRun), zap.Bool("left", o.Left), zap.Bool("timedOut", o.TimedOut),
+		zap.Bool("reused", a.Reused), zap.Duration("took", took), zap.NamedError("error", a.Err))
+}
+
+// serveReady tells the platform whether this instance takes requests.
+func (e *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathReady {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !e.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// lookupTTL is how long callers should use an answer to a look-up. Short ones
+// cost calls, long ones keep callers at instances that are gone.
+const lookupTTL = 2 * time.Second
+
+// serveLookup tells a caller where to connect.
+func (e *Edge) serveLookup(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathLookup {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	regionField, zoneField := platform.LookupQuery()
+	query := r.URL.Query()
+	e.mu.Lock()
+	addresses := e.model.Addresses(time.Now(), e.settings.Listen.Callers, query.Get(regionField), query.Get(zoneField))
+	e.mu.Unlock()
+	ttl := min(lookupTTL, duration(e.settings.Bounds.LookupTTL))
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that is gone needs no answer.
+	_, _ = w.Write(platform.LookupAnswer(addresses, ttl))
+}
--- /dev/null
+++ b/seamd/edger/edger.go
@@ -0,0 +1,226 @@
+// Package edger runs an entry instance on the users' platform.
+//
+// It joins the loop of package conductor to sockets: callers, look-ups,
+// endpoints, other instances and the platform's store.
+//
+// # Usage
+//
+//	e, err := edger.New(settings, os.Stdout)
+//	err = e.Run(ctx) // until ctx ends, then a planned stop
+package edger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseseam.org/platform"
+	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/follower"
+	"primroseseam.org/seamd/exchanger"
+	"primroseseam.org/seamd/heartbeater"
+)
+
+const (
+	// tickEvery is how often parts of rates are renewed and silent instances
+	// are noticed.
+	tickEvery = 200 * time.Millisecond
+	// pruneEvery is how often idle connections are looked through.
+	pruneEvery = time.Second
+	// headerTimeout and headerMost bound a caller's header until the
+	// configuration says less.
+	headerTimeout = 10 * time.Second
+	headerMost    = 64 << 10
+	// idleTimeout is longer than any caller keeps an idle connection.
+	idleTimeout = 75 * time.Second
+	// memoryPart is the part of the memory limit at which the collector works
+	// harder.
+	memoryPart = 0.7
+)
+
+// Edge is an entry instance.
+type Edge struct {
+	settings  Settings
+	started   int64
+	logs      *Logs
+	log       *zap.Logger
+	metrics   *edgeMetrics
+	exchanger *exchanger.Exchanger
+	beats     *heartbeater.Heartbeater
+	store     follower.Store
+	followers map[string]*follower.Follower
+	copies    *http.Client
+
+	mu       sync.Mutex
+	model    *conductor.Model
+	roster   *roster
+	serial   uint64
+	peers    *peerBook
+	ids      atomic.Uint64
+	serving  atomic.Int64
+	ready    atomic.Bool
+	stopping atomic.Bool
+	closing  atomic.Bool
+}
+
+// New returns an instance that has opened no sockets yet.
+func New(settings Settings, output io.Writer) (*Edge, error) {
+	started := time.Now().UnixMilli()
+	logs := NewLogs(output, settings.Log.LinesPerSecond)
+	e := &Edge{
+		settings:  settings,
+		started:   started,
+		logs:      logs,
+		log:       logs.logger.With(zap.String("instance", settings.Instance.ID)),
+		metrics:   newMetrics(),
+		exchanger: exchanger.New(),
+		store:     platform.NewStore(settings.Store),
+		followers: map[string]*follower.Follower{},
+		copies:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}},
+		model: conductor.New(
+			conductor.WithSelf(settings.Instance.ID, settings.Instance.Zone, settings.Zones),
+			conductor.WithBounds(settings.conductorBounds()),
+			conductor.WithSeed(rand.Uint64()),
+		),
+		roster: newRoster(),
+		peers:  newPeerBook(settings.peerAddresses(), settings.Listen.Peers),
+	}
+	return e, nil
+}
+
+// update gives a message to the loop.
+func (e *Edge) update(msg conductor.Msg) []conductor.Cmd {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Update(time.Now(), msg)
+}
+
+// Run serves until ctx ends and then stops as planned.
+func (e *Edge) Run(ctx context.Context) error {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(e.settings.Memory.CollectPercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(e.settings.Memory.LimitMB) * (1 << 20)))
+	// What the instance does for itself ends after the last caller is served.
+	background, end := context.WithCancel(context.Background())
+	var workers sync.WaitGroup
+	defer func() {
+		end()
+		workers.Wait()
+	}()
+	work := func(f func(context.Context)) {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			f(background)
+		}()
+	}
+	work(e.logs.Run)
+	servers, err := e.listen()
+	if err != nil {
+		return err
+	}
+	e.log.Info("start", zap.String("zone", e.settings.Instance.Zone), zap.String("callers", e.settings.Listen.Callers),
+		zap.String("store", e.settings.Store), zap.Strings("peers", e.peers.addresses()))
+	work(e.beats.Run)
+	work(e.beat)
+	work(e.tick)
+	work(e.register)
+	work(e.askPeers)
+	for _, f := range e.follow() {
+		work(f.Run)
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		work(func(context.Context) { failed <- s.serve() })
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	}
+	e.stop(servers)
+	return nil
+}
+
+// server is an HTTP server and its listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s server) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// listen opens all sockets.
+func (e *Edge) listen() ([]server, error) {
+	var err error
+	report := func(err error) { e.log.Warn("heartbeat: not read", zap.Error(err)) }
+	if e.beats, err = heartbeater.Listen(e.settings.Listen.Peers, e.heard, report); err != nil {
+		return nil, err
+	}
+	path, copies := heartbeater.Handler(e.copiesFor)
+	peers := http.NewServeMux()
+	peers.Handle(path, copies)
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.settings.Listen.Callers, http.HandlerFunc(e.serveCaller)},
+		{e.settings.Listen.Ready, http.HandlerFunc(e.serveReady)},
+		{e.settings.Listen.Lookups, http.HandlerFunc(e.serveLookup)},
+		{e.settings.Listen.Peers, peers},
+	}
+	if e.settings.Listen.Metrics != "" {
+		handlers = append(handlers, struct {
+			address string
+			handler http.Handler
+		}{e.settings.Listen.Metrics, http.HandlerFunc(e.serveMetrics)})
+	}
+	var servers []server
+	for _, h := range handlers {
+		l, err := net.Listen("tcp4", h.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		servers = append(servers, server{listener: l, http: &http.Server{
+			Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: headerMost, ErrorLog: zap.NewStdLog(e.log),
+		}})
+	}
+	return servers, nil
+}
+
+// tick drives what depends on time alone.
+func (e *Edge) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	pruned := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.update(conductor.Ticked{})
+			e.releaseGone(now)
+			if now.Sub(pruned) > pruneEvery {
+				pruned = now
+				e.exchanger.Prune()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/seamd/edger/logs.go
@@ -0,0 +1,162 @@
+package edger
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// logBuffer is the most bytes of lines that wait to be written.
+	logBuffer = 128 << 10
+	// logReserve is the part of the buffer that is kept for lines above the
+	// level of an ordinary success.
+	logReserve = 64 << 10
+	// logFlush is how often lines are written.
+	logFlush = 250 * time.Millisecond
+)
+
+// lineBuffer keeps lines until they are written, and drops what doesn't fit, so
+// that a blocked output delays no request.
+type lineBuffer struct {
+	mu      sync.Mutex
+	pending []byte
+	dropped int
+}
+
+// write keeps a line and reports whether there was room.
+func (b *lineBuffer) write(p []byte, room int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.pending)+len(p) > room {
+		b.dropped++
+		return false
+	}
+	b.pending = append(b.pending, p...)
+	return true
+}
+
+// take returns the lines that wait and how many were dropped.
+func (b *lineBuffer) take(spare []byte) ([]byte, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lines, dropped := b.pending, b.dropped
+	b.pending = spare[:0]
+	b.dropped = 0
+	return lines, dropped
+}
+
+// bufferCore is a zap core that writes to a lineBuffer.
+type bufferCore struct {
+	zapcore.LevelEnabler
+	encoder zapcore.Encoder
+	buffer  *lineBuffer
+}
+
+// With implements zapcore.Core.
+func (c *bufferCore) With(fields []zapcore.Field) zapcore.Core {
+	encoder := c.encoder.Clone()
+	for _, f := range fields {
+		f.AddTo(encoder)
+	}
+	return &bufferCore{LevelEnabler: c.LevelEnabler, encoder: encoder, buffer: c.buffer}
+}
+
+// Check implements zapcore.Core.
+func (c *bufferCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+// Write implements zapcore.Core.
+func (c *bufferCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	line, err := c.encoder.EncodeEntry(e, fields)
+	if err != nil {
+		return err
+	}
+	defer line.Free()
+	room := logBuffer
+	if e.Level <= zapcore.InfoLevel {
+		room -= logReserve
+	}
+	c.buffer.write(line.Bytes(), room)
+	return nil
+}
+
+// Sync implements zapcore.Core.
+func (c *bufferCore) Sync() error { return nil }
+
+// Logs is a log that never blocks its writers.
+type Logs struct {
+	logger *zap.Logger
+	buffer *lineBuffer
+	output io.Writer
+	rate   int
+	mu     sync.Mutex
+	second int64
+	lines  int
+	passed int
+}
+
+// NewLogs returns a log that Run writes to output.
+func NewLogs(output io.Writer, linesPerSecond int) *Logs {
+	buffer := &lineBuffer{}
+	config := zap.NewProductionEncoderConfig()
+	core := &bufferCore{LevelEnabler: zapcore.InfoLevel, encoder: zapcore.NewJSONEncoder(config), buffer: buffer}
+	return &Logs{logger: zap.New(core), buffer: buffer, output: output, rate: linesPerSecond}
+}
+
+// Run writes lines until ctx ends, and then what is left.
+func (l *Logs) Run(ctx context.Context) {
+	ticker := time.NewTicker(logFlush)
+	defer ticker.Stop()
+	var spare []byte
+	for {
+		select {
+		case <-ctx.Done():
+			l.flush(spare)
+			return
+		case <-ticker.C:
+			spare = l.flush(spare)
+		}
+	}
+}
+
+func (l *Logs) flush(spare []byte) []byte {
+	l.mu.Lock()
+	passed := l.passed
+	l.passed = 0
+	l.mu.Unlock()
+	lines, dropped := l.buffer.take(spare)
+	if len(lines) > 0 {
+		// A failed write can't be logged; the next one is tried.
+		_, _ = l.output.Write(lines)
+	}
+	if dropped > 0 || passed > 0 {
+		l.logger.Warn("log: lines left out", zap.Int("noRoom", dropped), zap.Int("overRate", passed))
+	}
+	return lines
+}
+
+// Ordinary reports whether one more line about a request that went well may be
+// written in this second.
+func (l *Logs) Ordinary(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := now.Unix(); s != l.second {
+		l.second = s
+		l.lines = 0
+	}
+	if l.lines >= l.rate {
+		l.passed++
+		return false
+	}
+	l.lines++
+	return true
+}
--- /dev/null
+++ b/seamd/edger/settings.go
@@ -0,0 +1,184 @@
+package edger
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/conductor"
+)
+
+// Settings is the settings file of an edge instance. Times are in seconds.
+type Settings struct {
+	Instance InstanceSettings  `json:"instance"`
+	Zones    map[string]string `json:"zones"`
+	Listen   ListenSettings    `json:"listen"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// Seeds are hosts of other instances, with any port.
+	Seeds  []string       `json:"seeds"`
+	Bounds BoundsSettings `json:"bounds"`
+	Log    LogSettings    `json:"log"`
+	Memory MemorySettings `json:"memory"`
+}
+
+// InstanceSettings says who and where the instance is.
+type InstanceSettings struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+}
+
+// ListenSettings holds the addresses to listen at.
+type ListenSettings struct {
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Lookups string `json:"lookups"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics"`
+}
+
+// BoundsSettings holds what the operators of the platform promise.
+type BoundsSettings struct {
+	// RetryRatio, RetryWindow and RetryExtra bound retries over the fleet.
+	RetryRatio  float64 `json:"retryRatio"`
+	RetryWindow float64 `json:"retryWindow"`
+	RetryExtra  float64 `json:"retryExtra"`
+	ColdOver    float64 `json:"coldOver"`
+	ColdSlack   float64 `json:"coldSlack"`
+	// Grace is how long the instance may run on after SIGTERM.
+	Grace float64 `json:"grace"`
+	// LookupTTL is the most that a look-up answer may be used.
+	LookupTTL float64 `json:"lookupTtl"`
+}
+
+// LogSettings bounds the log.
+type LogSettings struct {
+	// LinesPerSecond bounds the lines about requests that went well.
+	LinesPerSecond int `json:"linesPerSecond"`
+}
+
+// MemorySettings bounds the heap.
+type MemorySettings struct {
+	// LimitMB is the memory of the instance in megabytes.
+	LimitMB int `json:"limitMb"`
+	// CollectPercent is how much the heap may grow between two collections.
+	CollectPercent int `json:"collectPercent"`
+}
+
+// Defaults of settings that are left out.
+const (
+	defaultLinesPerSecond = 200
+	defaultCollectPercent = 60
+	defaultLimitMB        = 256
+	defaultGrace          = 6.0
+	defaultLookupTTL      = 5.0
+)
+
+// LoadSettings reads and checks a settings file. Errors carry
+// [coder.SettingsInvalid] and the path of the field at fault.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, coder.Errorf(coder.SettingsInvalid, path, "can't be read: %v", err)
+	}
+	return ParseSettings(data)
+}
+
+// ParseSettings decodes and checks settings.
+func ParseSettings(data []byte) (Settings, error) {
+	var s Settings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, coder.Errorf(coder.SettingsInvalid, "settings", "is not valid JSON: %v", err)
+	}
+	s.setDefaults()
+	return s, s.check()
+}
+
+func (s *Settings) setDefaults() {
+	if s.Log.LinesPerSecond == 0 {
+		s.Log.LinesPerSecond = defaultLinesPerSecond
+	}
+	if s.Memory.CollectPercent == 0 {
+		s.Memory.CollectPercent = defaultCollectPercent
+	}
+	if s.Memory.LimitMB == 0 {
+		s.Memory.LimitMB = defaultLimitMB
+	}
+	if s.Bounds.Grace == 0 {
+		s.Bounds.Grace = defaultGrace
+	}
+	if s.Bounds.LookupTTL == 0 {
+		s.Bounds.LookupTTL = defaultLookupTTL
+	}
+}
+
+func (s *Settings) check() error {
+	invalid := func(path, format string, args ...any) error {
+		return coder.Errorf(coder.SettingsInvalid, path, format, args...)
+	}
+	if s.Instance.ID == "" {
+		return invalid("instance.id", "must not be empty")
+	}
+	if _, ok := s.Zones[s.Instance.Zone]; !ok {
+		return invalid("instance.zone", "%q is not in zones", s.Instance.Zone)
+	}
+	addresses := map[string]string{
+		"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready, "listen.lookups": s.Listen.Lookups,
+		"listen.peers": s.Listen.Peers, "store": s.Store,
+	}
+	if s.Listen.Metrics != "" {
+		addresses["listen.metrics"] = s.Listen.Metrics
+	}
+	for path, a := range addresses {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return invalid(path, "%q is not HOST:PORT", a)
+		}
+	}
+	numbers := map[string]float64{
+		"bounds.retryRatio": s.Bounds.RetryRatio, "bounds.retryWindow": s.Bounds.RetryWindow,
+		"bounds.retryExtra": s.Bounds.RetryExtra, "bounds.coldOver": s.Bounds.ColdOver,
+		"bounds.coldSlack": s.Bounds.ColdSlack, "bounds.grace": s.Bounds.Grace,
+		"log.linesPerSecond": float64(s.Log.LinesPerSecond), "memory.limitMb": float64(s.Memory.LimitMB),
+	}
+	for path, n := range numbers {
+		if n < 0 {
+			return invalid(path, "must not be negative")
+		}
+	}
+	return nil
+}
+
+// peerAddresses returns where the seeds listen for other instances, this one
+// left out. All instances use the same port.
+func (s *Settings) peerAddresses() []string {
+	_, port, _ := net.SplitHostPort(s.Listen.Peers)
+	var list []string
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			host = seed
+		}
+		if a := net.JoinHostPort(host, port); a != s.Listen.Peers && host != "" && !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (s *Settings) conductorBounds() conductor.Bounds {
+	return conductor.Bounds{
+		RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra,
+		RetryWindow: duration(s.Bounds.RetryWindow),
+		ColdOver:    s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
+	}
+}
+
+func duration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/seamd/exchanger/pool.go
@@ -0,0 +1,172 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// dialTimeout bounds a new connection. It covers two ways between far
+	// regions and leaves time for another endpoint.
+	dialTimeout = 450 * time.Millisecond
+	// keptIdle is how long a connection is kept if its endpoint doesn't say.
+	keptIdle = 4 * time.Second
+	// idlePart is the part of an endpoint's idle timeout for which a connection
+	// is used again; the rest covers the way of the request.
+	idlePart = 0.75
+	// freshFor is how long after its last answer a connection is used for a
+	// request that may run only once. Endpoints may forget idle connections.
+	freshFor = 3 * time.Second
+	// keptMost bounds the idle connections to one endpoint.
+	keptMost = 16
+	// probeIdle, probeInterval, probeCount and unackedTimeout find a silent
+	// connection while an answer is awaited.
+	probeIdle      = time.Second
+	probeInterval  = 500 * time.Millisecond
+	probeCount     = 3
+	unackedTimeout = 2 * time.Second
+	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT.
+	tcpUserTimeout = 18
+	// readBuffer is the size of a connection's read buffer in bytes.
+	readBuffer = 4 << 10
+)
+
+// conn is a connection to an endpoint.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// usable is how long the connection may be idle, usedAt when it last
+	// brought an answer.
+	usable time.Duration
+	usedAt time.Time
+	// connect is how long it took to open.
+	connect time.Duration
+}
+
+// quiet reports whether the other side has neither closed the connection nor
+// sent anything that nobody asked for.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// pool keeps idle connections by address, the last used first.
+type pool struct {
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// take returns an idle connection that may be used, or nil.
+func (p *pool) take(address string, once bool, now time.Time) *conn {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			return nil
+		}
+		age := now.Sub(c.usedAt)
+		switch {
+		case age > c.usable, !c.quiet():
+			_ = c.Close()
+		case once && age > freshFor:
+			// It may still serve requests that can be sent again.
+			p.put(address, c)
+			return nil
+		default:
+			return c
+		}
+	}
+}
+
+func (p *pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *pool) put(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) >= keptMost {
+		_ = list[0].Close()
+		list = list[1:]
+	}
+	p.idle[address] = append(list, c)
+}
+
+// prune closes connections that have been idle too long.
+func (p *pool) prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.usedAt) > c.usable {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// drop closes all idle connections to an address.
+func (p *pool) drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
+// dial opens a connection.
+func dial(ctx context.Context, address string) (*conn, error) {
+	start := time.Now()
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+			})
+		},
+	}
+	opened, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), usable: keptIdle,
+		usedAt: time.Now(), connect: time.Since(start),
+	}, nil
+}
--- /dev/null
+++ b/seamd/heartbeater/copies.go
@@ -0,0 +1,69 @@
+package heartbeater
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"primroseseam.org/seam/follower"
+)
+
+// procedureCopy is the path of the call for a copy.
+const procedureCopy = "/seam.edge.v1.Copies/Copy"
+
+// copyTimeout bounds a call for a copy.
+const copyTimeout = 1200 * time.Millisecond
+
+// CopyRequest asks for what is newer than the positions of the kinds.
+type CopyRequest struct {
+	Positions map[string]uint64 `json:"positions"`
+}
+
+// Copy holds the objects of a kind at a position.
+type Copy struct {
+	Kind     string            `json:"kind"`
+	Position uint64            `json:"position"`
+	Objects  []follower.Object `json:"objects"`
+}
+
+// CopyAnswer holds the kinds that are newer.
+type CopyAnswer struct {
+	Copies []Copy `json:"copies"`
+}
+
+// jsonCodec encodes plain structs, without a schema of its own.
+type jsonCodec struct{}
+
+// Name implements connect.Codec.
+func (jsonCodec) Name() string { return "json" }
+
+// Marshal implements connect.Codec.
+func (jsonCodec) Marshal(v any) ([]byte, error) { return json.Marshal(v) }
+
+// Unmarshal implements connect.Codec.
+func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+
+// Handler returns the path and the handler that answer with copies.
+func Handler(copies func(CopyRequest) CopyAnswer) (string, http.Handler) {
+	handler := connect.NewUnaryHandler(procedureCopy,
+		func(_ context.Context, r *connect.Request[CopyRequest]) (*connect.Response[CopyAnswer], error) {
+			answer := copies(*r.Msg)
+			return connect.NewResponse(&answer), nil
+		}, connect.WithCodec(jsonCodec{}))
+	return procedureCopy, handler
+}
+
+// Fetch asks an instance for copies.
+func Fetch(ctx context.Context, client *http.Client, address string, request CopyRequest) (CopyAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	caller := connect.NewClient[CopyRequest, CopyAnswer](client, "http://"+address+procedureCopy, connect.WithCodec(jsonCodec{}))
+	answer, err := caller.CallUnary(ctx, connect.NewRequest(&request))
+	if err != nil {
+		return CopyAnswer{}, err
+	}
+	return *answer.Msg, nil
+}
--- /dev/null
+++ b/seamd/heartbeater/heartbeater.go
@@ -0,0 +1,109 @@
+// Package heartbeater carries heartbeats between instances as datagrams, and
+// copies of what the store says to instances that can't reach it.
+//
+// Heartbeats are datagrams in MessagePack, since a call for each would cost
+// more than all requests on a small instance. Copies are connect calls.
+//
+// # Usage
+//
+//	h, err := heartbeater.Listen("10.0.0.1:7400", func(b conductor.Beat) { ... })
+//	go h.Run(ctx)
+//	h.Send(beat, addresses)
+package heartbeater
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"primroseseam.org/seam/conductor"
+)
+
+// maxDatagram is the size of the largest heartbeat in bytes.
+const maxDatagram = 8 << 10
+
+// Heartbeater sends and receives heartbeats.
+type Heartbeater struct {
+	socket  *net.UDPConn
+	receive func(conductor.Beat)
+	report  func(error)
+}
+
+// Listen opens the socket at an address. Receive is called with each heartbeat,
+// report with each datagram that is none.
+func Listen(address string, receive func(conductor.Beat), report func(error)) (*Heartbeater, error) {
+	bound, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("heartbeats: %w", err)
+	}
+	socket, err := net.ListenUDP("udp4", bound)
+	if err != nil {
+		return nil, fmt.Errorf("heartbeats: %w", err)
+	}
+	return &Heartbeater{socket: socket, receive: receive, report: report}, nil
+}
+
+// Run receives heartbeats until ctx ends.
+func (h *Heartbeater) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = h.socket.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := h.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				h.report(fmt.Errorf("receive heartbeat: %w", err))
+			}
+			continue
+		}
+		beat, err := Decode(buffer[:n])
+		if err != nil {
+			h.report(err)
+			continue
+		}
+		h.receive(beat)
+	}
+}
+
+// Send sends a heartbeat to addresses. Losing one does no harm.
+func (h *Heartbeater) Send(beat conductor.Beat, addresses []netip.AddrPort) error {
+	data, err := Encode(beat)
+	if err != nil {
+		return err
+	}
+	var failed error
+	for _, a := range addresses {
+		if _, err := h.socket.WriteToUDPAddrPort(data, a); err != nil {
+			failed = fmt.Errorf("send heartbeat to %s: %w", a, err)
+		}
+	}
+	return failed
+}
+
+// Encode encodes a heartbeat.
+func Encode(beat conductor.Beat) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(beat); err != nil {
+		return nil, fmt.Errorf("encode heartbeat: %w", err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Decode decodes what Encode made.
+func Decode(data []byte) (conductor.Beat, error) {
+	var beat conductor.Beat
+	if err := msgpack.Unmarshal(data, &beat); err != nil {
+		return conductor.Beat{}, fmt.Errorf("decode heartbeat: %w", err)
+	}
+	if beat.ID == "" {
+		return conductor.Beat{}, fmt.Errorf("decode heartbeat: it names no instance")
+	}
+	return beat, nil
+}
