Share the checks of the store among instances; count a team's rate over the fleet

Change: short checks, made by one instance in turn and told by heartbeats; what is missing is fetched from another instance as a difference. A team's rate: what the fleet used is counted from heartbeats; an instance's own part binds only when the fleet has less than half of a burst left.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -52,6 +52,7 @@
 	board    *placer.Board
 	requests map[uint64]*request
 	teams    map[string]*teamState
+	byHash   map[uint32]*teamState
 	retries  map[string]*retryState
 	peers    map[string]*peer
 	known    map[string]bool
@@ -91,6 +92,7 @@
 		rng:      rand.New(rand.NewPCG(1, 1)),
 		requests: map[uint64]*request{},
 		teams:    map[string]*teamState{},
+		byHash:   map[uint32]*teamState{},
 		retries:  map[string]*retryState{},
 		peers:    map[string]*peer{},
 		known:    map[string]bool{},
@@ -142,9 +144,10 @@
 	}
 	m.config = c
 	m.board.SetServices(c)
-	for name := range m.teams {
+	for name, t := range m.teams {
 		if _, ok := c.Teams()[name]; !ok {
 			delete(m.teams, name)
+			delete(m.byHash, t.hash)
 		}
 	}
 	m.refreshRates(now)
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -144,6 +144,8 @@
 	Callers string
 	Peers   string
 	Leaving bool
+	// Blind means that the store doesn't answer this instance.
+	Blind bool
 	// Config is the version in force.
 	Config  uint64
 	Loads   []placer.Load
@@ -151,12 +153,26 @@
 	Demand  []Demand
 	// Down lists endpoints that could not be reached.
 	Down []uint32
+	// States say how far the followers of the store have come.
+	States []KindState
 	// Known lists the addresses of other instances, now and then.
 	Known []string
 }
 
-// Demand is the rate of a team's requests at an instance, per second.
+// Demand is what a team asks at an instance.
 type Demand struct {
 	Team uint32
-	Rate float64
+	// TenthsPerSecond is the rate of requests in tenths of a request per second.
+	TenthsPerSecond uint32
+	// Used is the number of requests let through in the instance's lifetime.
+	Used uint64
+}
+
+// KindState says how far a follower of a kind in the store has come.
+type KindState struct {
+	Kind     string
+	Position uint64
+	Changed  uint64
+	// AgeMs is how long ago the store was asked, in milliseconds.
+	AgeMs uint32
 }
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -26,13 +26,19 @@
 	heard  time.Time
 	silent bool
 	demand map[uint32]float64
+	used   map[uint32]uint64
 }
 
 // teamState is what an instance knows of a team.
 type teamState struct {
 	hash   uint32
 	demand rationer.Meter
-	bucket rationer.Bucket
+	// used is the number of requests let through here, in this lifetime.
+	used uint64
+	// fleet is what the fleet as a whole has left, as far as is known here, and
+	// part what this instance may use if that is little.
+	fleet rationer.Bucket
+	part  rationer.Bucket
 }
 
 // retryState is an instance's part of a service's retry budget.
@@ -61,19 +67,36 @@
 		p = &peer{}
 		m.peers[b.ID] = p
 	}
+	if b.Started != p.beat.Started {
+		p.used = map[uint32]uint64{}
+	}
 	p.beat = b
 	p.heard = now
 	p.silent = false
-	p.demand = make(map[uint32]float64, len(b.Demand))
-	for _, d := range b.Demand {
-		p.demand[d.Team] = d.Rate
-	}
+	m.demandHeard(now, p, b.Demand)
 	m.board.PeerLoads(b.ID, b.Loads)
 	m.board.PeerTouches(now, b.Touches)
 	m.board.PeerDown(now, b.Down)
 	m.refreshLive()
 }
 
+// demandHeard takes what teams asked and used at another instance. What was used
+// before this instance heard of the other is not counted.
+func (m *Model) demandHeard(now time.Time, p *peer, demand []Demand) {
+	p.demand = make(map[uint32]float64, len(demand))
+	for _, d := range demand {
+		p.demand[d.Team] = float64(d.TenthsPerSecond) / 10
+		before, known := p.used[d.Team]
+		p.used[d.Team] = d.Used
+		if !known || d.Used <= before {
+			continue
+		}
+		if t, ok := m.byHash[d.Team]; ok {
+			t.fleet.Spend(now, float64(d.Used-before))
+		}
+	}
+}
+
 // forgetSilent drops what silent instances said.
 func (m *Model) forgetSilent(now time.Time) {
 	for id, p := range m.peers {
@@ -120,19 +143,49 @@
 			}
 		}
 		part := rationer.Part(fleet, t.demand.Rate(now), others)
-		t.bucket.SetRate(now, team.Rate*part, max(team.Burst*part, 1))
+		t.setRate(now, team.Rate, team.Burst, part)
+	}
+}
+
+// setRate takes a team's rate and burst and this instance's part of them.
+func (t *teamState) setRate(now time.Time, rate, burst, part float64) {
+	burst = max(burst, 1)
+	t.fleet.SetRate(now, rate, burst)
+	t.part.SetRate(now, rate*part, max(burst*part*(1-plenty), 1))
+}
+
+// take lets a request through or refuses it. While the fleet as a whole has
+// plenty left, an instance doesn't mind its part.
+func (t *teamState) take(now time.Time, whole bool) bool {
+	own := t.part.Take(now)
+	if !own && !(whole && t.fleet.Left(now) > plenty) {
+		return false
 	}
+	t.fleet.Spend(now, 1)
+	t.used++
+	return true
 }
 
+// giveBack returns the token of a request that did not run.
+func (t *teamState) giveBack() {
+	t.part.Put(1)
+	t.fleet.Put(1)
+	t.used--
+}
+
+// plenty is the part of a burst above which the fleet as a whole has plenty
+// left. It is many times what instances let through between two heartbeats.
+const plenty = 0.5
+
 // teamOf returns the state of a team.
 func (m *Model) teamOf(now time.Time, name string) *teamState {
 	t, ok := m.teams[name]
 	if !ok {
 		t = &teamState{hash: placer.Hash32(name)}
 		m.teams[name] = t
+		m.byHash[t.hash] = t
 		team := m.config.Teams()[name]
-		part := 1 / float64(max(m.fleet().Known, 1))
-		t.bucket.SetRate(now, team.Rate*part, max(team.Burst*part, 1))
+		t.setRate(now, team.Rate, team.Burst, rationer.Part(m.fleet(), 0, 0))
 	}
 	return t
 }
@@ -168,7 +221,7 @@
 	}
 	for _, t := range m.teams {
 		if rate := t.demand.Rate(now); rate > leastDemand {
-			b.Demand = append(b.Demand, Demand{Team: t.hash, Rate: rate})
+			b.Demand = append(b.Demand, Demand{Team: t.hash, TenthsPerSecond: uint32(rate * 10), Used: t.used})
 		}
 	}
 	return b
@@ -208,3 +261,17 @@
 	}
 	return []string{self}
 }
+
+// Turn returns this instance's place among those that hear from the store, in an
+// order that all agree on.
+func (m *Model) Turn() int {
+	own := placer.Hash32(m.id)
+	place := 0
+	for _, p := range m.peers {
+		hears := !p.silent && !p.beat.Leaving && !p.beat.Blind
+		if hears && placer.Hash32(p.beat.ID) < own {
+			place++
+		}
+	}
+	return place
+}
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -121,10 +121,10 @@
 	}
 	t := m.teamOf(now, r.team)
 	t.demand.Add(now, 1)
-	if t.bucket.Take(now) {
+	if t.take(now, m.fleet().Whole()) {
 		return nil
 	}
-	after := admitter.RetryAfter(t.bucket.Wait(now), r.callerEnd.Sub(now), m.rng.Float64())
+	after := admitter.RetryAfter(t.part.Wait(now), r.callerEnd.Sub(now), m.rng.Float64())
 	return refuse(r.id, http.StatusTooManyRequests, coder.TeamOverRate, after)
 }
 
@@ -154,7 +154,7 @@
 // giveBack returns the token of a request that will not run.
 func (m *Model) giveBack(r *request) {
 	if t, ok := m.teams[r.team]; ok {
-		t.bucket.Put(1)
+		t.giveBack()
 	}
 }
 
--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -1,14 +1,22 @@
 // Package follower keeps a copy of the objects of one kind in the state store.
 //
-// A follower lists the kind once and then waits for changes from where the list
+// A follower lists the kind once and then asks for changes from where the list
 // ended. Positions only grow, so that an answer from the past is dropped. If the
-// store forgot the changes in between, the follower lists again. While the store
-// can't be reached, [Follower.Offer] takes a peer's newer copy.
+// store forgot the changes in between, the follower lists again.
+//
+// Calls to the store have a price, and a call that waits for changes may go
+// silent. So the followers of a fleet share the work without a leader: each
+// tells the others how far it has come and when it last checked
+// ([Follower.State]), takes what others say ([Follower.Hear]), and asks the store
+// itself only when nobody has checked for longer than its turn allows. What it
+// lacks it gets from another's [Follower.Delta] through [Follower.Offer]. An
+// instance that hears nobody asks the store itself.
 //
 // # Usage
 //
 //	f := follower.New(store, "config", follower.WithNotify(func(v follower.View) { ... }))
-//	err := f.Run(ctx)
+//	go f.Run(ctx)
+//	f.Hear(state, time.Now()) // from a heartbeat
 package follower
 
 import (
@@ -33,8 +41,9 @@
 
 // Object is an object in the store, with what its writer said.
 type Object struct {
-	Name string
-	Spec json.RawMessage
+	Name     string
+	Revision uint64
+	Spec     json.RawMessage
 }
 
 // Change is an object that was written, or deleted.
@@ -76,34 +85,77 @@
 	Objects  map[string]Object
 	// Removed lists what went since the view before.
 	Removed []string
-	// Reachable is false while the store doesn't answer.
-	Reachable bool
 	// Regained is when the store answered again after it had not, or zero.
 	Regained time.Time
 }
 
+// State says how far a follower has come.
+type State struct {
+	// Position is up to where the copy is known to be complete, Changed where it
+	// last changed.
+	Position uint64
+	Changed  uint64
+	// Age is how long ago the store was asked.
+	Age time.Duration
+}
+
+// Delta is what changed after a position. If Whole is set, Objects are all that
+// there are.
+type Delta struct {
+	Kind     string
+	From     uint64
+	Position uint64
+	Changed  uint64
+	Whole    bool
+	Objects  []Object
+	Removed  []string
+}
+
 const (
-	// watchWait is how long one call waits for a change; a call has a price.
-	watchWait = 25 * time.Second
+	// checkWait is how long one call waits for a change.
+	checkWait = 600 * time.Millisecond
+	// checkAfter is how long after the last check, by whichever instance, the
+	// second in turn asks the store itself; it is longer than a check and the
+	// heartbeat that tells of it. turnStep is added for each further place, so
+	// that not all ask at once, up to turnMost places. Together they stay below
+	// the 2 s in which a change must be in force.
+	checkAfter = 1150 * time.Millisecond
+	turnStep   = 120 * time.Millisecond
+	turnMost   = 4
 	// pauseAfterChange gathers changes that come in quick succession into one
-	// call. It is small beside the 2 s in which a change must be in force.
-	pauseAfterChange = 300 * time.Millisecond
+	// call.
+	pauseAfterChange = 250 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 150 * time.Millisecond
 	retryMax = 1200 * time.Millisecond
+	// removedKept is the number of removed names that are remembered.
+	removedKept = 4096
 )
 
+// removal is an object that was removed before a position.
+type removal struct {
+	name     string
+	position uint64
+}
+
 // Follower keeps a copy of one kind. It is safe for concurrent use.
 type Follower struct {
 	store  Store
 	kind   string
 	notify func(View)
 	report func(kind string, err error)
-	pause  time.Duration
+	turn   func() int
+	wake   chan struct{}
 
-	mu   sync.Mutex
-	view View
-	have bool
+	mu        sync.Mutex
+	view      View
+	have      bool
+	changed   uint64
+	checked   time.Time
+	reachable bool
+	removed   []removal
+	// forgotten is the position up to which removals are no longer known.
+	forgotten uint64
 }
 
 // Option changes a follower at its creation.
@@ -116,15 +168,16 @@
 // store answers again (err is nil).
 func WithReport(f func(kind string, err error)) Option { return func(w *Follower) { w.report = f } }
 
-// WithPause sets how long changes are gathered between two calls.
-func WithPause(d time.Duration) Option { return func(w *Follower) { w.pause = d } }
+// WithTurn sets what tells the place of this instance among those that can ask
+// the store; the instance at place 0 asks all the time.
+func WithTurn(f func() int) Option { return func(w *Follower) { w.turn = f } }
 
 // New returns a follower that has no copy yet.
 func New(store Store, kind string, opts ...Option) *Follower {
 	f := &Follower{
-		store: store, kind: kind, pause: pauseAfterChange,
-		notify: func(View) {}, report: func(string, error) {},
-		view: View{Kind: kind, Objects: map[string]Object{}, Reachable: true},
+		store: store, kind: kind, wake: make(chan struct{}, 1), reachable: true,
+		notify: func(View) {}, report: func(string, error) {}, turn: func() int { return 0 },
+		view: View{Kind: kind, Objects: map[string]Object{}},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -137,12 +190,18 @@
 	listed := false
 	failures := 0
 	for ctx.Err() == nil {
-		err := f.step(ctx, listed)
+		if wait := f.due(time.Now()); wait > 0 {
+			f.sleep(ctx, wait)
+			continue
+		}
+		changed, err := f.step(ctx, listed)
 		switch {
 		case err == nil:
 			listed = true
 			failures = 0
-			sleep(ctx, f.pause)
+			if changed {
+				f.sleep(ctx, pauseAfterChange)
+			}
 		case errors.Is(err, ErrHistoryGone):
 			listed = false
 		case ctx.Err() != nil:
@@ -150,35 +209,57 @@
 		default:
 			failures++
 			f.lost(err)
-			sleep(ctx, backOff(failures))
+			f.sleep(ctx, backOff(failures))
 		}
 	}
 }
 
-// step makes one call to the store.
-func (f *Follower) step(ctx context.Context, listed bool) error {
-	if !listed {
-		objects, position, err := f.store.List(ctx, f.kind)
-		if err != nil {
-			return err
-		}
-		f.replace(objects, position, true)
-		return nil
+// due returns how long it takes until this instance should ask the store.
+func (f *Follower) due(now time.Time) time.Duration {
+	turn := f.turn()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if turn == 0 || !f.have {
+		return 0
+	}
+	return f.checked.Add(checkAfter + turnStep*time.Duration(min(turn, turnMost))).Sub(now)
+}
+
+// step makes one call to the store and reports whether it brought a change.
+func (f *Follower) step(ctx context.Context, listed bool) (bool, error) {
+	from := f.State(time.Now()).Position
+	if !listed && from == 0 {
+		return f.list(ctx)
+	}
+	changes, position, err := f.store.Watch(ctx, f.kind, from, checkWait)
+	if errors.Is(err, ErrHistoryGone) {
+		return f.list(ctx)
 	}
-	from := f.Position()
-	changes, position, err := f.store.Watch(ctx, f.kind, from, watchWait)
 	if err != nil {
-		return err
+		return false, err
 	}
-	f.apply(changes, position)
-	return nil
+	return f.apply(changes, position), nil
 }
 
-// Position returns where the copy stands.
-func (f *Follower) Position() uint64 {
+func (f *Follower) list(ctx context.Context) (bool, error) {
+	objects, position, err := f.store.List(ctx, f.kind)
+	if err != nil {
+		return false, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Position
+	f.answered()
+	if f.have && position < f.view.Position {
+		return false, nil
+	}
+	return f.replace(objects, position, position), nil
+}
+
+// State returns how far the copy has come.
+func (f *Follower) State(now time.Time) State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return State{Position: f.view.Position, Changed: f.changed, Age: now.Sub(f.checked)}
 }
 
 // View returns the copy and whether there is one.
@@ -188,22 +269,105 @@
 	return f.view, f.have
 }
 
-// Offer takes a peer's copy if it is newer. It reports whether it was taken.
-func (f *Follower) Offer(objects []Object, position uint64) bool {
-	return f.replace(objects, position, false)
+// Reachable reports whether the store answered the last call.
+func (f *Follower) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reachable
 }
 
-// replace takes a whole list unless it is older than the copy.
-func (f *Follower) replace(objects []Object, position uint64, fromStore bool) bool {
+// Hear takes how far another instance has come. It reports whether that one
+// knows of changes that this copy lacks.
+func (f *Follower) Hear(s State, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.answered(fromStore)
-	if f.have && (position < f.view.Position || !fromStore && position == f.view.Position) {
+	if s.Position < f.view.Position || s.Position == 0 {
 		return false
 	}
+	if !f.have || s.Changed > f.view.Position {
+		return true
+	}
+	f.view.Position = s.Position
+	if at := now.Add(-s.Age); at.After(f.checked) {
+		f.checked = at
+	}
+	return false
+}
+
+// Ask makes the follower ask the store soon.
+func (f *Follower) Ask() {
+	f.mu.Lock()
+	f.checked = time.Time{}
+	f.mu.Unlock()
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Delta returns what changed after a position; 0 asks for all.
+func (f *Follower) Delta(from uint64) (Delta, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.have || from >= f.changed && from > 0 {
+		return Delta{}, false
+	}
+	d := Delta{
+		Kind: f.kind, From: from, Position: f.view.Position, Changed: f.changed,
+		Whole: from == 0 || from < f.forgotten,
+	}
+	for _, o := range f.view.Objects {
+		if d.Whole || o.Revision > from {
+			d.Objects = append(d.Objects, o)
+		}
+	}
+	for _, r := range f.removed {
+		if !d.Whole && r.position > from {
+			d.Removed = append(d.Removed, r.name)
+		}
+	}
+	return d, true
+}
+
+// Offer takes what another instance knows. It reports whether the copy changed.
+func (f *Follower) Offer(d Delta) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d.Position <= f.view.Position && f.have {
+		return false
+	}
+	if d.Whole {
+		return f.replace(d.Objects, d.Position, d.Changed)
+	}
+	if !f.have || d.From > f.view.Position {
+		return false
+	}
+	next := maps.Clone(f.view.Objects)
+	var removed []string
+	for _, name := range d.Removed {
+		if _, ok := next[name]; ok {
+			delete(next, name)
+			removed = append(removed, name)
+		}
+	}
+	for _, o := range d.Objects {
+		next[o.Name] = o
+	}
+	f.publish(next, removed, d.Position, d.Changed)
+	return true
+}
+
+// replace takes a whole list. It reports whether the copy changed.
+func (f *Follower) replace(objects []Object, position, changed uint64) bool {
 	next := make(map[string]Object, len(objects))
+	same := f.have && len(objects) == len(f.view.Objects)
 	for _, o := range objects {
 		next[o.Name] = o
+		same = same && f.view.Objects[o.Name].Revision == o.Revision
+	}
+	if same {
+		f.view.Position = position
+		return false
 	}
 	var removed []string
 	for name := range f.view.Objects {
@@ -211,18 +375,21 @@
 			removed = append(removed, name)
 		}
 	}
-	f.publish(next, removed, position)
+	f.publish(next, removed, position, changed)
 	return true
 }
 
 // apply takes the changes of a watch.
-func (f *Follower) apply(changes []Change, position uint64) {
+func (f *Follower) apply(changes []Change, position uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.answered(true)
-	if position < f.view.Position || len(changes) == 0 {
-		f.view.Position = max(f.view.Position, position)
-		return
+	f.answered()
+	if position < f.view.Position {
+		return false
+	}
+	if len(changes) == 0 {
+		f.view.Position = position
+		return false
 	}
 	next := maps.Clone(f.view.Objects)
 	var removed []string
@@ -234,25 +401,35 @@
 		}
 		next[c.Object.Name] = c.Object
 	}
-	f.publish(next, removed, position)
+	f.publish(next, removed, position, position)
+	return true
 }
 
 // publish makes a newer view the current one.
-func (f *Follower) publish(objects map[string]Object, removed []string, position uint64) {
+func (f *Follower) publish(objects map[string]Object, removed []string, position, changed uint64) {
 	f.have = true
+	f.changed = max(f.changed, changed)
 	f.view.Objects = objects
 	f.view.Removed = removed
 	f.view.Position = position
+	for _, name := range removed {
+		f.removed = append(f.removed, removal{name: name, position: position})
+	}
+	if excess := len(f.removed) - removedKept; excess > 0 {
+		f.forgotten = f.removed[excess-1].position
+		f.removed = f.removed[excess:]
+	}
 	f.notify(f.view)
 }
 
-// answered notes that the store answered, if the news came from it.
-func (f *Follower) answered(fromStore bool) {
-	if !fromStore || f.view.Reachable {
+// answered notes that the store answered.
+func (f *Follower) answered() {
+	f.checked = time.Now()
+	if f.reachable {
 		return
 	}
-	f.view.Reachable = true
-	f.view.Regained = time.Now()
+	f.reachable = true
+	f.view.Regained = f.checked
 	f.report(f.kind, nil)
 }
 
@@ -260,7 +437,7 @@
 func (f *Follower) lost(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Reachable = false
+	f.reachable = false
 	f.report(f.kind, err)
 }
 
@@ -271,12 +448,13 @@
 	return d/2 + rand.N(d/2)
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d, until ctx ends or until the follower is asked to look.
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-f.wake:
 	case <-timer.C:
 	}
 }
--- a/seam/rationer/rationer.go
+++ b/seam/rationer/rationer.go
@@ -87,6 +87,18 @@
 	return true
 }
 
+// Spend takes tokens that have been used already, at most all there are.
+func (b *Bucket) Spend(now time.Time, tokens float64) {
+	b.fill(now)
+	b.tokens = max(b.tokens-tokens, 0)
+}
+
+// Left returns the part of the burst that is left, from 0 to 1.
+func (b *Bucket) Left(now time.Time) float64 {
+	b.fill(now)
+	return b.tokens / max(b.burst, 1)
+}
+
 // Put gives tokens back, or earns new ones.
 func (b *Bucket) Put(tokens float64) { b.tokens = min(b.burst, b.tokens+tokens) }
 
--- a/seamd/edger/beats.go
+++ b/seamd/edger/beats.go
@@ -130,6 +130,7 @@
 		e.peers.add(address, "", time.Time{}, false)
 	}
 	e.update(conductor.BeatHeard{Beat: b})
+	e.hearStates(b, now)
 }
 
 // beat sends heartbeats until ctx ends.
@@ -145,11 +146,24 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return
+		case <-e.news:
+			// The others learn of a change at once, in all regions.
+			timer.Stop()
+			round -= round % farEvery
+			round--
 		case <-timer.C:
 		}
 	}
 }
 
+// tellNews makes the next heartbeat leave at once.
+func (e *Edge) tellNews() {
+	select {
+	case e.news <- struct{}{}:
+	default:
+	}
+}
+
 // sendBeat tells the others how this instance is.
 func (e *Edge) sendBeat(round int) {
 	now := time.Now()
@@ -161,6 +175,8 @@
 	b.Started = e.started
 	b.Callers = e.settings.Listen.Callers
 	b.Peers = e.settings.Listen.Peers
+	b.States = e.states(now)
+	b.Blind = e.blind()
 	if round%knownEvery == 0 {
 		known := e.peers.alive(now, addressKept)
 		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
--- a/seamd/edger/edger.go
+++ b/seamd/edger/edger.go
@@ -61,6 +61,8 @@
 	store     follower.Store
 	followers map[string]*follower.Follower
 	copies    *http.Client
+	wanted    chan want
+	news      chan struct{}
 
 	mu       sync.Mutex
 	model    *conductor.Model
@@ -93,6 +95,8 @@
 			conductor.WithBounds(settings.conductorBounds()),
 			conductor.WithSeed(rand.Uint64()),
 		),
+		wanted: make(chan want, wantedMost),
+		news:   make(chan struct{}, 1),
 		roster: newRoster(),
 		peers:  newPeerBook(settings.peerAddresses(), settings.Listen.Peers),
 	}
@@ -132,14 +136,14 @@
 	}
 	e.log.Info("start", zap.String("zone", e.settings.Instance.Zone), zap.String("callers", e.settings.Listen.Callers),
 		zap.String("store", e.settings.Store), zap.Strings("peers", e.peers.addresses()))
+	for _, f := range e.follow() {
+		work(f.Run)
+	}
 	work(e.beats.Run)
 	work(e.beat)
 	work(e.tick)
 	work(e.register)
-	work(e.askPeers)
-	for _, f := range e.follow() {
-		work(f.Run)
-	}
+	work(e.fetchWanted)
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
 		work(func(context.Context) { failed <- s.serve() })
--- a/seamd/edger/follow.go
+++ b/seamd/edger/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,10 +19,6 @@
 	// store answered again. Until then a missing entry may be one that expired
 	// while the store was away.
 	returnGrace = 2 * time.Second
-	// askEvery is how often another instance is asked while the store is away.
-	askEvery = 700 * time.Millisecond
-	// aliveWithin is how lately an instance must have been heard to be asked.
-	aliveWithin = 2 * time.Second
 	// registerRetry is the pause between two tries to tell the store of this
 	// instance.
 	registerRetry = 2 * time.Second
@@ -108,7 +103,7 @@
 	}
 	var list []*follower.Follower
 	for kind, notify := range take {
-		f := follower.New(e.store, kind, follower.WithNotify(notify), follower.WithReport(e.storeAnswered))
+		f := follower.New(e.store, kind, follower.WithNotify(notify), follower.WithReport(e.storeAnswered), follower.WithTurn(e.turn))
 		e.followers[kind] = f
 		list = append(list, f)
 	}
@@ -143,6 +138,7 @@
 	e.log.Info("configuration: seen", zap.Uint64("version", config.Version()), zap.Uint64("before", before),
 		zap.Uint64("inForce", after), zap.Uint64("position", v.Position))
 	e.checkReady()
+	e.tellNews()
 }
 
 func (e *Edge) endpointsSeen(v follower.View) {
@@ -156,6 +152,7 @@
 	}
 	e.log.Info("endpoints: seen", zap.Int("count", count), zap.Strings("removed", v.Removed), zap.Uint64("position", v.Position))
 	e.checkReady()
+	e.tellNews()
 }
 
 // tellEndpoints gives the loop the endpoints that count; e.mu is held.
@@ -180,6 +177,7 @@
 	}
 	e.update(conductor.EvacuationsSeen{Zones: zones})
 	e.log.Info("evacuations: seen", zap.Strings("zones", zones), zap.Uint64("position", v.Position))
+	e.tellNews()
 }
 
 // checkReady makes the instance ready once it can serve.
@@ -192,53 +190,115 @@
 	}
 }
 
+// turn returns this instance's place among those that ask the store.
+func (e *Edge) turn() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Turn()
+}
+
 // copiesFor answers another instance with what is newer than it knows.
 func (e *Edge) copiesFor(r heartbeater.CopyRequest) heartbeater.CopyAnswer {
 	var answer heartbeater.CopyAnswer
-	for kind, f := range e.followers {
-		v, ok := f.View()
-		if known, has := r.Positions[kind]; !ok || has && v.Position <= known {
+	for kind, position := range r.Positions {
+		f, ok := e.followers[kind]
+		if !ok {
 			continue
 		}
-		c := heartbeater.Copy{Kind: kind, Position: v.Position}
-		for _, o := range v.Objects {
-			c.Objects = append(c.Objects, o)
+		if d, ok := f.Delta(position); ok {
+			answer.Deltas = append(answer.Deltas, d)
 		}
-		answer.Copies = append(answer.Copies, c)
 	}
 	return answer
 }
 
-// askPeers asks other instances for copies while the store doesn't answer.
-func (e *Edge) askPeers(ctx context.Context) {
-	for pause(ctx, askEvery) {
-		request := heartbeater.CopyRequest{Positions: map[string]uint64{}}
-		missing := false
-		for kind, f := range e.followers {
-			v, ok := f.View()
-			if ok {
-				request.Positions[kind] = v.Position
-			}
-			missing = missing || !ok || !v.Reachable
-		}
-		alive := e.peers.alive(time.Now(), aliveWithin)
-		if !missing || len(alive) == 0 {
+// states returns how far the followers have come, for a heartbeat.
+func (e *Edge) states(now time.Time) []conductor.KindState {
+	var list []conductor.KindState
+	for kind, f := range e.followers {
+		s := f.State(now)
+		if s.Position == 0 {
 			continue
 		}
-		address := alive[rand.N(len(alive))]
-		answer, err := heartbeater.Fetch(ctx, e.copies, address, request)
-		if err != nil {
-			e.log.Info("copies: another instance gave none", zap.String("peer", address), zap.Error(err))
+		age := min(s.Age, tooOld).Milliseconds()
+		list = append(list, conductor.KindState{Kind: kind, Position: s.Position, Changed: s.Changed, AgeMs: uint32(age)})
+	}
+	return list
+}
+
+// blind reports whether the store doesn't answer this instance.
+func (e *Edge) blind() bool {
+	for _, f := range e.followers {
+		if !f.Reachable() {
+			return true
+		}
+	}
+	return false
+}
+
+// tooOld bounds the age of a check that is told to others.
+const tooOld = time.Hour
+
+// hearStates takes how far another instance's followers have come, and asks it
+// for what is missing here.
+func (e *Edge) hearStates(b conductor.Beat, now time.Time) {
+	for _, s := range b.States {
+		f, ok := e.followers[s.Kind]
+		if !ok {
 			continue
 		}
-		for _, c := range answer.Copies {
-			if f, ok := e.followers[c.Kind]; ok && f.Offer(c.Objects, c.Position) {
-				e.log.Info("copies: taken", zap.String("peer", address), zap.String("kind", c.Kind), zap.Uint64("position", c.Position))
+		state := follower.State{Position: s.Position, Changed: s.Changed, Age: time.Duration(s.AgeMs) * time.Millisecond}
+		if f.Hear(state, now) {
+			select {
+			case e.wanted <- want{kind: s.Kind, peer: b.Peers}:
+			default:
+				// Another heartbeat will say so again.
+			}
+		}
+	}
+}
+
+// want is a kind of which another instance knows more.
+type want struct {
+	kind string
+	peer string
+}
+
+// wantedMost bounds the news that wait to be fetched.
+const wantedMost = 16
+
+// fetchWanted asks other instances for what is missing here. What they don't
+// give, the store is asked for.
+func (e *Edge) fetchWanted(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-e.wanted:
+			f := e.followers[w.kind]
+			if v, _ := f.View(); !e.fetch(ctx, w.peer, w.kind, v.Position) && ctx.Err() == nil {
+				f.Ask()
 			}
 		}
 	}
 }
 
+// fetch asks another instance for what changed after a position.
+func (e *Edge) fetch(ctx context.Context, peer, kind string, position uint64) bool {
+	answer, err := heartbeater.Fetch(ctx, e.copies, peer, heartbeater.CopyRequest{Positions: map[string]uint64{kind: position}})
+	if err != nil {
+		e.log.Info("copy: another instance gave none", zap.String("peer", peer), zap.String("kind", kind), zap.Error(err))
+		return false
+	}
+	for _, d := range answer.Deltas {
+		if f, ok := e.followers[d.Kind]; ok && f.Offer(d) {
+			e.log.Info("copy: taken", zap.String("peer", peer), zap.String("kind", d.Kind), zap.Uint64("position", d.Position),
+				zap.Bool("whole", d.Whole))
+		}
+	}
+	return true
+}
+
 // register tells the store of this instance and learns of the others.
 func (e *Edge) register(ctx context.Context) {
 	self := platform.EncodeInstance(follower.Instance{
--- a/seamd/heartbeater/copies.go
+++ b/seamd/heartbeater/copies.go
@@ -22,16 +22,9 @@
 	Positions map[string]uint64 `json:"positions"`
 }
 
-// Copy holds the objects of a kind at a position.
-type Copy struct {
-	Kind     string            `json:"kind"`
-	Position uint64            `json:"position"`
-	Objects  []follower.Object `json:"objects"`
-}
-
-// CopyAnswer holds the kinds that are newer.
+// CopyAnswer holds what changed, for the kinds that did.
 type CopyAnswer struct {
-	Copies []Copy `json:"copies"`
+	Deltas []follower.Delta `json:"deltas"`
 }
 
 // jsonCodec encodes plain structs, without a schema of its own.
