Keep each object warm at three endpoints at most

Ruled out: endpoints too slow (records, which did not spill, took 0.23 s).

Change: a new object goes to endpoints in an order that all instances agree on; once it is warm at three, it goes nowhere else while one of them is fit. A request that would be late only uses idle slots.

--- a/seam/admitter/admitter.go
+++ b/seam/admitter/admitter.go
@@ -45,11 +45,10 @@
 }
 
 const (
-	// lateWait is the part of a target that a request which will be late may
-	// wait in a queue: late answers earn a fifth, so they only use idle slots.
-	lateWait = 0.35
-	// backWait is the same for callers that were refused once.
-	backWait = 1.0
+	// backWait is the part of the time left that a request of a caller that was
+	// refused once may wait in a queue. Other late requests, which earn a fifth,
+	// only use idle slots.
+	backWait = 0.3
 	// safety is the part of the time left that an answer may be expected to
 	// take; expectations err.
 	safety = 0.9
@@ -66,11 +65,10 @@
 	if l.Expect <= r.TargetLeft {
 		return Decision{}
 	}
-	part := lateWait
+	var queue time.Duration
 	if r.CameBack {
-		part = backWait
+		queue = time.Duration(backWait * float64(r.TimeLeft))
 	}
-	queue := time.Duration(part * float64(max(r.TargetLeft, r.TimeLeft/3)))
 	if l.Expect <= time.Duration(safety*float64(r.TimeLeft)) && l.Wait <= queue {
 		return Decision{}
 	}
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -101,9 +101,13 @@
 	// the target.
 	otherZone   = 0.04
 	otherRegion = 0.12
-	// spread is the part of a cold run by which instances prefer different
-	// endpoints for different objects, the same for the same object.
-	spread = 0.15
+	// spread is the part of a cold run by which endpoints are preferred for a
+	// new object, in an order that all instances agree on.
+	spread = 1.0
+	// copiesMost is the number of endpoints at which an object is kept warm.
+	// Endpoints keep a bounded number of objects, so more copies of one push out
+	// others.
+	copiesMost = 3
 	// failurePenalty is how many targets a certain failure costs.
 	failurePenalty = 3.0
 	// maxTouches bounds the news of warm objects between two heartbeats.
@@ -226,6 +230,7 @@
 // Pick returns the best endpoint. It reports false if there is none at all.
 func (b *Board) Pick(now time.Time, r Request) (Choice, bool) {
 	s := b.service(r.Service)
+	full := b.copies(now, r, s) >= copiesMost
 	best, bestCost := -1, math.Inf(1)
 	var bestChoice Choice
 	for i, e := range s.endpoints {
@@ -233,6 +238,9 @@
 			continue
 		}
 		choice, cost := b.weigh(now, r, s, e)
+		if full && !choice.Warm {
+			cost += surplusCost
+		}
 		if cost < bestCost {
 			best, bestCost, bestChoice = i, cost, choice
 		}
@@ -243,6 +251,20 @@
 	return bestChoice, true
 }
 
+// copies returns at how many endpoints that are fit for it an object is warm.
+func (b *Board) copies(now time.Time, r Request, s *service) int {
+	if r.Object == 0 {
+		return 0
+	}
+	count := 0
+	for _, e := range s.endpoints {
+		if e.isWarm(now, r.Object) && b.allowed(r, e) && !e.ejected(now) && !e.cold(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // weigh returns what is expected of an endpoint, and its cost in seconds.
 func (b *Board) weigh(now time.Time, r Request, s *service, e *endpoint) (Choice, float64) {
 	warm, cold := s.times(r.Target)
@@ -269,7 +291,9 @@
 	}
 	cost := c.Expect.Seconds() + b.farness(e, r.Target)
 	cost += failurePenalty * e.failing(now) * r.Target.Seconds()
-	cost += spread * cold.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
+	if !c.Warm {
+		cost += spread * cold.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
+	}
 	if e.ejected(now) {
 		cost += ejectedCost
 	}
@@ -280,7 +304,9 @@
 }
 
 const (
-	// ejectedCost and coldCost put endpoints behind all others, in seconds.
+	// surplusCost puts endpoints where an object would be one too many behind
+	// those where it is warm, ejectedCost and coldCost put endpoints behind all others, in seconds.
+	surplusCost = 10.0
 	ejectedCost = 1000.0
 	coldCost    = 100000.0
 )
