Try unreachable endpoints by their keeper alone; deal what is left of a rate

Ruled out: entries that say cold too late, the store was back only after.

Change: an endpoint that can't be reached is tried by its keeper, who tells the others when it has come back; heartbeats carry both. What a team used may go into debt, which is made up for; what is left is dealt in rounds.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -129,6 +129,8 @@
 		m.instancesSeen(msg.IDs)
 	case BeatHeard:
 		m.beatHeard(now, msg.Beat)
+	case BoundsChanged:
+		m.bounds = msg.Bounds
 	case Ticked:
 		m.ticked(now)
 	case StopRequested:
@@ -176,7 +178,6 @@
 func (m *Model) ticked(now time.Time) {
 	m.forgetSilent(now)
 	m.refreshRates(now)
-	m.board.SetColdRate(now, 1)
 }
 
 // keepsCold reports whether this instance is the one that sends to a cold
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -26,6 +26,9 @@
 // BeatHeard brings the heartbeat of another instance.
 type BeatHeard struct{ Beat Beat }
 
+// BoundsChanged brings other fleet-wide limits.
+type BoundsChanged struct{ Bounds Bounds }
+
 // Ticked says that time has passed.
 type Ticked struct{}
 
@@ -65,6 +68,7 @@
 func (EvacuationsSeen) isMsg() {}
 func (InstancesSeen) isMsg()   {}
 func (BeatHeard) isMsg()       {}
+func (BoundsChanged) isMsg()   {}
 func (Ticked) isMsg()          {}
 func (StopRequested) isMsg()   {}
 func (RequestArrived) isMsg()  {}
@@ -81,8 +85,10 @@
 	NotRun bool
 	// Misdirected means that another endpoint has the address.
 	Misdirected bool
-	// Unreachable means that no connection could be opened.
+	// Unreachable means that no connection could be opened, Refused that this
+	// was the other side's answer.
 	Unreachable bool
+	Refused     bool
 	// TimedOut means that the time ran out.
 	TimedOut bool
 	// Left means that the caller left.
@@ -151,8 +157,8 @@
 	Loads   []placer.Load
 	Touches []placer.Touch
 	Demand  []Demand
-	// Down lists endpoints that could not be reached.
-	Down []uint32
+	// Rests tells of endpoints that can't be reached or have come back.
+	Rests []placer.Rest
 	// States say how far the followers of the store have come.
 	States []KindState
 	// Known lists the addresses of other instances, now and then.
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -6,9 +6,13 @@
 
 	"primroseseam.org/seam/placer"
 	"primroseseam.org/seam/rationer"
+	"primroseseam.org/seam/router"
 )
 
 const (
+	// firstBeats is the number of heartbeats within which an instance counts as
+	// one that has just started.
+	firstBeats = 20
 	// silentAfter is how long an instance may be silent before its loads and
 	// demand no longer count: several heartbeats.
 	silentAfter = 1500 * time.Millisecond
@@ -27,18 +31,35 @@
 	silent bool
 	demand map[uint32]float64
 	used   map[uint32]uint64
+	// fromStart means that it was heard from its start on, so that all that it
+	// used is news.
+	fromStart bool
 }
 
 // teamState is what an instance knows of a team.
+//
+// What the fleet used is counted from heartbeats, in a bucket that may go into
+// debt. While far more is left than the fleet asks for until news reaches all,
+// every instance lets requests through. Otherwise each uses its part of the
+// rate, and its part of what is left, dealt in rounds as long as news takes; and
+// none while there is a debt, so that what went faster than the news is made up
+// for.
 type teamState struct {
 	hash   uint32
 	demand rationer.Meter
 	// used is the number of requests let through here, in this lifetime.
 	used uint64
 	// fleet is what the fleet as a whole has left, as far as is known here, and
-	// part what this instance may use if that is little.
+	// part what this instance may use in any case.
 	fleet rationer.Bucket
 	part  rationer.Bucket
+	// free means that the fleet has far more left than it asks for, indebted
+	// that it used more than it had.
+	free     bool
+	indebted bool
+	// spare is what this instance may use beyond its part until roundEnd.
+	spare    int
+	roundEnd time.Time
 }
 
 // retryState is an instance's part of a service's retry budget.
@@ -69,6 +90,7 @@
 	}
 	if b.Started != p.beat.Started {
 		p.used = map[uint32]uint64{}
+		p.fromStart = ok || b.Serial <= firstBeats
 	}
 	p.beat = b
 	p.heard = now
@@ -76,7 +98,7 @@
 	m.demandHeard(now, p, b.Demand)
 	m.board.PeerLoads(b.ID, b.Loads)
 	m.board.PeerTouches(now, b.Touches)
-	m.board.PeerDown(now, b.Down)
+	m.board.PeerRests(now, b.Rests)
 	m.refreshLive()
 }
 
@@ -88,7 +110,7 @@
 		p.demand[d.Team] = float64(d.TenthsPerSecond) / 10
 		before, known := p.used[d.Team]
 		p.used[d.Team] = d.Used
-		if !known || d.Used <= before {
+		if !known && !p.fromStart || d.Used <= before {
 			continue
 		}
 		if t, ok := m.byHash[d.Team]; ok {
@@ -142,23 +164,42 @@
 				others += p.demand[t.hash]
 			}
 		}
-		part := rationer.Part(fleet, t.demand.Rate(now), others)
-		t.setRate(now, team.Rate, team.Burst, part)
+		t.setRate(now, team, fleet, others, m.rng.Float64())
 	}
 }
 
-// setRate takes a team's rate and burst and this instance's part of them.
-func (t *teamState) setRate(now time.Time, rate, burst, part float64) {
-	burst = max(burst, 1)
-	t.fleet.SetRate(now, rate, burst)
-	t.part.SetRate(now, rate*part, max(burst*part*(1-plenty), 1))
+// setRate takes a team's rate and burst and this instance's part of them. Others
+// is the demand at the other instances, chance a random number from 0 to 1.
+func (t *teamState) setRate(now time.Time, team *router.Team, fleet rationer.Fleet, others, chance float64) {
+	own := t.demand.Rate(now)
+	part := rationer.Part(fleet, own, others)
+	burst := max(team.Burst, 1)
+	t.fleet.SetDebt(debtTime.Seconds() * team.Rate)
+	t.fleet.SetRate(now, team.Rate, burst)
+	t.part.SetRate(now, team.Rate*part, max(burst*part, 1))
+	left := t.fleet.Tokens(now)
+	t.free = fleet.Whole() && left > plenty*burst && left > freeMargin*(own+others)*newsTime(fleet.Heard).Seconds()
+	t.indebted = fleet.Whole() && left < 0
+	if now.Before(t.roundEnd) {
+		return
+	}
+	t.roundEnd = now.Add(newsTime(fleet.Heard))
+	t.spare = 0
+	if fleet.Whole() && left > 0 {
+		// Rounding by chance lets small parts add up to the whole.
+		t.spare = int(left*part + chance)
+	}
 }
 
-// take lets a request through or refuses it. While the fleet as a whole has
-// plenty left, an instance doesn't mind its part.
-func (t *teamState) take(now time.Time, whole bool) bool {
-	own := t.part.Take(now)
-	if !own && !(whole && t.fleet.Left(now) > plenty) {
+// take lets a request through or refuses it.
+func (t *teamState) take(now time.Time) bool {
+	switch own := t.part.Take(now); {
+	case t.indebted:
+		return false
+	case own || t.free:
+	case t.spare > 0:
+		t.spare--
+	default:
 		return false
 	}
 	t.fleet.Spend(now, 1)
@@ -173,9 +214,40 @@
 	t.used--
 }
 
-// plenty is the part of a burst above which the fleet as a whole has plenty
-// left. It is many times what instances let through between two heartbeats.
-const plenty = 0.5
+const (
+	// plenty is the part of a burst above which the fleet may have far more left
+	// than it asks for.
+	plenty = 0.3
+	// freeMargin is how many times what the fleet asks for until news reaches all
+	// must be left.
+	freeMargin = 1.5
+	// debtTime is the time of a team's rate that is made up for at most.
+	debtTime = 4 * time.Second
+	// nearBeat is the time between two heartbeats to instances of the region,
+	// while there are few instances.
+	nearBeat = 200 * time.Millisecond
+	// FarBeats is how many heartbeats other regions get one of.
+	FarBeats = 2
+	// manyInstances is the number of instances above which heartbeats become
+	// rarer, so that the bytes of an instance stay bounded.
+	manyInstances = 16
+	// newsMargin covers the way of a heartbeat and its jitter.
+	newsMargin = 150 * time.Millisecond
+)
+
+// BeatEvery returns the mean time between two heartbeats of an instance.
+func BeatEvery(instances int) time.Duration {
+	if instances <= manyInstances {
+		return nearBeat
+	}
+	return nearBeat * time.Duration(instances) / manyInstances
+}
+
+// newsTime returns how long it takes until all instances have heard of what one
+// did.
+func newsTime(instances int) time.Duration {
+	return FarBeats*BeatEvery(instances) + newsMargin
+}
 
 // teamOf returns the state of a team.
 func (m *Model) teamOf(now time.Time, name string) *teamState {
@@ -185,7 +257,7 @@
 		m.teams[name] = t
 		m.byHash[t.hash] = t
 		team := m.config.Teams()[name]
-		t.setRate(now, team.Rate, team.Burst, rationer.Part(m.fleet(), 0, 0))
+		t.setRate(now, team, m.fleet(), 0, m.rng.Float64())
 	}
 	return t
 }
@@ -217,7 +289,7 @@
 func (m *Model) Beat(now time.Time) Beat {
 	b := Beat{
 		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(),
-		Config: m.Version(), Loads: m.board.Loads(), Touches: m.board.TakeTouches(), Down: m.board.Down(now),
+		Config: m.Version(), Loads: m.board.Loads(), Touches: m.board.TakeTouches(), Rests: m.board.Rests(now),
 	}
 	for _, t := range m.teams {
 		if rate := t.demand.Rate(now); rate > leastDemand {
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -121,11 +122,15 @@
 	}
 	t := m.teamOf(now, r.team)
 	t.demand.Add(now, 1)
-	if t.take(now, m.fleet().Whole()) {
+	if t.take(now) {
 		return nil
 	}
 	after := admitter.RetryAfter(t.part.Wait(now), r.callerEnd.Sub(now), m.rng.Float64())
-	return refuse(r.id, http.StatusTooManyRequests, coder.TeamOverRate, after)
+	return []Cmd{Refuse{
+		ID: r.id, Status: http.StatusTooManyRequests, Code: coder.TeamOverRate, RetryAfter: after,
+		Detail: fmt.Sprintf("team=%s rate=%g burst=%g fleetLeft=%.1f ownPart=%.2f free=%t version=%d",
+			r.team, team.Rate, team.Burst, t.fleet.Tokens(now), t.part.Tokens(now), t.free, m.config.Version()),
+	}}
 }
 
 // firstAttempt places a request, or refuses it at once if no endpoint can
@@ -182,7 +187,7 @@
 	m.board.Ended(now, r.choice.ID, placer.Outcome{
 		SentAt: r.sentAt, Object: r.place.Object, Choice: r.choice,
 		Answered: o.Answered, Good: o.Status/100 == 2, NotRun: o.NotRun && !o.Unreachable, Unreachable: o.Unreachable,
-		Left: o.Left, Connect: o.Connect, Target: r.route.Target,
+		Refused: o.Refused, Left: o.Left, Connect: o.Connect, Target: r.route.Target,
 	})
 	if !o.NotRun {
 		r.mayHaveRun = true
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -17,9 +17,25 @@
 	learnSlow = 0.08
 	// failuresToEject is how many attempts in a row must fail.
 	failuresToEject = 3
+	// slowDials is how many connections in a row must not open in time until an
+	// endpoint counts as unreachable; one may be a lost packet.
+	slowDials = 2
 	// ejectFor is how long a failed endpoint rests; it doubles up to ejectMost.
 	ejectFor  = 1500 * time.Millisecond
 	ejectMost = 6 * time.Second
+	// aloneAfter is how long an instance leaves it to the keeper of an
+	// unreachable endpoint to try it.
+	aloneAfter = 8 * time.Second
+	// coldPart is the part of a cold endpoint's rate that its keeper uses, and
+	// coldBurst what it may send at once: two keepers, while instances disagree,
+	// stay below 1.5 times the rate and 5.
+	coldPart  = 0.7
+	coldBurst = 2
+	// coldRateLeast is used if the configuration gives no rate, per second.
+	coldRateLeast = 2.0
+	// warmupLeast is how long an endpoint that could not be reached counts as
+	// cold if the configuration gives no time.
+	warmupLeast = time.Second
 	// slowMost bounds how many times slower than its service an endpoint counts.
 	slowMost = 20
 	// slowForget is the time in which the belief that an endpoint is slow fades
@@ -53,12 +69,10 @@
 	region string
 	hash   uint32
 	// own is the number of attempts of this instance under way, others that of
-	// the other instances as they last said.
+	// the other instances as they last said. sends holds when the own ones began.
 	own    int
 	others int
-	// queued is what the endpoint itself reported beyond what was known of, and
-	// when.
-	sends []time.Time
+	sends  []time.Time
 	// warm holds when each object was last handled.
 	warm map[uint32]time.Time
 	// slow is how many times longer than its service the endpoint takes.
@@ -70,14 +84,20 @@
 	failures    int
 	ejectedTill time.Time
 	ejections   int
-	// coldTill is when the endpoint is warm again; coldBudget is what this
-	// instance may send it until then.
-	coldTill   time.Time
+	// unopened counts connections in a row that did not open in time.
+	unopened int
+	// unreachableSince is since when no connection could be opened, or zero.
+	unreachableSince time.Time
+	// answeredAt is when it last answered this instance.
+	answeredAt time.Time
+	// restsTill is until when other instances say that it is unreachable.
+	restsTill time.Time
+	// coldTill is when the endpoint is warm again, and returnedTill until when
+	// the others are told that it has come back cold.
+	coldTill     time.Time
+	returnedTill time.Time
+	// coldBudget is what this instance may send while the endpoint is cold.
 	coldBudget rationer.Bucket
-	// suspectTill is until when other instances could not reach it.
-	suspectTill time.Time
-	// joined is when the endpoint appeared, if that was after the first list.
-	joined time.Time
 }
 
 func (e *endpoint) load() int { return e.own + e.others }
@@ -97,8 +117,32 @@
 	return e.failed / (1 + fade + fade*fade)
 }
 
+// cold reports whether the endpoint is cold, or may be a cold one once it can be
+// reached again.
 func (e *endpoint) cold(now time.Time) bool {
-	return now.Before(e.coldTill) || now.Before(e.suspectTill)
+	return now.Before(e.coldTill) || e.unreachable() || now.Before(e.restsTill)
+}
+
+func (e *endpoint) unreachable() bool { return !e.unreachableSince.IsZero() }
+
+// mayTry reports whether this instance may send to the endpoint while it is
+// cold. The keeper may, at the rate that the endpoint bears. An instance that
+// alone can't reach it, or that has waited for the keeper for long, may make one
+// attempt at a time.
+func (e *endpoint) mayTry(now time.Time, keeper bool, rate float64) bool {
+	if !e.cold(now) {
+		return true
+	}
+	if e.unreachable() && e.ejected(now) {
+		return false
+	}
+	if keeper {
+		e.coldBudget.SetRate(now, max(rate, coldRateLeast)*coldPart, coldBurst)
+		return e.coldBudget.Ready(now)
+	}
+	alone := e.unreachable() && !now.Before(e.restsTill)
+	waited := e.unreachable() && now.Sub(e.unreachableSince) > aloneAfter
+	return (alone || waited) && e.own == 0
 }
 
 func (e *endpoint) ejected(now time.Time) bool { return now.Before(e.ejectedTill) }
@@ -146,27 +190,56 @@
 // succeeded notes an attempt that brought an answer. An endpoint that answers
 // again after it could not be reached may be a new, cold one.
 func (e *endpoint) succeeded(now time.Time, warmup time.Duration) {
-	if e.ejections > 0 {
-		e.coldTill = later(e.coldTill, now.Add(warmup))
+	if e.unreachable() || now.Before(e.restsTill) {
+		e.returned(now, max(warmup, warmupLeast))
+		e.returnedTill = e.coldTill
 	}
+	e.answeredAt = now
 	e.failed = e.failing(now) * (1 - learnFast/2)
 	e.failedAt = now
 	e.failures = 0
 	e.ejections = 0
+	e.unopened = 0
+}
+
+// returned notes that the endpoint can be reached again and is cold for a time.
+func (e *endpoint) returned(now time.Time, cold time.Duration) {
+	e.coldTill = later(e.coldTill, now.Add(cold))
+	e.unreachableSince = time.Time{}
+	e.restsTill = time.Time{}
+	e.ejectedTill = time.Time{}
+	e.ejections = 0
 }
 
 // failedOnce notes an attempt that failed.
-func (e *endpoint) failedOnce(now time.Time, unreachable bool) {
+func (e *endpoint) failedOnce(now time.Time) {
 	old := e.failing(now)
 	e.failed = old + learnFast*(1-old)
 	e.failedAt = now
 	e.failures++
-	if e.failures >= failuresToEject || unreachable {
-		rest := min(ejectFor<<min(e.ejections, 4), ejectMost)
-		e.ejectedTill = now.Add(rest)
-		e.ejections++
-		e.warm = map[uint32]time.Time{}
+	if e.failures >= failuresToEject {
+		e.eject(now)
+	}
+}
+
+// unopenedOnce notes a connection that was refused, or did not open in time.
+func (e *endpoint) unopenedOnce(now time.Time, refused bool) {
+	e.unopened++
+	if !refused && e.unopened < slowDials {
+		return
 	}
+	if !e.unreachable() {
+		e.unreachableSince = now
+	}
+	e.eject(now)
+}
+
+// eject lets the endpoint rest for a while.
+func (e *endpoint) eject(now time.Time) {
+	rest := min(ejectFor<<min(e.ejections, 4), ejectMost)
+	e.ejectedTill = now.Add(rest)
+	e.ejections++
+	e.warm = map[uint32]time.Time{}
 }
 
 func later(a, b time.Time) time.Time {
--- a/seam/placer/learn.go
+++ b/seam/placer/learn.go
@@ -17,8 +17,10 @@
 	Good bool
 	// NotRun means that the endpoint said that it did not run the request.
 	NotRun bool
-	// Unreachable means that no connection could be opened.
+	// Unreachable means that no connection could be opened, Refused that this
+	// was the other side's answer.
 	Unreachable bool
+	Refused     bool
 	// Left means that the caller left, which says nothing of the endpoint.
 	Left bool
 	// Connect is how long a new connection took, or 0.
@@ -46,17 +48,6 @@
 	e.warm[object] = now
 }
 
-// SetColdRate sets what this instance may send to each cold endpoint.
-func (b *Board) SetColdRate(now time.Time, share float64) {
-	for _, e := range b.byID {
-		if !e.cold(now) {
-			continue
-		}
-		rate := b.service(e.spec.Service).spec.ColdRate * share
-		e.coldBudget.SetRate(now, rate, max(1, rate/4))
-	}
-}
-
 // Ended notes how an attempt ended and learns from it.
 func (b *Board) Ended(now time.Time, id string, o Outcome) {
 	e, ok := b.byID[id]
@@ -74,8 +65,10 @@
 		e.failed = e.failing(now) + learnFast*(1-e.failing(now))/2
 		e.failedAt = now
 		delete(e.warm, o.Object)
+	case o.Unreachable:
+		e.unopenedOnce(now, o.Refused)
 	case !o.Answered:
-		e.failedOnce(now, o.Unreachable)
+		e.failedOnce(now)
 	default:
 		b.learnTime(now, s, e, o)
 		e.succeeded(now, s.spec.Warmup)
@@ -170,32 +163,55 @@
 	return touches
 }
 
-// Down returns the endpoints that could not be reached lately.
-func (b *Board) Down(now time.Time) []uint32 {
-	var down []uint32
+// Rest says that an endpoint can't be reached, or has come back cold.
+type Rest struct {
+	Endpoint uint32
+	// Returned means that it can be reached again and is cold.
+	Returned bool
+	// ForMs is how much longer that holds, in milliseconds.
+	ForMs uint32
+}
+
+// Rests returns what this instance itself has seen of endpoints that can't be
+// reached or have come back.
+func (b *Board) Rests(now time.Time) []Rest {
+	var rests []Rest
 	for _, e := range b.byID {
-		if e.ejected(now) && e.ejections > 0 {
-			down = append(down, e.hash)
+		switch {
+		case e.unreachable():
+			rests = append(rests, Rest{Endpoint: e.hash, ForMs: uint32(restFor.Milliseconds())})
+		case now.Before(e.returnedTill):
+			rests = append(rests, Rest{Endpoint: e.hash, Returned: true, ForMs: uint32(e.returnedTill.Sub(now).Milliseconds())})
 		}
 	}
-	return down
+	return rests
 }
 
-// PeerDown takes news of endpoints that could not be reached by another
-// instance. They rest here for a short while too, so that an endpoint that
+// restFor is how long an endpoint that another instance can't reach rests here;
+// it covers several heartbeats.
+const restFor = 1500 * time.Millisecond
+
+// PeerRests takes what another instance has seen of endpoints, so that one that
 // comes back cold isn't met by all at once.
-func (b *Board) PeerDown(now time.Time, down []uint32) {
-	for _, hash := range down {
-		if e, ok := b.byHash[hash]; ok {
-			e.suspectTill = now.Add(suspectFor)
+func (b *Board) PeerRests(now time.Time, rests []Rest) {
+	for _, r := range rests {
+		e, ok := b.byHash[r.Endpoint]
+		if !ok {
+			continue
+		}
+		length := time.Duration(r.ForMs) * time.Millisecond
+		if r.Returned {
+			e.returned(now, length)
+			continue
+		}
+		// What this instance has seen itself counts more: the other one may be
+		// cut off.
+		if !now.Before(e.coldTill) && now.Sub(e.answeredAt) > restFor {
+			e.restsTill = now.Add(length)
 		}
 	}
 }
 
-// suspectFor is how long an endpoint that another instance could not reach
-// counts as cold.
-const suspectFor = time.Second
-
 // First returns the instance that comes first for an endpoint, in an order that
 // all instances agree on.
 func First(instances []string, endpoint uint32) string {
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -181,7 +181,6 @@
 		e = &endpoint{spec: spec, region: b.zones[spec.Zone], hash: Hash32(spec.ID), warm: map[uint32]time.Time{}}
 		if b.started {
 			// It has just started, so it is cold even if it doesn't say so yet.
-			e.joined = now
 			e.coldTill = now.Add(s.spec.Warmup)
 		}
 		b.byID[spec.ID] = e
@@ -217,14 +216,14 @@
 }
 
 // allowed reports whether a request may go to an endpoint at all.
-func (b *Board) allowed(r Request, e *endpoint) bool {
+func (b *Board) allowed(now time.Time, r Request, e *endpoint) bool {
 	if e.spec.Draining || b.evacuated[e.spec.Zone] {
 		return false
 	}
 	if r.Bound && !slices.Contains(r.Regions, e.region) {
 		return false
 	}
-	return !slices.Contains(r.Tried, e.spec.ID)
+	return !slices.Contains(r.Tried, e.spec.ID) && e.mayTry(now, b.keepCold(e.hash), b.service(r.Service).spec.ColdRate)
 }
 
 // Pick returns the best endpoint. It reports false if there is none at all.
@@ -234,7 +233,7 @@
 	best, bestCost := -1, math.Inf(1)
 	var bestChoice Choice
 	for i, e := range s.endpoints {
-		if !b.allowed(r, e) {
+		if !b.allowed(now, r, e) {
 			continue
 		}
 		choice, cost := b.weigh(now, r, s, e)
@@ -258,7 +257,7 @@
 	}
 	count := 0
 	for _, e := range s.endpoints {
-		if e.isWarm(now, r.Object) && b.allowed(r, e) && !e.ejected(now) && !e.cold(now) {
+		if e.isWarm(now, r.Object) && b.allowed(now, r, e) && !e.ejected(now) && !e.cold(now) {
 			count++
 		}
 	}
@@ -297,9 +296,6 @@
 	if e.ejected(now) {
 		cost += ejectedCost
 	}
-	if e.cold(now) && !(b.keepCold(e.hash) && e.coldBudget.Wait(now) == 0) {
-		cost += coldCost
-	}
 	return c, cost
 }
 
@@ -308,7 +304,6 @@
 	// those where it is warm, ejectedCost and coldCost put endpoints behind all others, in seconds.
 	surplusCost = 10.0
 	ejectedCost = 1000.0
-	coldCost    = 100000.0
 )
 
 // farness returns the cost of leaving the zone or the region, in seconds.
--- a/seam/rationer/rationer.go
+++ b/seam/rationer/rationer.go
@@ -54,7 +54,9 @@
 	rate   float64
 	burst  float64
 	tokens float64
-	at     time.Time
+	// debt is how far below zero Spend may go.
+	debt float64
+	at   time.Time
 }
 
 // SetRate sets the tokens per second and the most that are kept. The first
@@ -87,21 +89,30 @@
 	return true
 }
 
-// Spend takes tokens that have been used already, at most all there are.
+// SetDebt sets how far below zero Spend may go.
+func (b *Bucket) SetDebt(tokens float64) { b.debt = tokens }
+
+// Spend takes tokens that have been used already, also if that makes a debt.
 func (b *Bucket) Spend(now time.Time, tokens float64) {
 	b.fill(now)
-	b.tokens = max(b.tokens-tokens, 0)
+	b.tokens = max(b.tokens-tokens, -b.debt)
 }
 
-// Left returns the part of the burst that is left, from 0 to 1.
-func (b *Bucket) Left(now time.Time) float64 {
+// Tokens returns how many tokens are left; a debt is negative.
+func (b *Bucket) Tokens(now time.Time) float64 {
 	b.fill(now)
-	return b.tokens / max(b.burst, 1)
+	return b.tokens
 }
 
 // Put gives tokens back, or earns new ones.
 func (b *Bucket) Put(tokens float64) { b.tokens = min(b.burst, b.tokens+tokens) }
 
+// Ready reports whether there is a token to take.
+func (b *Bucket) Ready(now time.Time) bool {
+	b.fill(now)
+	return b.tokens >= 1
+}
+
 // Wait returns how long it takes until there is a token.
 func (b *Bucket) Wait(now time.Time) time.Duration {
 	b.fill(now)
--- a/seamd/commander/commander.go
+++ b/seamd/commander/commander.go
@@ -93,11 +93,7 @@
 			if err != nil {
 				return err
 			}
-			e, err := edger.New(settings, stdout)
-			if err != nil {
-				return err
-			}
-			return e.Run(cmd.Context())
+			return edger.New(settings, stdout, edger.WithSettingsFile(path)).Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(settingsVariable), "settings file")
--- a/seamd/edger/beats.go
+++ b/seamd/edger/beats.go
@@ -13,19 +13,11 @@
 )
 
 const (
-	// beatEvery is the time between two heartbeats to instances of the region,
-	// while there are few instances.
-	beatEvery = 200 * time.Millisecond
-	// farEvery is how many heartbeats other regions get one of.
-	farEvery = 2
 	// knownEvery is how many heartbeats pass until the addresses of others are
 	// told again.
 	knownEvery = 8
 	// knownMost bounds those addresses in one heartbeat.
 	knownMost = 12
-	// manyInstances is the number of instances above which heartbeats become
-	// rarer, so that the bytes of an instance stay bounded.
-	manyInstances = 16
 )
 
 // peerBook holds the addresses of other instances.
@@ -137,10 +129,7 @@
 func (e *Edge) beat(ctx context.Context) {
 	for round := 0; ; round++ {
 		e.sendBeat(round)
-		every := beatEvery
-		if count := len(e.peers.addresses()); count > manyInstances {
-			every = every * time.Duration(count) / manyInstances
-		}
+		every := conductor.BeatEvery(len(e.peers.addresses()))
 		timer := time.NewTimer(every/2 + rand.N(every))
 		select {
 		case <-ctx.Done():
@@ -149,7 +138,7 @@
 		case <-e.news:
 			// The others learn of a change at once, in all regions.
 			timer.Stop()
-			round -= round % farEvery
+			round -= round % conductor.FarBeats
 			round--
 		case <-timer.C:
 		}
@@ -182,7 +171,7 @@
 		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 		b.Known = known[:min(len(known), knownMost)]
 	}
-	far := round%farEvery == 0 || b.Leaving
+	far := round%conductor.FarBeats == 0 || b.Leaving
 	if err := e.beats.Send(b, e.peers.targets(now, b.Region, far)); err != nil {
 		e.metrics.beatErrors.Inc()
 		e.log.Debug("heartbeat: not sent", zap.Error(err))
--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -228,6 +230,7 @@
 	o := conductor.Outcome{Connect: a.Connect, Left: x.request.Context().Err() != nil}
 	if a.Err != nil {
 		o.Unreachable = !a.Sent
+		o.Refused = errors.Is(a.Err, syscall.ECONNREFUSED)
 		o.NotRun = !a.Sent
 		o.TimedOut = context.Cause(x.request.Context()) == nil && !time.Now().Before(x.last.Deadline)
 		return o
--- a/seamd/edger/edger.go
+++ b/seamd/edger/edger.go
@@ -52,6 +52,7 @@
 // Edge is an entry instance.
 type Edge struct {
 	settings  Settings
+	path      string
 	started   int64
 	logs      *Logs
 	log       *zap.Logger
@@ -76,8 +77,15 @@
 	closing  atomic.Bool
 }
 
+// Option changes an instance at its creation.
+type Option func(*Edge)
+
+// WithSettingsFile names the file whose changes are taken while the instance
+// runs.
+func WithSettingsFile(path string) Option { return func(e *Edge) { e.path = path } }
+
 // New returns an instance that has opened no sockets yet.
-func New(settings Settings, output io.Writer) (*Edge, error) {
+func New(settings Settings, output io.Writer, opts ...Option) *Edge {
 	started := time.Now().UnixMilli()
 	logs := NewLogs(output, settings.Log.LinesPerSecond)
 	e := &Edge{
@@ -100,7 +108,10 @@
 		roster: newRoster(),
 		peers:  newPeerBook(settings.peerAddresses(), settings.Listen.Peers),
 	}
-	return e, nil
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
 }
 
 // update gives a message to the loop.
@@ -130,6 +141,11 @@
 		}()
 	}
 	work(e.logs.Run)
+	if e.path != "" {
+		signals, stop := hangups()
+		defer stop()
+		work(func(ctx context.Context) { e.watchSettings(ctx, e.path, signals) })
+	}
 	servers, err := e.listen()
 	if err != nil {
 		return err
--- a/seamd/exchanger/exchanger.go
+++ b/seamd/exchanger/exchanger.go
@@ -18,7 +18,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -293,10 +292,3 @@
 	_, err = io.WriteString(c.w, "\r\n")
 	return n, err
 }
-
-// Refused reports whether an error says that nobody listens at an address, or
-// that no connection could be opened in time.
-func Refused(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
