Keep late requests from filling queues; start with little of a team's rate

Change: late requests may use half of the room that keeps others in time, those who come back all of it; the mean times are learnt from runs that did not wait; a starting instance takes the fleet to be large until told; an underused or new endpoint may get one more copy of an object.

--- a/seam/admitter/admitter.go
+++ b/seam/admitter/admitter.go
@@ -18,10 +18,9 @@
 	// Expect is the time until the answer, Wait the part of it in a queue.
 	Expect time.Duration
 	Wait   time.Duration
-	// Load and Slots are the attempts at the endpoint and those that it works
-	// on at the same time.
-	Load  int
-	Slots int
+	// Room is how long a request for a warm object could wait there and still
+	// be in time.
+	Room time.Duration
 }
 
 // Request is what matters of a request.
@@ -45,18 +44,20 @@
 }
 
 const (
-	// backWait is the part of the time left that a request of a caller that was
-	// refused once may wait in a queue. Other late requests, which earn a fifth,
-	// only use idle slots.
-	backWait = 0.3
+	// latePart is the part of the room in a queue that requests may use though
+	// they will be late, backPart the same for callers who were refused once. The
+	// room is what keeps the queue short enough for others to be in time; if late
+	// ones could make it longer, nobody would be.
+	latePart = 0.5
+	backPart = 1.0
 	// safety is the part of the time left that an answer may be expected to
 	// take; expectations err.
 	safety = 0.9
 	// retryMost is the part of the time that a caller has left after which it
-	// no longer comes back; callers honor a third.
+	// comes back at the latest; callers honor a third.
 	retryMost = 0.3
-	// retryLeast keeps callers from coming back within a heartbeat.
-	retryLeast = 100 * time.Millisecond
+	// retryLeast keeps callers from coming back before anything has changed.
+	retryLeast = 20 * time.Millisecond
 )
 
 // Decide decides about a request. Chance is a random number from 0 to 1, which
@@ -65,20 +66,30 @@
 	if l.Expect <= r.TargetLeft {
 		return Decision{}
 	}
-	var queue time.Duration
+	part := latePart
 	if r.CameBack {
-		queue = time.Duration(backWait * float64(r.TimeLeft))
+		part = backPart
 	}
-	if l.Expect <= time.Duration(safety*float64(r.TimeLeft)) && l.Wait <= queue {
+	if l.Expect <= time.Duration(safety*float64(r.TimeLeft)) && float64(l.Wait) <= part*float64(l.Room) {
 		return Decision{}
 	}
-	return Decision{Refuse: true, RetryAfter: RetryAfter(l.Wait, r.CallerLeft, chance)}
+	return Decision{Refuse: true, RetryAfter: retryAfter(l, r, chance)}
 }
 
-// RetryAfter returns when a refused caller should come back: when the queue has
-// gone down, spread so that not all come at once.
+// retryAfter sends a caller back for when the queue has gone down far enough, if
+// its answer can then still be in time; else spread over the time it has.
+func retryAfter(l Load, r Request, chance float64) time.Duration {
+	soon := time.Duration(float64(l.Expect-r.TargetLeft)*(1+chance)) + retryLeast
+	if soon+l.Expect-l.Wait <= r.TargetLeft {
+		return min(soon, time.Duration(retryMost*float64(r.CallerLeft)))
+	}
+	return RetryAfter(l.Wait, r.CallerLeft, chance)
+}
+
+// RetryAfter returns when a caller should come back who can't be served for a
+// time: after it, and spread over what the caller honors.
 func RetryAfter(wait, callerLeft time.Duration, chance float64) time.Duration {
 	most := time.Duration(retryMost * float64(callerLeft))
-	after := time.Duration(float64(max(wait, retryLeast)) * (0.5 + chance))
-	return max(min(after, most), min(retryLeast, most))
+	from := min(max(wait, retryLeast), most/2)
+	return from + time.Duration(chance*float64(most-from))
 }
--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -56,12 +56,17 @@
 	retries  map[string]*retryState
 	peers    map[string]*peer
 	known    map[string]bool
+	// told is the number of instances that the others or the store last spoke
+	// of, or 0.
+	told int
+	// first and updated are the times of the first and the last message.
+	first, updated time.Time
 	splits   map[string]*split
 	// longest is the most time that callers of a route said to have; a caller
 	// that says less has come back.
 	longest  map[string]time.Duration
 	stopping time.Time
-	// keepers caches who keeps cold endpoints.
+	// live lists the instances that are heard, this one included.
 	live []string
 }
 
@@ -110,6 +115,10 @@
 
 // Update takes one message at the time now and returns what is to be done.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	if m.first.IsZero() {
+		m.first = now
+	}
+	m.updated = now
 	switch msg := msg.(type) {
 	case RequestArrived:
 		return m.requestArrived(now, msg)
@@ -186,14 +195,27 @@
 	return placer.First(m.live, endpoint) == m.id
 }
 
-// fleet counts the instances.
+// fleet counts the instances. Until one of the others or the store has said how
+// many there are, they are taken to be many.
 func (m *Model) fleet() rationer.Fleet {
-	known := map[string]bool{m.id: true}
+	known := len(m.peers) + 1
 	for id := range m.known {
-		known[id] = true
+		if _, heard := m.peers[id]; !heard && id != m.id {
+			known++
+		}
 	}
-	for id := range m.peers {
-		known[id] = true
+	known = max(known, m.told)
+	if m.told == 0 && m.updated.Sub(m.first) < unknownFor {
+		known = max(known, unknownFleet)
 	}
-	return rationer.Fleet{Known: len(known), Heard: len(m.live)}
+	return rationer.Fleet{Known: known, Heard: len(m.live)}
 }
+
+const (
+	// unknownFleet is the number of instances assumed by one that has just
+	// started; it is more than the largest deployment of today has.
+	unknownFleet = 64
+	// unknownFor is how long that is assumed if nobody says more; all others have
+	// sent a heartbeat by then.
+	unknownFor = 3 * time.Second
+)
--- /dev/null
+++ b/seam/conductor/load_test.go
@@ -0,0 +1,189 @@
+package conductor_test
+
+import (
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/router"
+)
+
+var openTeams = []router.Team{{Name: "a", Keys: []string{"a"}}}
+
+// At 90% of what warm endpoints can do and far more than cold ones can, most
+// callers get their answer in time. The regions are unequal, and an endpoint
+// keeps a quarter of the objects.
+func TestHeavyLoadStaysWarm(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newWorld(t, seed, [3]int{4, 4, 3}, [3]int{6, 8, 2}, 9, 112, openTeams)
+		const perSecond = 1100.0
+		for _, i := range w.instances {
+			w.load(i, perSecond/float64(len(w.instances)), 143, "a", "/x", 20*time.Second)
+		}
+		w.run(8 * time.Second)
+		since := w.now
+		w.run(15 * time.Second)
+		good, bad := w.inTime(since)
+		t.Logf("seed %d: in time %.3f, refused or failed %.3f", seed, good, bad)
+		if good < 0.7 {
+			t.Errorf("seed %d: only %.3f of callers were answered in time", seed, good)
+		}
+	}
+}
+
+// At twice what endpoints can do, the slots still bring answers in time: what
+// can't be served is refused at once instead of making all late.
+func TestOverloadRefusesInsteadOfBeingLate(t *testing.T) {
+	w := newWorld(t, 1, [3]int{4, 4, 3}, [3]int{6, 8, 2}, 9, 112, openTeams)
+	const perSecond = 2800.0
+	for _, i := range w.instances {
+		w.load(i, perSecond/float64(len(w.instances)), 143, "a", "/x", 20*time.Second)
+	}
+	w.run(10 * time.Second)
+	since := w.now
+	w.run(13 * time.Second)
+	good, bad := w.inTime(since)
+	t.Logf("in time %.3f, refused or failed %.3f", good, bad)
+	// 144 slots at 90 ms answer 1,600 a second: 0.57 of what is asked.
+	if good < 0.3 {
+		t.Errorf("only %.3f of callers were answered in time", good)
+	}
+}
+
+// A region's endpoints are lost and come back cold before any entry says so.
+// All instances together send no more than a cold endpoint bears.
+func TestReturningEndpointsAreNotMetByAll(t *testing.T) {
+	w := newWorld(t, 2, [3]int{4, 4, 3}, [3]int{6, 8, 2}, 9, 112, openTeams)
+	for _, i := range w.instances {
+		w.load(i, 80, 143, "a", "/x", 20*time.Second)
+	}
+	w.run(6 * time.Second)
+	for _, e := range w.endpoints {
+		if e.region == region(0) {
+			e.crash()
+		}
+	}
+	w.run(4 * time.Second)
+	for _, e := range w.endpoints {
+		if e.region == region(0) {
+			e.comeBack(w, 3*time.Second)
+		}
+	}
+	w.run(2 * time.Second)
+	// More than the others can do.
+	for _, i := range w.instances {
+		w.load(i, 70, 143, "a", "/x", 10*time.Second)
+	}
+	w.run(8 * time.Second)
+	served := 0
+	for id, e := range w.endpoints {
+		if bound := int(coldRate*1.5 + 5); e.coldMost > bound {
+			t.Errorf("%s got %d requests in a second while it was cold; it bears %d", id, e.coldMost, bound)
+		}
+		if e.region == region(0) && within(e.arrivals, w.now.Add(-4*time.Second)) > 0 {
+			served++
+		}
+	}
+	if served < 6 {
+		t.Errorf("only %d of 6 endpoints are used again", served)
+	}
+}
+
+// Endpoints that join while callers ask get work within 4 s, and no more than
+// they bear while they are cold.
+func TestNewEndpointsAreUsedSoonAndGently(t *testing.T) {
+	w := newWorld(t, 3, [3]int{4, 4, 3}, [3]int{6, 8, 2}, 9, 112, openTeams)
+	for _, i := range w.instances {
+		w.load(i, 80, 143, "a", "/x", 20*time.Second)
+	}
+	w.run(5 * time.Second)
+	added := &fakeEndpoint{
+		spec:   router.Endpoint{ID: "e-new", Address: "e-new", Service: service, Zone: zone(2), Slots: 9},
+		region: region(2), keeps: 112, coldTill: w.now.Add(3 * time.Second),
+	}
+	w.endpoints["e-new"] = added
+	for _, i := range w.instances {
+		w.tellEndpoints(i)
+	}
+	w.run(4 * time.Second)
+	if len(added.arrivals) == 0 {
+		t.Error("it got nothing within 4 s")
+	}
+	w.run(4 * time.Second)
+	if bound := int(coldRate*1.5 + 5); added.coldMost > bound {
+		t.Errorf("it got %d requests in a second while it was cold; it bears %d", added.coldMost, bound)
+	}
+}
+
+// quotaBound is what the users' rule allows a team in 5 s.
+func quotaBound(team router.Team) int {
+	return int((team.Rate*5+team.Burst)*1.1 + 20)
+}
+
+// A team that suddenly sends many times its rate gets its rate and burst over
+// the whole fleet, and nearly all of it.
+func TestHotTeamKeepsToItsRateOverTheFleet(t *testing.T) {
+	for _, size := range []int{3, 21} {
+		team := router.Team{Name: "hot", Keys: []string{"hot"}, Rate: 230, Burst: 230}
+		w := newWorld(t, 4, [3]int{size, size, size}, [3]int{40, 40, 40}, 9, 400, []router.Team{team})
+		n := float64(len(w.instances))
+		for _, i := range w.instances {
+			w.load(i, 140/n, 100, "hot", "/x", 30*time.Second)
+		}
+		w.run(5 * time.Second)
+		for _, i := range w.instances {
+			w.load(i, 900/n, 100, "hot", "/x", 8*time.Second)
+		}
+		w.run(9 * time.Second)
+		// All instances lose what they knew.
+		for _, i := range w.instances {
+			w.restart(i)
+			w.load(i, 900/n, 100, "hot", "/x", 6*time.Second)
+		}
+		w.run(8 * time.Second)
+		most := mostWithin(w.admitted["hot"], 5*time.Second)
+		t.Logf("%d instances: %d in 5 s, %d allowed", len(w.instances), most, quotaBound(team))
+		if most > quotaBound(team) {
+			t.Errorf("%d instances let %d through in 5 s; %d are allowed", len(w.instances), most, quotaBound(team))
+		}
+		if most < int(team.Rate*5*0.8) {
+			t.Errorf("%d instances let only %d through in 5 s", len(w.instances), most)
+		}
+	}
+}
+
+// A team below its rate is not refused, also if its requests at an instance are
+// fewer than one in a second.
+func TestTeamBelowItsRateIsNotRefused(t *testing.T) {
+	team := router.Team{Name: "small", Keys: []string{"small"}, Rate: 10, Burst: 10}
+	w := newWorld(t, 5, [3]int{4, 4, 2}, [3]int{4, 4, 4}, 9, 400, []router.Team{team})
+	for _, i := range w.instances {
+		w.load(i, 6.5/float64(len(w.instances)), 20, "small", "/x", 40*time.Second)
+	}
+	w.run(42 * time.Second)
+	_, bad := w.inTime(w.now.Add(-41 * time.Second))
+	t.Logf("refused for good: %.3f", bad)
+	if bad > 0.02 {
+		t.Errorf("%.3f of the requests of a team at 65%% of its rate were refused", bad)
+	}
+}
+
+// An instance that is cut off from the others keeps to its static part.
+func TestCutOffInstancesKeepToTheirParts(t *testing.T) {
+	team := router.Team{Name: "hot", Keys: []string{"hot"}, Rate: 100, Burst: 100}
+	w := newWorld(t, 6, [3]int{4, 4, 4}, [3]int{40, 40, 40}, 9, 400, []router.Team{team})
+	for _, i := range w.instances {
+		w.load(i, 40, 100, "hot", "/x", 20*time.Second)
+	}
+	w.run(4 * time.Second)
+	for n, i := range w.instances {
+		i.cut = n%2 == 0
+	}
+	w.run(8 * time.Second)
+	for _, i := range w.instances {
+		i.cut = false
+	}
+	w.run(9 * time.Second)
+	if most := mostWithin(w.admitted["hot"], 5*time.Second); most > quotaBound(team) {
+		t.Errorf("%d were let through in 5 s; %d are allowed", most, quotaBound(team))
+	}
+}
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -150,6 +150,8 @@
 	Callers string
 	Peers   string
 	Leaving bool
+	// Fleet is the number of instances that it knows of, if it was told.
+	Fleet uint32
 	// Blind means that the store doesn't answer this instance.
 	Blind bool
 	// Config is the version in force.
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -13,9 +13,9 @@
 	// firstBeats is the number of heartbeats within which an instance counts as
 	// one that has just started.
 	firstBeats = 20
-	// silentAfter is how long an instance may be silent before its loads and
-	// demand no longer count: several heartbeats.
-	silentAfter = 1500 * time.Millisecond
+	// silentMargin is how much longer than news takes an instance may be silent
+	// before its loads and demand no longer count. It may lose a heartbeat.
+	silentMargin = 400 * time.Millisecond
 	// goneAfter is how long an instance may be silent before look-ups no longer
 	// name it and its rate is divided among the others.
 	goneAfter = 3 * time.Second
@@ -39,11 +39,10 @@
 // teamState is what an instance knows of a team.
 //
 // What the fleet used is counted from heartbeats, in a bucket that may go into
-// debt. While far more is left than the fleet asks for until news reaches all,
-// every instance lets requests through. Otherwise each uses its part of the
-// rate, and its part of what is left, dealt in rounds as long as news takes; and
-// none while there is a debt, so that what went faster than the news is made up
-// for.
+// debt. Each instance uses its part of the rate, and of what is left, dealt in
+// rounds as long as news takes; more generously while far more is left than the
+// fleet asks for in a round. Nobody lets anything through while there is a debt,
+// so that what went faster than the news is made up for.
 type teamState struct {
 	hash   uint32
 	demand rationer.Meter
@@ -53,9 +52,7 @@
 	// part what this instance may use in any case.
 	fleet rationer.Bucket
 	part  rationer.Bucket
-	// free means that the fleet has far more left than it asks for, indebted
-	// that it used more than it had.
-	free     bool
+	// indebted means that the fleet used more than it had.
 	indebted bool
 	// spare is what this instance may use beyond its part until roundEnd.
 	spare    int
@@ -70,9 +67,11 @@
 // instancesSeen takes the instances of which the store knows.
 func (m *Model) instancesSeen(ids []string) {
 	m.known = map[string]bool{}
+	m.told = 1
 	for _, id := range ids {
 		m.known[id] = true
 	}
+	m.told = m.fleet().Known
 }
 
 // beatHeard takes a heartbeat unless it is older than the last one.
@@ -92,6 +91,10 @@
 		p.used = map[uint32]uint64{}
 		p.fromStart = ok || b.Serial <= firstBeats
 	}
+	m.told = max(m.told, int(b.Fleet))
+	if now.Sub(m.first) > unknownFor {
+		m.told = m.fleet().Known
+	}
 	p.beat = b
 	p.heard = now
 	p.silent = false
@@ -121,6 +124,7 @@
 
 // forgetSilent drops what silent instances said.
 func (m *Model) forgetSilent(now time.Time) {
+	silentAfter := newsTime(len(m.peers)+1) + silentMargin
 	for id, p := range m.peers {
 		age := now.Sub(p.heard)
 		if age > silentAfter && !p.silent {
@@ -129,6 +133,7 @@
 		}
 		if age > forgottenAfter {
 			delete(m.peers, id)
+			m.told = len(m.peers) + 1
 		}
 	}
 	m.refreshLive()
@@ -176,18 +181,22 @@
 	burst := max(team.Burst, 1)
 	t.fleet.SetDebt(debtTime.Seconds() * team.Rate)
 	t.fleet.SetRate(now, team.Rate, burst)
-	t.part.SetRate(now, team.Rate*part, max(burst*part, 1))
+	t.part.SetRate(now, team.Rate*part, max(partBurst*burst*part, 1))
 	left := t.fleet.Tokens(now)
-	t.free = fleet.Whole() && left > plenty*burst && left > freeMargin*(own+others)*newsTime(fleet.Heard).Seconds()
 	t.indebted = fleet.Whole() && left < 0
 	if now.Before(t.roundEnd) {
 		return
 	}
-	t.roundEnd = now.Add(newsTime(fleet.Heard))
+	round := newsTime(fleet.Heard)
+	t.roundEnd = now.Add(round)
 	t.spare = 0
-	if fleet.Whole() && left > 0 {
-		// Rounding by chance lets small parts add up to the whole.
-		t.spare = int(left*part + chance)
+	if !fleet.Whole() || left <= 0 {
+		return
+	}
+	// Rounding by chance lets small parts add up to the whole.
+	t.spare = int(left*part + chance)
+	if left > plenty*burst && left > freeMargin*(own+others)*round.Seconds() {
+		t.spare = max(int(freeMargin*left*part+chance), freeLeast)
 	}
 }
 
@@ -196,7 +205,7 @@
 	switch own := t.part.Take(now); {
 	case t.indebted:
 		return false
-	case own || t.free:
+	case own:
 	case t.spare > 0:
 		t.spare--
 	default:
@@ -215,14 +224,22 @@
 }
 
 const (
+	// startPart is the part of a burst that an instance takes to be left when it
+	// starts: others, or it itself before, may have used the rest.
+	startPart = 0.25
 	// plenty is the part of a burst above which the fleet may have far more left
 	// than it asks for.
 	plenty = 0.3
-	// freeMargin is how many times what the fleet asks for until news reaches all
-	// must be left.
-	freeMargin = 1.5
+	// freeMargin is how many times what the fleet asks for in a round must be
+	// left, and how many times what is left is then dealt: not all use theirs.
+	freeMargin = 1.25
+	// freeLeast is the least that an instance is then dealt.
+	freeLeast = 3
+	// partBurst is the part of its share of a burst that an instance may use
+	// before others hear of it.
+	partBurst = 0.4
 	// debtTime is the time of a team's rate that is made up for at most.
-	debtTime = 4 * time.Second
+	debtTime = 6 * time.Second
 	// nearBeat is the time between two heartbeats to instances of the region,
 	// while there are few instances.
 	nearBeat = 200 * time.Millisecond
@@ -257,6 +274,8 @@
 		m.teams[name] = t
 		m.byHash[t.hash] = t
 		team := m.config.Teams()[name]
+		t.fleet.Start(now, startPart*team.Burst)
+		t.part.Start(now, startPart*team.Burst*rationer.Part(m.fleet(), 0, 0))
 		t.setRate(now, team, m.fleet(), 0, m.rng.Float64())
 	}
 	return t
@@ -276,7 +295,8 @@
 }
 
 const (
-	// minFleet is the number of instances that is assumed until more are known.
+	// minFleet is the number of instances that a retry budget is divided by at
+	// least; some may be added.
 	minFleet = 12
 	// extraUsed is the part of the retry budget's extra that is used; the rest
 	// covers instances that start anew within a window.
@@ -289,7 +309,7 @@
 func (m *Model) Beat(now time.Time) Beat {
 	b := Beat{
 		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(),
-		Config: m.Version(), Loads: m.board.Loads(), Touches: m.board.TakeTouches(), Rests: m.board.Rests(now),
+		Config: m.Version(), Fleet: uint32(m.told), Loads: m.board.Loads(), Touches: m.board.TakeTouches(), Rests: m.board.Rests(now),
 	}
 	for _, t := range m.teams {
 		if rate := t.demand.Rate(now); rate > leastDemand {
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -128,8 +128,8 @@
 	after := admitter.RetryAfter(t.part.Wait(now), r.callerEnd.Sub(now), m.rng.Float64())
 	return []Cmd{Refuse{
 		ID: r.id, Status: http.StatusTooManyRequests, Code: coder.TeamOverRate, RetryAfter: after,
-		Detail: fmt.Sprintf("team=%s rate=%g burst=%g fleetLeft=%.1f ownPart=%.2f free=%t version=%d",
-			r.team, team.Rate, team.Burst, t.fleet.Tokens(now), t.part.Tokens(now), t.free, m.config.Version()),
+		Detail: fmt.Sprintf("team=%s rate=%g burst=%g fleetLeft=%.1f ownPart=%.2f spare=%d version=%d",
+			r.team, team.Rate, team.Burst, t.fleet.Tokens(now), t.part.Tokens(now), t.spare, m.config.Version()),
 	}}
 }
 
@@ -143,7 +143,7 @@
 		return refuse(r.id, http.StatusServiceUnavailable, coder.NoUpstream, after)
 	}
 	decision := admitter.Decide(
-		admitter.Load{Expect: choice.Expect, Wait: choice.Wait, Load: choice.Load, Slots: choice.Slots},
+		admitter.Load{Expect: choice.Expect, Wait: choice.Wait, Room: choice.Room},
 		admitter.Request{
 			TargetLeft: r.targetEnd.Sub(now), TimeLeft: r.deadline.Sub(now),
 			CallerLeft: r.callerEnd.Sub(now), CameBack: r.cameBack,
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -13,7 +13,7 @@
 	// handled it again. Endpoints keep a number of objects, not for a time.
 	keptWarm = 25 * time.Second
 	// learnFast and learnSlow weigh a new measurement against the old mean.
-	learnFast = 0.3
+	learnFast = 0.2
 	learnSlow = 0.08
 	// failuresToEject is how many attempts in a row must fail.
 	failuresToEject = 3
@@ -41,6 +41,8 @@
 	// slowForget is the time in which the belief that an endpoint is slow fades
 	// to a third, if no answers renew it.
 	slowForget = 4 * time.Second
+	// underusedPart is how many times its load must fit into an endpoint's slots.
+	underusedPart = 3
 	// coldSlowdown is how many times longer a cold endpoint takes.
 	coldSlowdown = 2.0
 )
@@ -96,12 +98,18 @@
 	// the others are told that it has come back cold.
 	coldTill     time.Time
 	returnedTill time.Time
+	// untried means that it joined and got no request yet, as far as is known.
+	untried bool
 	// coldBudget is what this instance may send while the endpoint is cold.
 	coldBudget rationer.Bucket
 }
 
 func (e *endpoint) load() int { return e.own + e.others }
 
+// underused reports whether the endpoint has so much room that keeping one more
+// object warm there is better than letting requests wait elsewhere.
+func (e *endpoint) underused() bool { return underusedPart*e.load() < e.spec.Slots }
+
 // slowness returns how many times longer than its service the endpoint takes.
 func (e *endpoint) slowness(now time.Time) float64 {
 	if e.slow == 0 {
@@ -165,6 +173,7 @@
 // sent notes an attempt.
 func (e *endpoint) sent(now time.Time) {
 	e.own++
+	e.untried = false
 	e.sends = append(e.sends, now)
 }
 
--- a/seam/placer/learn.go
+++ b/seam/placer/learn.go
@@ -88,28 +88,25 @@
 	b.distance[region] = old + time.Duration(learnSlow*float64(took-old))
 }
 
-// learnTime compares an answer's time with what was expected.
+// learnTime compares an answer's time with what was expected. Only runs that
+// did not wait tell how long a run takes.
 func (b *Board) learnTime(now time.Time, s *service, e *endpoint, o Outcome) {
-	warm, cold := s.times(o.Target)
-	run := now.Sub(o.SentAt) - b.distanceTo(e.region) - o.Choice.Wait
-	if run <= 0 {
+	took := now.Sub(o.SentAt)
+	if o.Choice.Expect <= 0 {
 		return
 	}
-	expected := cold
-	if o.Choice.Warm {
-		expected = warm
-	}
-	ratio := float64(run) / float64(expected)
-	e.took(now, ratio)
-	if e.cold(now) || e.slowness(now) > 2 || !o.Good {
+	e.took(now, o.Choice.Slow*float64(took)/float64(o.Choice.Expect))
+	waited := o.Choice.Wait > 0 || e.load() >= e.spec.Slots
+	if waited || e.cold(now) || e.slowness(now) > 2 || !o.Good {
 		return
 	}
-	mean := expected + time.Duration(learnSlow*float64(run-expected))
+	warm, cold := s.times(o.Target)
+	run := took - b.distanceTo(e.region)
 	if o.Choice.Warm {
-		s.warm = mean
-	} else {
-		s.cold = mean
+		s.warm = warm + time.Duration(learnSlow*float64(run-warm))
+		return
 	}
+	s.cold = cold + time.Duration(learnSlow*float64(run-cold))
 }
 
 // PeerLoads takes the attempts under way at an instance. It replaces what the
@@ -141,6 +138,7 @@
 	for _, t := range touches {
 		if e, ok := b.byHash[t.Endpoint]; ok {
 			e.warm[t.Object] = now
+			e.untried = false
 		}
 	}
 }
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -50,6 +50,11 @@
 	Warm   bool
 	Load   int
 	Slots  int
+	// Room is how long a request for a warm object could wait there and still
+	// be in time.
+	Room time.Duration
+	// Slow is how many times longer than its service the endpoint takes.
+	Slow float64
 }
 
 // Load is a number of attempts under way at an endpoint.
@@ -181,6 +186,7 @@
 		e = &endpoint{spec: spec, region: b.zones[spec.Zone], hash: Hash32(spec.ID), warm: map[uint32]time.Time{}}
 		if b.started {
 			// It has just started, so it is cold even if it doesn't say so yet.
+			e.untried = true
 			e.coldTill = now.Add(s.spec.Warmup)
 		}
 		b.byID[spec.ID] = e
@@ -237,7 +243,7 @@
 			continue
 		}
 		choice, cost := b.weigh(now, r, s, e)
-		if full && !choice.Warm {
+		if full && !choice.Warm && !e.underused() {
 			cost += surplusCost
 		}
 		if cost < bestCost {
@@ -279,11 +285,13 @@
 	if e.cold(now) {
 		slow = max(slow, coldSlowdown)
 	}
+	c.Slow = slow
 	mean := (3*warm + cold) / 4
 	if waiting := c.Load - c.Slots + 1; waiting > 0 {
 		c.Wait = time.Duration(float64(mean) * slow * float64(waiting) / float64(c.Slots))
 	}
 	c.Expect = b.distanceTo(e.region) + c.Wait + time.Duration(float64(run)*slow)
+	c.Room = max(r.Target-b.distanceTo(e.region)-time.Duration(float64(warm)*slow), 0)
 	// An attempt that is long overdue says more than earlier answers.
 	if stalled := e.stalled(now); stalled > 3*cold {
 		c.Expect += stalled
@@ -296,10 +304,16 @@
 	if e.ejected(now) {
 		cost += ejectedCost
 	}
+	if e.untried && !e.cold(now) && b.keepCold(e.hash) {
+		cost -= untriedGain
+	}
 	return c, cost
 }
 
 const (
+	// untriedGain makes the keeper of an endpoint that nobody has used yet try
+	// it, in seconds.
+	untriedGain = 5.0
 	// surplusCost puts endpoints where an object would be one too many behind
 	// those where it is warm, ejectedCost and coldCost put endpoints behind all others, in seconds.
 	surplusCost = 10.0
--- a/seam/rationer/rationer.go
+++ b/seam/rationer/rationer.go
@@ -59,8 +59,15 @@
 	at   time.Time
 }
 
+// Start gives a new bucket its first tokens.
+func (b *Bucket) Start(now time.Time, tokens float64) {
+	b.tokens = tokens
+	b.burst = tokens
+	b.at = now
+}
+
 // SetRate sets the tokens per second and the most that are kept. The first
-// call fills the bucket.
+// call fills a bucket that was not started.
 func (b *Bucket) SetRate(now time.Time, rate, burst float64) {
 	first := b.at.IsZero()
 	b.fill(now)
--- /dev/null
+++ b/seam/rationer/rationer_test.go
@@ -0,0 +1,81 @@
+package rationer_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/rationer"
+)
+
+// However instances are cut off from each other, their parts never add up to
+// more than the rate.
+func TestPartsNeverAddUpToMoreThanTheRate(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	for range 2000 {
+		known := 1 + rng.IntN(63)
+		demand := make([]float64, known)
+		for i := range demand {
+			demand[i] = rng.Float64() * 20
+		}
+		groups := 1 + rng.IntN(4)
+		members := make([][]int, groups)
+		for i := range known {
+			g := rng.IntN(groups)
+			members[g] = append(members[g], i)
+		}
+		sum := 0.0
+		for _, group := range members {
+			total := 0.0
+			for _, i := range group {
+				total += demand[i]
+			}
+			for _, i := range group {
+				sum += rationer.Part(rationer.Fleet{Known: known, Heard: len(group)}, demand[i], total-demand[i])
+			}
+		}
+		if sum > 1.0000001 {
+			t.Fatalf("%d instances in %d groups use %.3f of the rate", known, groups, sum)
+		}
+	}
+}
+
+func TestConnectedInstancesUseTheWholeRate(t *testing.T) {
+	fleet := rationer.Fleet{Known: 10, Heard: 10}
+	sum := 9*rationer.Part(fleet, 1, 100) + rationer.Part(fleet, 92, 9)
+	if sum < 0.999 {
+		t.Errorf("they use %.3f of the rate", sum)
+	}
+}
+
+func TestBucketMakesUpForDebt(t *testing.T) {
+	now := time.Unix(100, 0)
+	var b rationer.Bucket
+	b.SetDebt(20)
+	b.SetRate(now, 10, 5)
+	b.Spend(now, 15)
+	if b.Take(now) || b.Tokens(now) != -10 {
+		t.Errorf("after spending 15 of 5 there are %.1f", b.Tokens(now))
+	}
+	if b.Take(now.Add(time.Second)) {
+		t.Error("the debt was forgotten")
+	}
+	if !b.Take(now.Add(1200 * time.Millisecond)) {
+		t.Error("the debt was not made up for")
+	}
+}
+
+func TestMeterFollowsARate(t *testing.T) {
+	now := time.Unix(100, 0)
+	var m rationer.Meter
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		m.Add(now, 1)
+	}
+	if r := m.Rate(now); r < 15 || r > 26 {
+		t.Errorf("20 a second are measured as %.1f", r)
+	}
+	if r := m.Rate(now.Add(10 * time.Second)); r > 2 {
+		t.Errorf("10 s later it is still %.1f", r)
+	}
+}
