--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -61,7 +61,7 @@
 	told int
 	// first and updated are the times of the first and the last message.
 	first, updated time.Time
-	splits   map[string]*split
+	splits         map[string]*split
 	// longest is the most time that callers of a route said to have; a caller
 	// that says less has come back.
 	longest  map[string]time.Duration
--- a/seam/conductor/play_test.go
+++ b/seam/conductor/play_test.go
@@ -51,13 +51,13 @@
 }
 
 type fakeEndpoint struct {
-	spec     router.Endpoint
-	region   string
-	down     bool
-	running  int
-	queue    []job
+	spec    router.Endpoint
+	region  string
+	down    bool
+	running int
+	queue   []job
 	// life counts the starts; what an earlier one worked on ends with a reset.
-	life int
+	life     int
 	kept     []uint32
 	keeps    int
 	shed     float64
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -83,7 +83,7 @@
 	}
 	r.service = m.splitOf(route).next()
 	m.retryOf(now, r.service).bucket.Put(m.bounds.RetryRatio * ratioUsed)
-	r.place = placer.Request{Service: r.service, Target: route.Target}
+	r.place = placer.Request{Service: r.service, Target: route.Target, Timeout: r.deadline.Sub(r.arrived)}
 	if route.Sticky {
 		r.place.Object = msg.Object
 	}
@@ -187,7 +187,7 @@
 	m.board.Ended(now, r.choice.ID, placer.Outcome{
 		SentAt: r.sentAt, Object: r.place.Object, Choice: r.choice,
 		Answered: o.Answered, Good: o.Status/100 == 2, NotRun: o.NotRun && !o.Unreachable, Unreachable: o.Unreachable,
-		Refused: o.Refused, Left: o.Left, Connect: o.Connect, Target: r.route.Target,
+		Refused: o.Refused, Left: o.Left, Connect: o.Connect, Target: r.route.Target, Timeout: r.place.Timeout,
 	})
 	if !o.NotRun {
 		r.mayHaveRun = true
--- /dev/null
+++ b/seam/conductor/requests_test.go
@@ -0,0 +1,297 @@
+package conductor_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/router"
+)
+
+var start = time.Unix(1000, 0)
+
+// newModel returns an instance with a configuration and three endpoints.
+func newModel(routes []router.Route, teams []router.Team) *conductor.Model {
+	m := conductor.New(conductor.WithSelf("edge-1", "zone-0", map[string]string{"zone-0": "region-0", "zone-1": "region-1"}),
+		conductor.WithBounds(playBounds))
+	m.Update(start, conductor.ConfigSeen{Config: router.NewConfig(3, routes, []router.Service{{Name: "a"}, {Name: "b"}}, teams, router.Limits{})})
+	var list []router.Endpoint
+	for i := range 3 {
+		list = append(list, router.Endpoint{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Service: "a", Zone: "zone-0", Slots: 4})
+	}
+	list = append(list, router.Endpoint{ID: "far", Address: "10.1.0.1:1", Service: "a", Zone: "zone-1", Slots: 4})
+	m.Update(start, conductor.EndpointsSeen{Endpoints: list})
+	return m
+}
+
+func oneRoute(idempotent bool) []router.Route {
+	return []router.Route{{
+		Name: "r", Host: "h", Prefix: "/", Idempotent: idempotent, Timeout: 2 * time.Second, Target: time.Second,
+		MaxAttempts: 3, Open: true, Parts: []router.Part{{Service: "a", Weight: 1}},
+	}}
+}
+
+func arrive(m *conductor.Model, id uint64) conductor.Cmd {
+	return m.Update(start, conductor.RequestArrived{ID: id, Host: "h", Path: "/x", CallerLeft: 4 * time.Second, Read: start})[0]
+}
+
+func end(m *conductor.Model, id uint64, o conductor.Outcome) conductor.Cmd {
+	return m.Update(start.Add(50*time.Millisecond), conductor.AttemptEnded{ID: id, Outcome: o})[0]
+}
+
+func TestRequestsThatMayHaveRunAreNotSentAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		idempotent bool
+		outcome    conductor.Outcome
+		again      bool
+		status     int
+	}{
+		"no answer":                 {false, conductor.Outcome{}, false, http.StatusBadGateway},
+		"no answer, idempotent":     {true, conductor.Outcome{}, true, 0},
+		"time is over":              {false, conductor.Outcome{TimedOut: true}, false, http.StatusGatewayTimeout},
+		"time is over, idempotent":  {true, conductor.Outcome{TimedOut: true}, false, http.StatusGatewayTimeout},
+		"endpoint says not run":     {false, conductor.Outcome{Answered: true, Status: 503, NotRun: true}, true, 0},
+		"another endpoint is there": {false, conductor.Outcome{Answered: true, Status: 421, NotRun: true, Misdirected: true}, true, 0},
+		"nobody listens":            {false, conductor.Outcome{NotRun: true, Unreachable: true, Refused: true}, true, 0},
+	} {
+		m := newModel(oneRoute(c.idempotent), nil)
+		first, ok := arrive(m, 1).(conductor.Send)
+		if !ok {
+			t.Fatalf("%s: not sent at all", name)
+		}
+		switch cmd := end(m, 1, c.outcome).(type) {
+		case conductor.Send:
+			if !c.again {
+				t.Errorf("%s: sent again", name)
+			}
+			if cmd.Endpoint == first.Endpoint {
+				t.Errorf("%s: sent again to the same endpoint", name)
+			}
+		case conductor.Refuse:
+			if c.again || cmd.Status != c.status {
+				t.Errorf("%s: answered %d", name, cmd.Status)
+			}
+		}
+	}
+}
+
+// A refusal that promises that the request did not run is given only if no
+// attempt may have run.
+func TestRefusalsAreTrue(t *testing.T) {
+	m := newModel(oneRoute(true), nil)
+	arrive(m, 1)
+	end(m, 1, conductor.Outcome{}) // may have run
+	notRun := conductor.Outcome{Answered: true, Status: 503, NotRun: true}
+	cmd := end(m, 1, notRun)
+	if _, ok := cmd.(conductor.Send); ok {
+		cmd = end(m, 1, notRun)
+	}
+	if r, ok := cmd.(conductor.Refuse); !ok || r.Status != http.StatusBadGateway {
+		t.Errorf("after an attempt that may have run: %+v", cmd)
+	}
+
+	m = newModel(oneRoute(false), nil)
+	arrive(m, 1)
+	end(m, 1, notRun)
+	end(m, 1, notRun)
+	cmd = end(m, 1, notRun)
+	if r, ok := cmd.(conductor.Refuse); !ok || r.Status != http.StatusServiceUnavailable || r.RetryAfter <= 0 {
+		t.Errorf("after three that did not run: %+v", cmd)
+	}
+}
+
+func TestAttemptsStayBelowTheRoutesMost(t *testing.T) {
+	m := newModel(oneRoute(true), nil)
+	cmd := arrive(m, 1)
+	sends := 0
+	for {
+		if _, ok := cmd.(conductor.Send); !ok {
+			break
+		}
+		sends++
+		cmd = end(m, 1, conductor.Outcome{NotRun: true, Unreachable: true, Refused: true})
+	}
+	if sends != 3 {
+		t.Errorf("%d attempts, 3 are allowed", sends)
+	}
+}
+
+// An endpoint's own failure is delivered if no other attempt is better.
+func TestEndpointsFailureIsDeliveredIfNothingIsBetter(t *testing.T) {
+	m := newModel(oneRoute(true), nil)
+	arrive(m, 1)
+	if _, ok := end(m, 1, conductor.Outcome{Answered: true, Status: 500}).(conductor.Send); !ok {
+		t.Error("an idempotent request was not sent again")
+	}
+	cmd := end(m, 1, conductor.Outcome{})
+	if _, ok := cmd.(conductor.Send); ok {
+		cmd = end(m, 1, conductor.Outcome{})
+	}
+	if _, ok := cmd.(conductor.Deliver); !ok {
+		t.Errorf("instead of the endpoint's answer: %+v", cmd)
+	}
+}
+
+// All instances together stay within the retry budget when every endpoint sheds
+// everything.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	w := newWorld(t, 7, [3]int{4, 4, 3}, [3]int{6, 8, 2}, 9, 112, openTeams)
+	for _, e := range w.endpoints {
+		e.shed = 0.8
+	}
+	for _, i := range w.instances {
+		w.load(i, 80, 143, "a", "/x", 20*time.Second)
+	}
+	before := w.requests
+	w.run(20 * time.Second)
+	arrivals := 0
+	for _, e := range w.endpoints {
+		arrivals += len(e.arrivals)
+	}
+	asked := int(w.requests - before)
+	if extra := arrivals - asked; float64(extra) > 0.2*float64(asked)+60 {
+		t.Errorf("%d arrivals beyond the first of %d requests", extra, asked)
+	}
+}
+
+func TestNoConfigurationIsARefusalAndNotAMissingRoute(t *testing.T) {
+	m := conductor.New(conductor.WithSelf("edge-1", "z", map[string]string{"z": "r"}))
+	r, ok := arrive(m, 1).(conductor.Refuse)
+	if !ok || r.Status != http.StatusServiceUnavailable || r.Code != coder.NoConfiguration || r.RetryAfter <= 0 {
+		t.Errorf("got %+v", r)
+	}
+}
+
+func TestKeysAndRoutes(t *testing.T) {
+	routes := oneRoute(true)
+	routes[0].Open = false
+	routes[0].Prefix = "/a/"
+	routes = append(routes, router.Route{Name: "open", Host: "h", Prefix: "/open/", Open: true, Timeout: 2 * time.Second, Target: time.Second, MaxAttempts: 1, Parts: []router.Part{{Service: "a", Weight: 1}}})
+	m := newModel(routes, []router.Team{{Name: "t", Keys: []string{"k1"}}})
+	ask := func(path, key string) conductor.Cmd {
+		return m.Update(start, conductor.RequestArrived{ID: 1, Host: "h", Path: path, Key: key, CallerLeft: time.Second, Read: start})[0]
+	}
+	if s, ok := ask("/a/x", "k1").(conductor.Send); !ok || s.Team != "t" {
+		t.Errorf("a held key: %+v", s)
+	}
+	if r, ok := ask("/a/x", "other").(conductor.Refuse); !ok || r.Status != http.StatusUnauthorized {
+		t.Errorf("an unknown key: %+v", r)
+	}
+	if s, ok := ask("/open/x", "other").(conductor.Send); !ok || s.Team != "" {
+		t.Errorf("an unknown key on an open route: %+v", s)
+	}
+	if r, ok := ask("/b/x", "k1").(conductor.Refuse); !ok || r.Status != http.StatusNotFound {
+		t.Errorf("no route: %+v", r)
+	}
+	// A newer version drops the key; an older one that comes later changes nothing.
+	newer := router.NewConfig(5, routes, nil, []router.Team{{Name: "t", Keys: []string{"k2"}}}, router.Limits{})
+	older := router.NewConfig(4, routes, nil, []router.Team{{Name: "t", Keys: []string{"k1"}}}, router.Limits{})
+	m.Update(start, conductor.ConfigSeen{Config: newer})
+	m.Update(start, conductor.ConfigSeen{Config: older})
+	if r, ok := ask("/a/x", "k1").(conductor.Refuse); !ok || r.Status != http.StatusUnauthorized {
+		t.Errorf("a withdrawn key: %+v", r)
+	}
+}
+
+// Until answers show how long runs take, requests are not refused for that.
+func TestUnknownTimesDontRefuse(t *testing.T) {
+	routes := oneRoute(true)
+	routes[0].Timeout = routes[0].Target
+	m := newModel(routes, nil)
+	if s, ok := arrive(m, 1).(conductor.Send); !ok {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestHomesBindAlsoWhenFull(t *testing.T) {
+	routes := oneRoute(true)
+	routes[0].Homes = []string{"region-1"}
+	m := newModel(routes, nil)
+	for id := range uint64(200) {
+		if s, ok := arrive(m, id+1).(conductor.Send); ok && s.Endpoint != "far" {
+			t.Fatalf("request %d went to %s", id, s.Endpoint)
+		}
+	}
+}
+
+// Zones that are evacuated and endpoints that drain get nothing more.
+func TestLeavingEndpointsGetNothing(t *testing.T) {
+	m := newModel(oneRoute(true), nil)
+	m.Update(start, conductor.EvacuationsSeen{Zones: []string{"zone-0"}})
+	if s, ok := arrive(m, 1).(conductor.Send); !ok || s.Endpoint != "far" {
+		t.Errorf("with an evacuated zone: %+v", s)
+	}
+	m.Update(start, conductor.EndpointsSeen{Endpoints: []router.Endpoint{
+		{ID: "far", Address: "10.1.0.1:1", Service: "a", Zone: "zone-1", Slots: 4, Draining: true},
+	}})
+	if r, ok := arrive(m, 2).(conductor.Refuse); !ok || r.Status != http.StatusServiceUnavailable || r.Code != coder.NoUpstream {
+		t.Errorf("with a draining endpoint alone: %+v", r)
+	}
+}
+
+func TestDeadlineIsTheLesserOfCallerAndRoute(t *testing.T) {
+	m := newModel(oneRoute(true), nil)
+	s := arrive(m, 1).(conductor.Send)
+	if s.Budget > 2*time.Second || s.Budget < 1900*time.Millisecond {
+		t.Errorf("the endpoint gets %v of the route's 2 s", s.Budget)
+	}
+	cmd := m.Update(start, conductor.RequestArrived{ID: 2, Host: "h", Path: "/x", CallerLeft: 1500 * time.Millisecond, Read: start})[0]
+	if s := cmd.(conductor.Send); s.Budget > 1500*time.Millisecond {
+		t.Errorf("the endpoint gets %v of the caller's 1.5 s", s.Budget)
+	}
+}
+
+// Every 200 requests of a split keep its weights, on one instance alone.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	routes := oneRoute(true)
+	routes[0].Parts = []router.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
+	m := newModel(routes, nil)
+	m.Update(start, conductor.EndpointsSeen{Endpoints: []router.Endpoint{
+		{ID: "a", Address: "a:1", Service: "a", Zone: "zone-0", Slots: 1000},
+		{ID: "b", Address: "b:1", Service: "b", Zone: "zone-0", Slots: 1000},
+	}})
+	for round := range uint64(5) {
+		count := 0
+		for id := range uint64(200) {
+			if s, ok := arrive(m, round*200+id+1).(conductor.Send); ok && s.Endpoint == "b" {
+				count++
+			}
+		}
+		if count < 18 || count > 22 {
+			t.Errorf("of 200 requests %d went to a part of 10%%", count)
+		}
+	}
+}
+
+// Look-ups name the instances of the caller's zone, and no dead or leaving one.
+func TestLookupsNameTheLiving(t *testing.T) {
+	m := newModel(oneRoute(true), nil)
+	beat := func(id, zone string, leaving bool, serial uint64, at time.Time) {
+		m.Update(at, conductor.BeatHeard{Beat: conductor.Beat{
+			ID: id, Started: 1, Serial: serial, Zone: zone, Region: "region-" + zone[5:], Callers: id, Peers: id, Leaving: leaving,
+		}})
+	}
+	beat("edge-2", "zone-0", false, 1, start)
+	beat("edge-3", "zone-1", false, 1, start)
+	names := func(at time.Time, zone string) []string { return m.Addresses(at, "edge-1", "region-"+zone[5:], zone) }
+	if got := names(start, "zone-0"); len(got) != 2 {
+		t.Errorf("zone-0: %v", got)
+	}
+	if got := names(start, "zone-1"); len(got) != 1 || got[0] != "edge-3" {
+		t.Errorf("zone-1: %v", got)
+	}
+	if got := names(start.Add(4*time.Second), "zone-1"); len(got) != 1 || got[0] != "edge-1" {
+		t.Errorf("zone-1 after its instance went silent: %v", got)
+	}
+	beat("edge-2", "zone-0", true, 2, start.Add(time.Second))
+	if got := names(start.Add(time.Second), "zone-0"); len(got) != 1 || got[0] != "edge-1" {
+		t.Errorf("zone-0 after an instance began to leave: %v", got)
+	}
+	beat("edge-2", "zone-0", false, 1, start.Add(2*time.Second))
+	if got := names(start.Add(2*time.Second), "zone-0"); len(got) != 1 {
+		t.Errorf("an older heartbeat brought it back: %v", got)
+	}
+}
--- a/seam/placer/learn.go
+++ b/seam/placer/learn.go
@@ -25,8 +25,9 @@
 	Left bool
 	// Connect is how long a new connection took, or 0.
 	Connect time.Duration
-	// Target is the request's target.
-	Target time.Duration
+	// Target and Timeout are the request's.
+	Target  time.Duration
+	Timeout time.Duration
 }
 
 // Sent notes that an attempt at an endpoint begins.
@@ -100,7 +101,7 @@
 	if waited || e.cold(now) || e.slowness(now) > 2 || !o.Good {
 		return
 	}
-	warm, cold := s.times(o.Target)
+	warm, cold := s.times(o.Target, o.Timeout)
 	run := took - b.distanceTo(e.region)
 	if o.Choice.Warm {
 		s.warm = warm + time.Duration(learnSlow*float64(run-warm))
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -35,8 +35,10 @@
 	Bound   bool
 	// Tried lists endpoints that must not be chosen again.
 	Tried []string
-	// Target is the time within which an answer has its full benefit.
-	Target time.Duration
+	// Target is the time within which an answer has its full benefit, Timeout
+	// the time after which nobody waits any more.
+	Target  time.Duration
+	Timeout time.Duration
 }
 
 // Choice is an endpoint and what is expected of it.
@@ -272,7 +274,7 @@
 
 // weigh returns what is expected of an endpoint, and its cost in seconds.
 func (b *Board) weigh(now time.Time, r Request, s *service, e *endpoint) (Choice, float64) {
-	warm, cold := s.times(r.Target)
+	warm, cold := s.times(r.Target, r.Timeout)
 	c := Choice{
 		ID: e.spec.ID, Address: e.spec.Address, Region: e.region, Load: e.load(), Slots: e.spec.Slots,
 		Warm: r.Object != 0 && e.isWarm(now, r.Object),
@@ -342,11 +344,12 @@
 }
 
 // times returns the mean times of warm and cold runs. Until answers show them,
-// a cold run is taken to miss its target and a warm one to keep it.
-func (s *service) times(target time.Duration) (warm, cold time.Duration) {
+// a cold run is taken to miss its target, but to end before the timeout, and a
+// warm one to keep it.
+func (s *service) times(target, timeout time.Duration) (warm, cold time.Duration) {
 	warm, cold = s.warm, s.cold
 	if cold == 0 {
-		cold = target * 5 / 4
+		cold = min(target*5/4, timeout*3/4)
 	}
 	if warm == 0 {
 		warm = cold * 3 / 8
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
 	"primroseseam.org/seam/ticketer"
+	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/seamd/loader"
 )
@@ -181,7 +182,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", s.name, err)
 		}
-		*s.socket = d.secureListener(s.name, newBacklogListener(l))
+		*s.socket = d.secureListener(s.name, accepter.New(l))
 	}
 	return nil
 }
--- a/seamd/daemon/shutdown.go
+++ b/seamd/daemon/shutdown.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -13,10 +12,6 @@
 	"primroseseam.org/seam/decider"
 )
 
-// backlogGrace is how long a closing listener still accepts connections that
-// were opened before it closed.
-const backlogGrace = 100 * time.Millisecond
-
 // intakePoll is the time between two looks at requests that are arriving.
 const intakePoll = 5 * time.Millisecond
 
@@ -121,20 +116,3 @@
 		_ = s.http.Close()
 	}
 }
-
-// backlogListener accepts what waits in the backlog before it closes, since
-// the kernel resets connections that were never accepted.
-type backlogListener struct{ net.Listener }
-
-func newBacklogListener(inner net.Listener) net.Listener { return &backlogListener{Listener: inner} }
-
-// Close implements net.Listener. The accept loop ends with a timeout.
-func (l *backlogListener) Close() error {
-	tcp, ok := l.Listener.(*net.TCPListener)
-	if !ok {
-		return l.Listener.Close()
-	}
-	err := tcp.SetDeadline(time.Now().Add(backlogGrace))
-	time.AfterFunc(2*backlogGrace, func() { _ = tcp.Close() })
-	return err
-}
--- a/seamd/edger/edger.go
+++ b/seamd/edger/edger.go
@@ -28,6 +28,7 @@
 	"primroseseam.org/platform"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/follower"
+	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/exchanger"
 	"primroseseam.org/seamd/heartbeater"
 )
@@ -176,10 +177,13 @@
 // server is an HTTP server and its listener.
 type server struct {
 	http     *http.Server
-	listener net.Listener
+	listener *accepter.Listener
+	// ended is closed when no more connections are accepted.
+	ended chan struct{}
 }
 
 func (s server) serve() error {
+	defer close(s.ended)
 	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -217,7 +221,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
-		servers = append(servers, server{listener: l, http: &http.Server{
+		servers = append(servers, server{listener: accepter.New(l), ended: make(chan struct{}), http: &http.Server{
 			Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: headerMost, ErrorLog: zap.NewStdLog(e.log),
 		}})
--- /dev/null
+++ b/seamd/edger/edger_test.go
@@ -0,0 +1,406 @@
+package edger_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"primroseseam.org/seamd/edger"
+	"primroseseam.org/standin/objectkeeper"
+)
+
+// logSink keeps what an instance writes, or blocks all writes.
+type logSink struct {
+	mu    sync.Mutex
+	lines strings.Builder
+	block chan struct{}
+}
+
+func (l *logSink) Write(p []byte) (int, error) {
+	if l.block != nil {
+		<-l.block
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(p)
+}
+
+func (l *logSink) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.lines.String(), text)
+}
+
+// rig is a store, endpoints and instances on loopback.
+type rig struct {
+	t       *testing.T
+	store   *objectkeeper.Keeper
+	address string
+	version int
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	k := objectkeeper.New()
+	server := httptest.NewServer(k)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return &rig{t: t, store: k, address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+// configure writes a configuration with one team and one route.
+func (r *rig) configure(key, service string) {
+	r.version++
+	r.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":"r%d","routes":{"r":{"host":"h","path-prefix":"/x/",
+	"route-type":"non_idempotent","timeout-s":1.5,"target-latency-s":0.5,"service":%q,"max-attempts":2,"sticky":true}},
+	"services":{%q:{"health-path":"/health","warmup-s":1,"cold-per-s":10}},"limits":{"max-body-bytes":1048576},
+	"tenants":{"team-1":{"api-keys":[%q],"rate-per-s":1000,"burst-size":1000}}}`, r.version, service, service, key)))
+}
+
+// endpoint starts an endpoint of a service; answer may be nil.
+func (r *rig) endpoint(id, service string, answer http.HandlerFunc) *atomic.Int32 {
+	var served atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		served.Add(1)
+		w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+		if q.Header.Get("X-Expect-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set("X-Response-Signature", "s")
+		if answer != nil {
+			answer(w, q)
+			return
+		}
+		body, _ := io.ReadAll(q.Body)
+		_, _ = fmt.Fprintf(w, "%s %s %s key=%q team=%q", id, q.RequestURI, body, q.Header.Get("X-Key"), q.Header.Get("X-Tenant"))
+	}))
+	r.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	r.announce(id, service, server.Listener.Addr().String(), "ready")
+	return &served
+}
+
+func (r *rig) announce(id, service, address, state string) {
+	r.store.Put("servers", id, json.RawMessage(fmt.Sprintf(
+		`{"address":%q,"born":1,"info":{"service":%q,"version":"v1","zone":"z","slots":4},"status":{"state":%q,"sequence":1,"cold-remaining-s":0}}`,
+		address, service, state)))
+}
+
+// running is a started instance.
+type running struct {
+	t        *testing.T
+	settings edger.Settings
+	path     string
+	stop     context.CancelFunc
+	done     chan struct{}
+	log      *logSink
+}
+
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		list = append(list, l.Addr().String())
+	}
+	return list
+}
+
+// start runs an instance. Instances on loopback have ports of their own, so
+// they learn of each other from the store.
+func (r *rig) start(id string, log *logSink) *running {
+	r.t.Helper()
+	ports := freePorts(r.t, 5)
+	data := fmt.Sprintf(`{"instance":{"id":%q,"zone":"z"},"zones":{"z":"region-1"},
+	"listen":{"callers":%q,"ready":%q,"lookups":%q,"peers":%q,"metrics":%q},"store":%q,
+	"bounds":{"retryRatio":0.2,"retryWindow":10,"retryExtra":60,"coldOver":1.5,"coldSlack":5,"grace":2}}`,
+		id, ports[0], ports[1], ports[2], ports[3], ports[4], r.address)
+	path := filepath.Join(r.t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(data), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	settings, err := edger.LoadSettings(path)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	run := &running{t: r.t, settings: settings, path: path, stop: stop, done: make(chan struct{}), log: log}
+	go func() {
+		defer close(run.done)
+		if err := edger.New(settings, log, edger.WithSettingsFile(path)).Run(ctx); err != nil {
+			r.t.Error(err)
+		}
+	}()
+	r.t.Cleanup(func() {
+		stop()
+		<-run.done
+	})
+	return run
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+var requestIDs atomic.Int64
+
+func (r *running) ask(path, key, body string) answer {
+	return r.askFor(context.Background(), path, key, body)
+}
+
+func (r *running) askFor(ctx context.Context, path, key, body string) answer {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.settings.Listen.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	q.Host = "h"
+	q.Header.Set("X-Request-Id", fmt.Sprint(requestIDs.Add(1)))
+	q.Header.Set("X-Deadline-Ms", "3000")
+	q.Header.Set("X-Key", key)
+	q.Header.Set("X-Tenant", "forged")
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(data), header: resp.Header, err: err}
+}
+
+func (r *running) until(within time.Duration, what string, holds func() bool) {
+	r.t.Helper()
+	end := time.Now().Add(within)
+	for !holds() {
+		if time.Now().After(end) {
+			r.t.Fatalf("not within %v: %s", within, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (r *running) ready() bool {
+	resp, err := http.Get("http://" + r.settings.Listen.Ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func TestServesWhatTheStoreSays(t *testing.T) {
+	r := newRig(t)
+	e := r.start("edge-1", &logSink{})
+	e.until(2*time.Second, "a refusal without a configuration", func() bool {
+		a := e.ask("/x/1", "key-1", "")
+		return a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") != ""
+	})
+	r.configure("key-1", "a")
+	r.endpoint("i-1", "a", nil)
+	e.until(3*time.Second, "ready", e.ready)
+	a := e.ask("/x/1?q=%20", "key-1", "hello")
+	if a.status != http.StatusOK || a.body != `i-1 /x/1?q=%20 hello key="" team="team-1"` {
+		t.Errorf("got %+v", a)
+	}
+	if a := e.ask("/x/1", "other", ""); a.status != http.StatusUnauthorized {
+		t.Errorf("an unknown key: %+v", a)
+	}
+	if a := e.ask("/y/1", "key-1", ""); a.status != http.StatusNotFound {
+		t.Errorf("an unknown route: %+v", a)
+	}
+	if a := e.ask("/x/1", "key-1", strings.Repeat("a", 2<<20)); a.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a body beyond the limit: %+v", a)
+	}
+	// A new version withdraws the key.
+	r.configure("key-2", "a")
+	e.until(2*time.Second, "the key to be withdrawn", func() bool { return e.ask("/x/1", "key-1", "").status == http.StatusUnauthorized })
+	resp, err := http.Get("http://" + e.settings.Listen.Lookups + "/resolve?name=h&region=region-1&zone=z")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	if want := `{"addresses":["` + e.settings.Listen.Callers + `"],"ttl-s":2}`; string(body) != want {
+		t.Errorf("look-up says %s", body)
+	}
+}
+
+// A new instance takes what the others know while the store is away.
+func TestNewInstanceServesWhileTheStoreIsDown(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	r.endpoint("i-1", "a", nil)
+	first := r.start("edge-1", &logSink{})
+	first.until(3*time.Second, "the first to be ready", first.ready)
+	r.store.SetFault(objectkeeper.FaultBusy)
+	second := r.start("edge-2", &logSink{})
+	first.until(time.Second, "the first to serve on", func() bool { return first.ask("/x/1", "key-1", "").status == http.StatusOK })
+	time.Sleep(300 * time.Millisecond)
+	if second.ready() {
+		t.Fatal("the second is ready without having heard of anything")
+	}
+	r.store.SetFault(objectkeeper.FaultNone)
+	second.until(3*time.Second, "the second to be ready", second.ready)
+	r.store.SetFault(objectkeeper.FaultReset)
+	if a := second.ask("/x/1", "key-1", ""); a.status != http.StatusOK {
+		t.Errorf("after the store went away again: %+v", a)
+	}
+}
+
+// An address is handed to an endpoint of another service: nothing runs there.
+func TestAddressesOfOthersRunNothing(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	served := r.endpoint("i-other", "b", nil)
+	e := r.start("edge-1", &logSink{})
+	r.store.Put("servers", "i-gone", json.RawMessage(`{}`))
+	e.until(3*time.Second, "ready", e.ready)
+	if a := e.ask("/x/1", "key-1", ""); a.status != http.StatusServiceUnavailable || served.Load() != 0 {
+		t.Errorf("got %+v, %d served by another service", a, served.Load())
+	}
+}
+
+func TestFinalAnswerAtTheRoutesTimeout(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	gone := make(chan struct{}, 2)
+	r.endpoint("i-1", "a", func(_ http.ResponseWriter, q *http.Request) {
+		<-q.Context().Done()
+		gone <- struct{}{}
+	})
+	e := r.start("edge-1", &logSink{})
+	e.until(3*time.Second, "ready", e.ready)
+	begin := time.Now()
+	a := e.ask("/x/1", "key-1", "")
+	if took := time.Since(begin); a.status != http.StatusGatewayTimeout || took < 1400*time.Millisecond || took > 1900*time.Millisecond {
+		t.Errorf("after %v: %+v", took, a)
+	}
+	<-gone
+	// A caller that leaves ends the work at the endpoint.
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	e.askFor(ctx, "/x/1", "key-1", "")
+	select {
+	case <-gone:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the endpoint still works after its caller left")
+	}
+}
+
+// A request that must run once is not sent again when its answer is lost.
+func TestLostAnswersAreNotMadeUpFor(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	lose := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	one, two := r.endpoint("i-1", "a", lose), r.endpoint("i-2", "a", lose)
+	e := r.start("edge-1", &logSink{})
+	e.until(3*time.Second, "ready", e.ready)
+	if a := e.ask("/x/1", "key-1", "once"); a.status != http.StatusBadGateway {
+		t.Errorf("got %+v", a)
+	}
+	if n := one.Load() + two.Load(); n != 1 {
+		t.Errorf("it was sent %d times", n)
+	}
+}
+
+// Callers keep asking through a planned stop until the process is gone; no
+// answer is cut.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	r.endpoint("i-1", "a", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		_, _ = io.WriteString(w, "done")
+	})
+	e := r.start("edge-1", &logSink{})
+	e.until(3*time.Second, "ready", e.ready)
+	var cut, served atomic.Int32
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for {
+				switch a := e.ask("/x/1", "key-1", ""); {
+				case a.err != nil && strings.Contains(a.err.Error(), "dial tcp"):
+					// The request was never sent.
+					return
+				case a.err != nil:
+					t.Log(a.err)
+					cut.Add(1)
+					return
+				case a.status == http.StatusOK:
+					served.Add(1)
+				}
+			}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	e.stop()
+	e.until(time.Second, "not to be ready", func() bool { return !e.ready() })
+	<-e.done
+	callers.Wait()
+	if cut.Load() > 0 || served.Load() == 0 {
+		t.Errorf("%d answers were cut, %d given", cut.Load(), served.Load())
+	}
+}
+
+// An output that takes no lines delays no request.
+func TestBlockedOutputDelaysNoRequest(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	r.endpoint("i-1", "a", nil)
+	sink := &logSink{block: make(chan struct{})}
+	e := r.start("edge-1", sink)
+	e.until(3*time.Second, "ready", e.ready)
+	begin := time.Now()
+	for range 300 {
+		if a := e.ask("/x/1", "key-1", ""); a.status != http.StatusOK {
+			t.Fatalf("got %+v", a)
+		}
+	}
+	if took := time.Since(begin); took > 3*time.Second {
+		t.Errorf("300 requests took %v", took)
+	}
+	close(sink.block)
+	e.until(2*time.Second, "the count of lines left out", func() bool { return sink.has("lines left out") })
+}
+
+func TestReloadTakesSettingsAndKeepsOldOnesIfInvalid(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	r.endpoint("i-1", "a", nil)
+	sink := &logSink{}
+	e := r.start("edge-1", sink)
+	e.until(3*time.Second, "ready", e.ready)
+	if err := os.WriteFile(e.path, []byte(`{"instance":{}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	e.until(4*time.Second, "the invalid settings to be noticed", func() bool { return sink.has(`"code":210`) })
+	if a := e.ask("/x/1", "key-1", ""); a.status != http.StatusOK {
+		t.Errorf("got %+v", a)
+	}
+}
--- a/seamd/edger/stop.go
+++ b/seamd/edger/stop.go
@@ -44,14 +44,27 @@
 	for e.serving.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(endCheck)
 	}
-	e.log.Info("stop: ends", zap.Int64("requests", e.serving.Load()), zap.Duration("took", time.Since(start)))
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(endCheck))
 	defer cancel()
 	for _, s := range servers {
-		if err := s.http.Shutdown(ctx); err != nil {
+		if err := s.close(ctx); err != nil {
 			e.log.Info("stop: connections were still busy", zap.Error(err))
 		}
 	}
+	e.log.Info("stop: ends", zap.Int64("requests", e.serving.Load()), zap.Duration("took", time.Since(start)))
+}
+
+// close closes the listener, and then the connections when they have their
+// answers.
+func (s server) close(ctx context.Context) error {
+	if err := s.listener.Close(); err != nil {
+		return err
+	}
+	select {
+	case <-s.ended:
+	case <-ctx.Done():
+	}
+	return s.http.Shutdown(ctx)
 }
 
 // unregister takes this instance out of the store.
--- /dev/null
+++ b/seamd/exchanger/exchanger_test.go
@@ -0,0 +1,265 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"primroseseam.org/seamd/exchanger"
+)
+
+const idHeader = "Request-Id"
+
+// endpoint listens on loopback and lets a script answer each request.
+type endpoint struct {
+	address     string
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+// script answers one request on a connection; it returns false to end it.
+type script func(c net.Conn, r *http.Request, n int) bool
+
+func listen(t *testing.T, answer script) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := &endpoint{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.connections.Add(1)
+			go e.serve(c, answer)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn, answer script) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !answer(c, r, int(e.requests.Add(1))) {
+			return
+		}
+	}
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func call(e *endpoint, id string) exchanger.Call {
+	return exchanger.Call{
+		Address: e.address, Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{idHeader: {id}},
+		RequestID: id, IDHeader: idHeader, Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+func TestAnswersThatAreNotOneAreFailures(t *testing.T) {
+	for name, raw := range map[string]string{
+		"cut short":            "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 50\r\n\r\nabc",
+		"cut in a chunk":       "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+		"no answer at all":     "",
+		"not the protocol":     "garbage garbage\r\n\r\n",
+		"success without name": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"of another request":   "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nContent-Length: 0\r\n\r\n",
+		"encoded":              "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n",
+	} {
+		e := listen(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, raw)
+			return false
+		})
+		a := exchanger.New().Do(t.Context(), call(e, "1"))
+		if a.Err == nil || !a.Sent {
+			t.Errorf("%s: %+v", name, a)
+		}
+		if n := e.requests.Load(); n != 1 {
+			t.Errorf("%s: sent %d times", name, n)
+		}
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	raw := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nwhole"
+	e := listen(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, raw)
+		return false
+	})
+	if a := exchanger.New().Do(t.Context(), call(e, "1")); a.Err != nil || string(a.Body) != "whole" {
+		t.Errorf("ended properly: %+v", a)
+	}
+	e = listen(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, raw)
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	if a := exchanger.New().Do(t.Context(), call(e, "1")); a.Err == nil {
+		t.Errorf("ended by a reset: %+v", a)
+	}
+}
+
+// A second answer to an earlier request comes before the one that is due.
+func TestAnswersToEarlierRequestsArePassedOver(t *testing.T) {
+	e := listen(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, ok("0", "old")+ok(r.Header.Get(idHeader), "new"))
+		return true
+	})
+	x := exchanger.New()
+	a := x.Do(t.Context(), call(e, "1"))
+	if a.Err != nil || string(a.Body) != "new" {
+		t.Errorf("got %+v", a)
+	}
+	x.Do(t.Context(), call(e, "2"))
+	if e.connections.Load() != 2 {
+		t.Error("a connection with extra answers was used again")
+	}
+}
+
+func TestConnectionsAreUsedAgainOnlyWhileQuiet(t *testing.T) {
+	var extra atomic.Value
+	extra.Store("")
+	e := listen(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, ok(r.Header.Get(idHeader), "body")+extra.Load().(string))
+		return extra.Load() != "close"
+	})
+	x := exchanger.New()
+	x.Do(t.Context(), call(e, "1"))
+	if a := x.Do(t.Context(), call(e, "2")); !a.Reused || a.Err != nil {
+		t.Errorf("a quiet connection was not used again: %+v", a)
+	}
+	extra.Store(ok("2", "second answer"))
+	x.Do(t.Context(), call(e, "3"))
+	time.Sleep(20 * time.Millisecond)
+	extra.Store("")
+	if a := x.Do(t.Context(), call(e, "4")); a.Reused || a.Err != nil || string(a.Body) != "body" {
+		t.Errorf("after an extra answer: %+v", a)
+	}
+	extra.Store("close")
+	x.Do(t.Context(), call(e, "5"))
+	time.Sleep(20 * time.Millisecond)
+	extra.Store("")
+	if a := x.Do(t.Context(), call(e, "6")); a.Reused || a.Err != nil {
+		t.Errorf("after the endpoint closed: %+v", a)
+	}
+}
+
+func TestEndpointsTellHowLongTheyKeepConnections(t *testing.T) {
+	e := listen(t, func(c net.Conn, _ *http.Request, n int) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %d\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n", n)
+		return true
+	})
+	x := exchanger.New()
+	x.Do(t.Context(), call(e, "1"))
+	if a := x.Do(t.Context(), call(e, "2")); a.Reused {
+		t.Error("a connection was used beyond its time")
+	}
+	if a := x.Do(t.Context(), call(e, "3")); a.Err != nil {
+		t.Error(a.Err)
+	}
+}
+
+// An endpoint answers before it has read a long body. The connection is closed,
+// not used with the rest of the body still due.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	e := listen(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, r.Body)
+		return true
+	})
+	x := exchanger.New()
+	long := call(e, "1")
+	long.Method = http.MethodPost
+	long.Body = []byte(strings.Repeat("a", 8<<20))
+	long.Length = int64(len(long.Body))
+	if a := x.Do(t.Context(), long); a.Err != nil || a.Status != http.StatusServiceUnavailable {
+		t.Fatalf("got %+v", a)
+	}
+	if a := x.Do(t.Context(), call(e, "2")); a.Reused {
+		t.Error("the connection was used again")
+	}
+}
+
+func TestLeavingCallersAndDeadlinesEndACall(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	e := listen(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		var one [1]byte
+		_, _ = c.Read(one[:])
+		closed <- struct{}{}
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	begin := time.Now()
+	if a := exchanger.New().Do(ctx, call(e, "1")); a.Err == nil || time.Since(begin) > time.Second {
+		t.Errorf("after %v: %+v", time.Since(begin), a)
+	}
+	<-closed
+	c := call(e, "2")
+	c.Deadline = time.Now().Add(100 * time.Millisecond)
+	begin = time.Now()
+	if a := exchanger.New().Do(t.Context(), c); a.Err == nil || time.Since(begin) > time.Second {
+		t.Errorf("after %v: %+v", time.Since(begin), a)
+	}
+	<-closed
+}
+
+func TestNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{address: l.Addr().String()}
+	_ = l.Close()
+	if a := exchanger.New().Do(t.Context(), call(e, "1")); a.Err == nil || a.Sent {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// BenchmarkExchange measures one request on a kept connection.
+func BenchmarkExchange(b *testing.B) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	e := &endpoint{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c, func(c net.Conn, r *http.Request, _ int) bool {
+				_, _ = io.WriteString(c, ok(r.Header.Get(idHeader), "body"))
+				return true
+			})
+		}
+	}()
+	x := exchanger.New()
+	b.ReportAllocs()
+	for b.Loop() {
+		if a := x.Do(b.Context(), call(e, "1")); a.Err != nil {
+			b.Fatal(a.Err)
+		}
+	}
+}
