--- a/seam/admitter/admitter_test.go
+++ b/seam/admitter/admitter_test.go
@@ -17,27 +17,33 @@
 	}{
 		"in time, though it waits": {
 			admitter.Load{Expect: 450 * ms, Wait: 200 * ms, Room: 250 * ms},
-			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms}, false,
+			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms},
+			false,
 		},
 		"late, but at an idle slot": {
 			admitter.Load{Expect: 700 * ms},
-			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms}, false,
+			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms},
+			false,
 		},
 		"late, and it would take a place in the queue": {
 			admitter.Load{Expect: 700 * ms, Wait: 200 * ms, Room: 250 * ms},
-			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms}, true,
+			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms},
+			true,
 		},
 		"late, but its caller was refused before and the queue is short": {
 			admitter.Load{Expect: 250 * ms, Wait: 50 * ms, Room: 300 * ms},
-			admitter.Request{TargetLeft: -200 * ms, TimeLeft: 1200 * ms, CallerLeft: 2000 * ms, CameBack: true}, false,
+			admitter.Request{TargetLeft: -200 * ms, TimeLeft: 1200 * ms, CallerLeft: 2000 * ms, CameBack: true},
+			false,
 		},
 		"late, its caller was refused before, but it would make others late": {
 			admitter.Load{Expect: 450 * ms, Wait: 310 * ms, Room: 300 * ms},
-			admitter.Request{TargetLeft: -200 * ms, TimeLeft: 1200 * ms, CallerLeft: 2000 * ms, CameBack: true}, true,
+			admitter.Request{TargetLeft: -200 * ms, TimeLeft: 1200 * ms, CallerLeft: 2000 * ms, CameBack: true},
+			true,
 		},
 		"not before nobody waits any more": {
 			admitter.Load{Expect: 1300 * ms},
-			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms}, true,
+			admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms},
+			true,
 		},
 	} {
 		d := admitter.Decide(c.load, c.request, 0.5)
--- a/seam/conductor/load_test.go
+++ b/seam/conductor/load_test.go
@@ -187,3 +187,25 @@
 		t.Errorf("%d were let through in 5 s; %d are allowed", most, quotaBound(team))
 	}
 }
+
+// When callers of a region become many more than its endpoints can serve, their
+// requests move to other regions in steps below the cap.
+func TestRequestsChangeRegionsInSmallSteps(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newWorld(t, seed, [3]int{4, 4, 3}, [3]int{6, 8, 2}, 9, 112, openTeams)
+		for n, i := range w.instances {
+			w.load(i, 50, 143, "a", "/x", 30*time.Second)
+			if n >= 8 {
+				w.after(12*time.Second, func() { w.load(i, 120, 143, "a", "/x", 10*time.Second) })
+			}
+		}
+		w.run(32 * time.Second)
+		for r := range 3 {
+			shift := mostShift(w.runs, region(r), 2*time.Second, 100)
+			t.Logf("seed %d: most shift of %s %.3f", seed, region(r), shift)
+			if shift > 0.15 {
+				t.Errorf("seed %d: %.3f of the requests of %s changed their region within 2 s", seed, shift, region(r))
+			}
+		}
+	}
+}
--- a/seam/conductor/play_test.go
+++ b/seam/conductor/play_test.go
@@ -30,6 +30,7 @@
 	answers   []answer
 	// admitted holds when each request of a team reached an endpoint.
 	admitted map[string][]time.Time
+	runs     []run
 	// work is the time of a cold run; a warm one takes warmPart of it.
 	work time.Duration
 }
@@ -285,6 +286,7 @@
 			return
 		}
 		w.admitted[team] = append(w.admitted[team], w.now)
+		w.runs = append(w.runs, run{at: w.now, from: w.zones[i.zone], in: e.region})
 		e.arrive(w, job{object: object, done: func(status int, notRun bool) {
 			end(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun, Connect: 2 * way})
 		}})
@@ -404,3 +406,46 @@
 func (w *world) upTo(d time.Duration) time.Duration {
 	return time.Duration(w.rng.Int64N(int64(d)))
 }
+
+// run is where and when a request of a region's callers ran.
+type run struct {
+	at       time.Time
+	from, in string
+}
+
+// mostShift returns the greatest part of a region's requests that changed the
+// region in which they ran from one window to the next. Windows with few
+// requests are left out.
+func mostShift(runs []run, from string, window time.Duration, few int) float64 {
+	counts := map[int64]map[string]int{}
+	var first, last int64
+	for _, r := range runs {
+		if r.from != from {
+			continue
+		}
+		n := r.at.UnixNano() / int64(window)
+		if counts[n] == nil {
+			counts[n] = map[string]int{}
+		}
+		counts[n][r.in]++
+		counts[n][""]++
+		if first == 0 {
+			first = n
+		}
+		last = n
+	}
+	most := 0.0
+	for n := first + 1; n < last; n++ {
+		a, b := counts[n-1], counts[n]
+		if a[""] < few || b[""] < few {
+			continue
+		}
+		moved := 0.0
+		for _, in := range []string{region(0), region(1), region(2)} {
+			d := float64(b[in])/float64(b[""]) - float64(a[in])/float64(a[""])
+			moved += max(d, 0)
+		}
+		most = max(most, moved)
+	}
+	return most
+}
