Learn how many objects endpoints keep warm

Besides, cold runs of objects believed warm made endpoints count as slow, and so did waits judged by old news.

Change: runs that should have been warm and were not teach how many objects an endpoint of a service keeps, told in heartbeats; of more objects the same ones count as warm for all; a new object avoids crowded endpoints. Slowness is learnt from runs that did not wait, or are clearly slow.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -58,7 +58,8 @@
 	known    map[string]bool
 	// told is the number of instances that the others or the store last spoke
 	// of, or 0.
-	told int
+	told   int
+	pruned time.Time
 	// first and updated are the times of the first and the last message.
 	first, updated time.Time
 	splits         map[string]*split
@@ -187,6 +188,10 @@
 func (m *Model) ticked(now time.Time) {
 	m.forgetSilent(now)
 	m.refreshRates(now)
+	if now.Sub(m.pruned) > pruneEvery {
+		m.pruned = now
+		m.board.Prune(now)
+	}
 }
 
 // keepsCold reports whether this instance is the one that sends to a cold
@@ -212,6 +217,8 @@
 }
 
 const (
+	// pruneEvery is how often objects that are no longer warm are forgotten.
+	pruneEvery = 2 * time.Second
 	// unknownFleet is the number of instances assumed by one that has just
 	// started; it is more than the largest deployment of today has.
 	unknownFleet = 64
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -161,6 +161,8 @@
 	Demand  []Demand
 	// Rests tells of endpoints that can't be reached or have come back.
 	Rests []placer.Rest
+	// Keeps tells how many objects endpoints keep warm.
+	Keeps []placer.Keep
 	// States say how far the followers of the store have come.
 	States []KindState
 	// Known lists the addresses of other instances, now and then.
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -106,6 +106,7 @@
 	m.board.PeerLoads(b.ID, b.Loads)
 	m.board.PeerTouches(now, b.Touches)
 	m.board.PeerRests(now, b.Rests)
+	m.board.PeerKeeps(b.Keeps)
 	m.refreshLive()
 }
 
@@ -324,7 +325,7 @@
 func (m *Model) Beat(now time.Time) Beat {
 	b := Beat{
 		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(),
-		Config: m.Version(), Fleet: uint32(m.told), Loads: m.board.Loads(), Touches: m.board.TakeTouches(), Rests: m.board.Rests(now),
+		Config: m.Version(), Fleet: uint32(m.told), Loads: m.board.Loads(), Touches: m.board.TakeTouches(), Rests: m.board.Rests(now), Keeps: m.board.Keeps(),
 	}
 	for _, t := range m.teams {
 		if rate := t.demand.Rate(now); rate > leastDemand {
--- a/seam/conductor/play_test.go
+++ b/seam/conductor/play_test.go
@@ -31,8 +31,8 @@
 	// admitted holds when each request of a team reached an endpoint.
 	admitted map[string][]time.Time
 	runs     []run
-	// work is the time of a cold run; a warm one takes warmPart of it.
-	work time.Duration
+	// times.work is the time of a cold run; a warm one takes warmPart of it.
+	times times
 }
 
 const (
@@ -67,6 +67,8 @@
 	// coldMost is the most arrivals in any second while it was cold.
 	coldMost int
 	runs     int
+	// hits counts the runs whose object was warm.
+	hits int
 }
 
 type job struct {
@@ -122,23 +124,33 @@
 const (
 	service  = "pages"
 	host     = "pages.example"
-	target   = 200 * time.Millisecond
 	coldRate = 18.0
 )
 
+// times are a route's target and timeout, and how long a cold run takes.
+type times struct{ target, timeout, work time.Duration }
+
+var quick = times{target: 200 * time.Millisecond, timeout: 1500 * time.Millisecond, work: 300 * time.Millisecond}
+
 // newWorld returns three regions with instances and endpoints, as many in each
 // region as the lists say.
 func newWorld(t *testing.T, seed uint64, instances, endpoints [3]int, slots, keeps int, teams []router.Team) *world {
+	t.Helper()
+	return newWorldOf(t, seed, instances, endpoints, slots, keeps, teams, quick)
+}
+
+func newWorldOf(t *testing.T, seed uint64, instances, endpoints [3]int, slots, keeps int, teams []router.Team, times times) *world {
 	t.Helper()
 	w := &world{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), zones: map[string]string{},
-		endpoints: map[string]*fakeEndpoint{}, admitted: map[string][]time.Time{}, work: 300 * time.Millisecond,
+		times: times,
+		t:     t, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), zones: map[string]string{},
+		endpoints: map[string]*fakeEndpoint{}, admitted: map[string][]time.Time{},
 	}
 	w.config = router.NewConfig(1, []router.Route{{
-		Name: "r", Host: host, Prefix: "/", Idempotent: true, Timeout: 1500 * time.Millisecond, Target: target,
+		Name: "r", Host: host, Prefix: "/", Idempotent: true, Timeout: times.timeout, Target: times.target,
 		MaxAttempts: 2, Sticky: true, Parts: []router.Part{{Service: service, Weight: 1}},
 	}, {
-		Name: "pay", Host: host, Prefix: "/pay/", Timeout: 1500 * time.Millisecond, Target: target,
+		Name: "pay", Host: host, Prefix: "/pay/", Timeout: times.timeout, Target: times.target,
 		MaxAttempts: 3, Parts: []router.Part{{Service: service, Weight: 1}},
 	}}, []router.Service{{Name: service, Warmup: 3 * time.Second, ColdRate: coldRate}}, teams, router.Limits{})
 	for r := range 3 {
@@ -230,7 +242,7 @@
 			return
 		}
 		object := placer.Hash32(fmt.Sprint(w.zones[i.zone], w.rng.IntN(objects)))
-		w.ask(i, object, key, path, 1500*time.Millisecond, w.now, 1)
+		w.ask(i, object, key, path, 2*w.times.timeout, w.now, 1)
 		w.after(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	w.after(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
@@ -247,11 +259,11 @@
 		gone := w.now.Sub(first)
 		if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && retries > 0 && after > 0 {
 			w.after(min(after, (left-gone)/3), func() {
-				w.ask(i, object, key, path, 1500*time.Millisecond-w.now.Sub(first), first, retries-1)
+				w.ask(i, object, key, path, 2*w.times.timeout-w.now.Sub(first), first, retries-1)
 			})
 			return
 		}
-		w.answers = append(w.answers, answer{at: first, took: gone, status: status, team: key, target: target})
+		w.answers = append(w.answers, answer{at: first, took: gone, status: status, team: key, target: w.times.target})
 	}, object)
 }
 
@@ -321,9 +333,10 @@
 func (e *fakeEndpoint) start(w *world, j job) {
 	e.running++
 	e.runs++
-	length := float64(w.work) * (0.85 + 0.3*w.rng.Float64())
+	length := float64(w.times.work) * (0.85 + 0.3*w.rng.Float64())
 	if at := slices.Index(e.kept, j.object); at >= 0 {
 		length *= warmPart
+		e.hits++
 		e.kept = slices.Delete(e.kept, at, at+1)
 	}
 	e.kept = append(e.kept, j.object)
@@ -449,3 +462,17 @@
 	}
 	return most
 }
+
+// warmth returns the part of runs whose object was warm, by region.
+func (w *world) warmth() map[string]float64 {
+	runs, hits := map[string]int{}, map[string]int{}
+	for _, e := range w.endpoints {
+		runs[e.region] += e.runs
+		hits[e.region] += e.hits
+	}
+	parts := map[string]float64{}
+	for r := range runs {
+		parts[r] = float64(hits[r]) / float64(max(runs[r], 1))
+	}
+	return parts
+}
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"time"
 
 	"primroseseam.org/seam/rationer"
@@ -76,7 +77,7 @@
 	others int
 	sends  []time.Time
 	// warm holds when each object was last handled.
-	warm map[uint32]time.Time
+	warm map[uint32]handled
 	// slow is how many times longer than its service the endpoint takes.
 	slow   float64
 	slowAt time.Time
@@ -104,6 +105,19 @@
 	coldBudget rationer.Bucket
 }
 
+// handled is when an endpoint first and last handled an object.
+type handled struct{ first, last time.Time }
+
+// touch notes that the endpoint handles an object.
+func (e *endpoint) touch(now time.Time, object uint32) {
+	h, ok := e.warm[object]
+	if !ok || now.Sub(h.last) >= keptWarm {
+		h.first = now
+	}
+	h.last = now
+	e.warm[object] = h
+}
+
 func (e *endpoint) load() int { return e.own + e.others }
 
 // underused reports whether the endpoint has so much room that keeping one more
@@ -155,10 +169,18 @@
 
 func (e *endpoint) ejected(now time.Time) bool { return now.Before(e.ejectedTill) }
 
-// isWarm reports whether the endpoint handled the object lately.
-func (e *endpoint) isWarm(now time.Time, object uint32) bool {
-	at, ok := e.warm[object]
-	return ok && now.Sub(at) < keptWarm
+// isWarm reports whether the endpoint handled the object lately and still keeps
+// it. Of more objects than it keeps, the same ones count as warm for all
+// instances, so that the others find a place elsewhere.
+func (e *endpoint) isWarm(now time.Time, object uint32, keeps float64) bool {
+	h, ok := e.warm[object]
+	if !ok || now.Sub(h.last) >= keptWarm {
+		return false
+	}
+	if n := float64(len(e.warm)); keeps > 0 && n > keeps {
+		return float64(mix(object, e.hash)) < keeps/n*math.MaxUint32
+	}
+	return true
 }
 
 // stalled returns how long the oldest attempt of this instance has been under
@@ -248,7 +270,7 @@
 	rest := min(ejectFor<<min(e.ejections, 4), ejectMost)
 	e.ejectedTill = now.Add(rest)
 	e.ejections++
-	e.warm = map[uint32]time.Time{}
+	e.warm = map[uint32]handled{}
 }
 
 func later(a, b time.Time) time.Time {
--- a/seam/placer/learn.go
+++ b/seam/placer/learn.go
@@ -43,10 +43,10 @@
 	if object == 0 {
 		return
 	}
-	if !e.isWarm(now, object) && len(b.touches) < maxTouches {
+	if !e.isWarm(now, object, 0) && len(b.touches) < maxTouches {
 		b.touches = append(b.touches, Touch{Endpoint: e.hash, Object: object})
 	}
-	e.warm[object] = now
+	e.touch(now, object)
 }
 
 // Ended notes how an attempt ended and learns from it.
@@ -90,26 +90,77 @@
 }
 
 // learnTime compares an answer's time with what was expected. Only runs that
-// did not wait tell how long a run takes.
+// did not wait tell how long a run takes and whether its object was warm.
 func (b *Board) learnTime(now time.Time, s *service, e *endpoint, o Outcome) {
 	took := now.Sub(o.SentAt)
-	if o.Choice.Expect <= 0 {
+	warm, cold := s.times(o.Target, o.Timeout)
+	expected := o.Choice.Expect
+	run := took - b.distanceTo(e.region)
+	missed := o.Choice.Warm && float64(run-o.Choice.Wait) > o.Choice.Slow*float64(warm+cold)/2
+	if missed {
+		// The object was not warm any more; that doesn't make the endpoint slow.
+		expected += time.Duration(o.Choice.Slow * float64(cold-warm))
+	}
+	if expected <= 0 {
 		return
 	}
-	e.took(now, o.Choice.Slow*float64(took)/float64(o.Choice.Expect))
+	// What is known of a queue is too old to tell small differences.
+	if ratio := float64(took) / float64(expected); o.Choice.Wait == 0 || ratio > clearlySlow {
+		e.took(now, o.Choice.Slow*ratio)
+	}
 	waited := o.Choice.Wait > 0 || e.load() >= e.spec.Slots
-	if waited || e.cold(now) || e.slowness(now) > 2 || !o.Good {
+	if e.cold(now) || !o.Good {
 		return
 	}
-	warm, cold := s.times(o.Target, o.Timeout)
-	run := took - b.distanceTo(e.region)
-	if o.Choice.Warm {
+	// The first runs of an object are cold wherever they are.
+	settled := o.SentAt.Sub(e.warm[o.Object].first) > 2*cold
+	if o.Choice.Warm && settled && o.Choice.Wait <= (cold-warm)/2 {
+		s.learnKeeps(len(e.warm), missed)
+	}
+	if waited || e.slowness(now) > 2 {
+		return
+	}
+	if o.Choice.Warm && !missed {
 		s.warm = warm + time.Duration(learnSlow*float64(run-warm))
 		return
 	}
 	s.cold = cold + time.Duration(learnSlow*float64(run-cold))
 }
 
+// clearlySlow is how many times longer than expected an answer took that makes
+// an endpoint slow although the request waited.
+const clearlySlow = 2.5
+
+const (
+	// missesToKnow is how many runs must have been cold against expectation
+	// until it counts that endpoints keep a bounded number of objects.
+	missesToKnow = 3
+	// missStep and hitStep move the number down and up: it settles where one run
+	// in four is cold.
+	missStep = 0.15
+	hitStep  = 0.05
+	// keepsLeast is the least number of objects that an endpoint is taken to
+	// keep.
+	keepsLeast = 4
+)
+
+// learnKeeps learns from a run of an object that should have been warm, at an
+// endpoint that handled a number of objects lately.
+func (s *service) learnKeeps(objects int, missed bool) {
+	n := float64(objects)
+	switch {
+	case missed && s.keeps == 0:
+		s.misses++
+		if s.misses >= missesToKnow {
+			s.keeps = max(n, keepsLeast)
+		}
+	case missed && n < s.keeps+keepsLeast:
+		s.keeps = max(s.keeps-missStep, keepsLeast)
+	case !missed && s.keeps > 0 && n >= s.keeps:
+		s.keeps += hitStep
+	}
+}
+
 // PeerLoads takes the attempts under way at an instance. It replaces what the
 // instance said before.
 func (b *Board) PeerLoads(peer string, loads []Load) {
@@ -138,7 +189,7 @@
 func (b *Board) PeerTouches(now time.Time, touches []Touch) {
 	for _, t := range touches {
 		if e, ok := b.byHash[t.Endpoint]; ok {
-			e.warm[t.Object] = now
+			e.touch(now, t.Object)
 			e.untried = false
 		}
 	}
@@ -223,3 +274,51 @@
 	}
 	return best
 }
+
+// Keep is how many objects an endpoint of a service keeps warm, in tenths.
+type Keep struct {
+	Service uint32
+	Tenths  uint32
+}
+
+// peerKeepStep moves what is known here toward what another instance knows.
+const peerKeepStep = 0.03
+
+// Keeps returns what this instance has learnt of how many objects endpoints
+// keep.
+func (b *Board) Keeps() []Keep {
+	var keeps []Keep
+	for name, s := range b.services {
+		if s.keeps > 0 {
+			keeps = append(keeps, Keep{Service: Hash32(name), Tenths: uint32(s.keeps * 10)})
+		}
+	}
+	return keeps
+}
+
+// PeerKeeps takes what another instance has learnt.
+func (b *Board) PeerKeeps(keeps []Keep) {
+	for _, k := range keeps {
+		for name, s := range b.services {
+			if Hash32(name) != k.Service {
+				continue
+			}
+			heard := float64(k.Tenths) / 10
+			if s.keeps == 0 {
+				s.keeps = heard
+			}
+			s.keeps += peerKeepStep * (heard - s.keeps)
+		}
+	}
+}
+
+// Prune forgets objects that no longer count as warm.
+func (b *Board) Prune(now time.Time) {
+	for _, e := range b.byID {
+		for object, h := range e.warm {
+			if now.Sub(h.last) >= keptWarm {
+				delete(e.warm, object)
+			}
+		}
+	}
+}
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -79,8 +79,16 @@
 	// being warm.
 	warm time.Duration
 	cold time.Duration
+	// keeps is the number of objects that an endpoint keeps warm, as far as is
+	// known, or 0; misses counts what spoke against keeping all.
+	keeps  float64
+	misses int
 }
 
+// crowded reports whether an endpoint keeps as many objects as it can, so that
+// one more pushes out another.
+func (s *service) crowded(e *endpoint) bool { return s.keeps > 0 && float64(len(e.warm)) >= s.keeps }
+
 // Board is the state of all endpoints. It is not safe for concurrent use.
 type Board struct {
 	zone      string
@@ -111,6 +119,9 @@
 	// spread is the part of a cold run by which endpoints are preferred for a
 	// new object, in an order that all instances agree on.
 	spread = 1.0
+	// crowdedCost is the part of a cold run that it costs to push out another
+	// object.
+	crowdedCost = 1.0
 	// copiesMost is the number of endpoints at which an object is kept warm.
 	// Endpoints keep a bounded number of objects, so more copies of one push out
 	// others.
@@ -185,7 +196,7 @@
 	e, ok := b.byID[spec.ID]
 	reborn := ok && (e.spec.Born != spec.Born || e.spec.Address != spec.Address)
 	if !ok || reborn {
-		e = &endpoint{spec: spec, region: b.zones[spec.Zone], hash: Hash32(spec.ID), warm: map[uint32]time.Time{}}
+		e = &endpoint{spec: spec, region: b.zones[spec.Zone], hash: Hash32(spec.ID), warm: map[uint32]handled{}}
 		if b.started {
 			// It has just started, so it is cold even if it doesn't say so yet.
 			e.untried = true
@@ -211,7 +222,7 @@
 	for _, e := range b.byID {
 		if b.evacuated[e.spec.Zone] && !next[e.spec.Zone] {
 			e.coldTill = later(e.coldTill, now.Add(b.service(e.spec.Service).spec.Warmup))
-			e.warm = map[uint32]time.Time{}
+			e.warm = map[uint32]handled{}
 		}
 	}
 	b.evacuated = next
@@ -265,7 +276,7 @@
 	}
 	count := 0
 	for _, e := range s.endpoints {
-		if e.isWarm(now, r.Object) && b.allowed(now, r, e) && !e.ejected(now) && !e.cold(now) {
+		if e.isWarm(now, r.Object, s.keeps) && b.allowed(now, r, e) && !e.ejected(now) && !e.cold(now) {
 			count++
 		}
 	}
@@ -277,7 +288,7 @@
 	warm, cold := s.times(r.Target, r.Timeout)
 	c := Choice{
 		ID: e.spec.ID, Address: e.spec.Address, Region: e.region, Load: e.load(), Slots: e.spec.Slots,
-		Warm: r.Object != 0 && e.isWarm(now, r.Object),
+		Warm: r.Object != 0 && e.isWarm(now, r.Object, s.keeps),
 	}
 	run := cold
 	if c.Warm {
@@ -300,6 +311,9 @@
 	}
 	cost := c.Expect.Seconds() + b.farness(e, r.Target)
 	cost += failurePenalty * e.failing(now) * r.Target.Seconds()
+	if !c.Warm && s.crowded(e) {
+		cost += crowdedCost * cold.Seconds()
+	}
 	if !c.Warm {
 		cost += spread * cold.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
 	}
