--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -109,16 +109,18 @@
 	Address  string
 	// Team is the caller's, or "".
 	Team string
-	// Budget is the time that the endpoint is given, Patience the time after
-	// which this instance gives the attempt up.
+	// Budget is the time that the endpoint is given; at the deadline the attempt
+	// is given up.
 	Budget   time.Duration
 	Deadline time.Time
 	// Repeatable means that the request may be sent on a connection that may
 	// have been closed meanwhile.
 	Repeatable bool
 	Attempt    int
-	// Choice is what is expected, for the log.
-	Choice placer.Choice
+	// Choice is what is expected, and Version the configuration in force, for
+	// the log.
+	Choice  placer.Choice
+	Version uint64
 }
 
 // Refuse asks to answer the caller without an endpoint's answer.
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -150,7 +150,12 @@
 		}, m.rng.Float64())
 	if decision.Refuse {
 		m.giveBack(r)
-		return refuse(r.id, http.StatusServiceUnavailable, coder.DeadlineUnreachable, decision.RetryAfter)
+		return []Cmd{Refuse{
+			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.DeadlineUnreachable, RetryAfter: decision.RetryAfter,
+			Detail: fmt.Sprintf("team=%s service=%s best=%s expect=%v wait=%v room=%v load=%d slots=%d warm=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
+				r.team, r.service, choice.ID, choice.Expect, choice.Wait, choice.Room, choice.Load, choice.Slots, choice.Warm,
+				r.targetEnd.Sub(now), r.deadline.Sub(now), r.cameBack, m.config.Version()),
+		}}
 	}
 	m.requests[r.id] = r
 	return m.send(now, r, choice)
@@ -173,7 +178,7 @@
 	return []Cmd{Send{
 		ID: r.id, Endpoint: choice.ID, Address: choice.Address, Team: r.team,
 		Budget: r.deadline.Sub(now) - answerMargin, Deadline: r.deadline,
-		Repeatable: r.route.Idempotent, Attempt: r.attempts, Choice: choice,
+		Repeatable: r.route.Idempotent, Attempt: r.attempts, Choice: choice, Version: m.config.Version(),
 	}}
 }
 
--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -205,6 +205,7 @@
 		x.header.Set(platform.HeaderTeam, cmd.Team)
 	}
 	start := time.Now()
+	e.logSend(x, cmd, start)
 	if cmd.Attempt > 1 {
 		e.metrics.retries.Inc()
 	}
@@ -297,21 +298,27 @@
 		zap.Int("attempts", x.last.Attempt))
 }
 
-// logAttempt writes what an attempt was expected to be and how it ended.
-func (e *Edge) logAttempt(x *exchange, cmd conductor.Send, a exchanger.Answer, o conductor.Outcome, took time.Duration) {
-	good := o.Answered && !o.NotRun && o.Status < http.StatusInternalServerError
-	if good && !e.logs.Ordinary(time.Now()) {
+// logSend writes where a request is sent and why.
+func (e *Edge) logSend(x *exchange, cmd conductor.Send, now time.Time) {
+	if cmd.Attempt == 1 && !e.logs.Ordinary(now) {
 		return
 	}
-	write := e.log.Info
-	if !good {
-		write = e.log.Warn
+	c := cmd.Choice
+	e.log.Info("request: sent", zap.String("request", x.name), zap.String("team", cmd.Team),
+		zap.String("endpoint", cmd.Endpoint), zap.String("region", c.Region), zap.Int("attempt", cmd.Attempt),
+		zap.Duration("expected", c.Expect), zap.Duration("wait", c.Wait), zap.Bool("warm", c.Warm),
+		zap.Int("load", c.Load), zap.Int("slots", c.Slots), zap.Float64("slow", c.Slow), zap.Duration("budget", cmd.Budget),
+		zap.Uint64("version", cmd.Version))
+}
+
+// logAttempt writes how an attempt ended that brought no proper answer.
+func (e *Edge) logAttempt(x *exchange, cmd conductor.Send, a exchanger.Answer, o conductor.Outcome, took time.Duration) {
+	if o.Answered && !o.NotRun && o.Status < http.StatusInternalServerError {
+		return
 	}
-	write("request: attempt ended", zap.String("request", x.name), zap.String("team", cmd.Team),
-		zap.String("endpoint", cmd.Endpoint), zap.String("region", cmd.Choice.Region), zap.Int("attempt", cmd.Attempt),
-		zap.Duration("expected", cmd.Choice.Expect), zap.Duration("wait", cmd.Choice.Wait), zap.Bool("warm", cmd.Choice.Warm),
-		zap.Int("load", cmd.Choice.Load), zap.Int("slots", cmd.Choice.Slots), zap.Duration("budget", cmd.Budget),
-		zap.Int("status", o.Status), zap.Bool("notRun", o.NotRun), zap.Bool("left", o.Left), zap.Bool("timedOut", o.TimedOut),
+	e.log.Warn("request: attempt failed", zap.String("request", x.name), zap.String("team", cmd.Team),
+		zap.String("endpoint", cmd.Endpoint), zap.Int("attempt", cmd.Attempt), zap.Int("status", o.Status),
+		zap.Bool("notRun", o.NotRun), zap.Bool("left", o.Left), zap.Bool("timedOut", o.TimedOut),
 		zap.Bool("reused", a.Reused), zap.Duration("took", took), zap.NamedError("error", a.Err))
 }
 
