--- a/seamd/daemon/metrics_test.go
+++ b/seamd/daemon/metrics_test.go
@@ -18,9 +18,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, file := range files {
+	edge, err := filepath.Glob("../edger/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range append(files, edge...) {
 		if !strings.HasSuffix(file, "_test.go") {
-			collect(t, inCode, file, regexp.MustCompile(`"(seam_[a-z_]+)["{]`))
+			collect(t, inCode, file, regexp.MustCompile("[\"`](seam_[a-z_]+)[\"{]"))
 		}
 	}
 	inDocs := map[string]bool{}
