Fetch each kind's news on its own, by two instances a region

Wishes of all kinds shared one queue of 16 and one worker, each heartbeat of an instance that knew more queued another call (110 to 220 ms), and wishes beyond 16 were dropped.

Change: one wish a kind, the newest, fetched apart, skipped if already known; news leaves as a datagram with positions alone, from the one that asked the store to all, from the two that fetch from far to their region; a change is told by its own position. Calls are given up after 0.6 s beyond their wait, the first time; only the first in turn waits; a failed call closes idle connections. Heartbeats tell of teams with news, each audience apart, all teams every eighth time; touches reach other regions whole (every second batch was lost to them). The settings that find silent connections stand once, in seam/dialer, used by calls between instances too.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -56,6 +56,10 @@
 	retries  map[string]*retryState
 	peers    map[string]*peer
 	known    map[string]bool
+	// beats counts the heartbeats to each audience, touches are the news of warm
+	// objects that it doesn't have.
+	beats   [audiences]uint64
+	touches [audiences][]placer.Touch
 	// told is the number of instances that the others or the store last spoke
 	// of, or 0.
 	told   int
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -161,6 +161,9 @@
 	Loads   []placer.Load
 	Touches []placer.Touch
 	Demand  []Demand
+	// WholeDemand means that teams that Demand doesn't list ask nothing; else
+	// what was told of them holds.
+	WholeDemand bool
 	// Rests tells of endpoints that can't be reached or have come back.
 	Rests []placer.Rest
 	// Keeps tells how many objects endpoints keep warm.
@@ -169,6 +172,8 @@
 	States []KindState
 	// Known lists the addresses of other instances, now and then.
 	Known []string
+	// News means that only States are told, between two heartbeats.
+	News bool
 }
 
 // Demand is what a team asks at an instance.
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"primroseseam.org/seam/placer"
-	"primroseseam.org/seam/rationer"
-	"primroseseam.org/seam/router"
 )
 
 const (
@@ -36,38 +34,6 @@
 	fromStart bool
 }
 
-// teamState is what an instance knows of a team.
-//
-// What the fleet used is counted from heartbeats, in a bucket that may go into
-// debt. Each request is let through by chance, so that all that arrive until
-// news reaches everybody take what the rate gives in that time and a part of what
-// is left. Nothing is let through while there is a debt, so that what went faster
-// than the news is made up for. Chance needs no shares, which would be less than
-// a request where instances are many.
-type teamState struct {
-	hash   uint32
-	demand rationer.Meter
-	// others is the demand at the other instances, share the usual part of all
-	// demand that comes here.
-	others float64
-	share  float64
-	// used is the number of requests let through here, in this lifetime.
-	used uint64
-	// fleet is what the fleet as a whole has left, as far as is known here, and
-	// part what this instance may use if it is cut off.
-	fleet rationer.Bucket
-	part  rationer.Bucket
-	// whole means that more than half of the fleet is heard, news how long it
-	// takes until all have heard of something.
-	whole bool
-	news  time.Duration
-}
-
-// retryState is an instance's part of a service's retry budget.
-type retryState struct {
-	bucket rationer.Bucket
-}
-
 // instancesSeen takes the instances of which the store knows.
 func (m *Model) instancesSeen(ids []string) {
 	m.known = map[string]bool{}
@@ -93,6 +59,7 @@
 	}
 	if b.Started != p.beat.Started {
 		p.used = map[uint32]uint64{}
+		p.demand = nil
 		p.fromStart = ok || b.Serial <= firstBeats
 	}
 	m.told = max(m.told, int(b.Fleet))
@@ -102,7 +69,7 @@
 	p.beat = b
 	p.heard = now
 	p.silent = false
-	m.demandHeard(now, p, b.Demand)
+	m.demandHeard(now, p, b)
 	m.board.PeerLoads(b.ID, b.Loads)
 	m.board.PeerTouches(now, b.Touches)
 	m.board.PeerRests(now, b.Rests)
@@ -112,9 +79,11 @@
 
 // demandHeard takes what teams asked and used at another instance. What was used
 // before this instance heard of the other is not counted.
-func (m *Model) demandHeard(now time.Time, p *peer, demand []Demand) {
-	p.demand = make(map[uint32]float64, len(demand))
-	for _, d := range demand {
+func (m *Model) demandHeard(now time.Time, p *peer, b Beat) {
+	if b.WholeDemand || p.demand == nil {
+		p.demand = make(map[uint32]float64, len(b.Demand))
+	}
+	for _, d := range b.Demand {
 		p.demand[d.Team] = float64(d.TenthsPerSecond) / 10
 		before, known := p.used[d.Team]
 		p.used[d.Team] = d.Used
@@ -156,188 +125,6 @@
 	slices.Sort(m.live)
 }
 
-// refreshRates renews this instance's parts of the teams' rates and of the
-// retry budgets.
-func (m *Model) refreshRates(now time.Time) {
-	if m.config == nil {
-		return
-	}
-	fleet := m.fleet()
-	for name, t := range m.teams {
-		team, ok := m.config.Teams()[name]
-		if !ok || team.Rate <= 0 {
-			continue
-		}
-		others := 0.0
-		for _, p := range m.peers {
-			if !p.silent {
-				others += p.demand[t.hash]
-			}
-		}
-		t.setRate(now, team, fleet, others)
-	}
-}
-
-// setRate takes a team's rate and burst, and the demand at other instances.
-func (t *teamState) setRate(now time.Time, team *router.Team, fleet rationer.Fleet, others float64) {
-	own := t.demand.Rate(now)
-	part := rationer.Part(fleet, own, others)
-	t.whole = fleet.Whole()
-	t.news = newsTime(fleet.Heard)
-	t.others = others
-	if t.share == 0 {
-		t.share = 1 / float64(fleet.Known)
-	}
-	if own+others > 0 {
-		t.share += shareLearn * (own/(own+others) - t.share)
-	}
-	t.fleet.SetDebt(debtTime.Seconds() * team.Rate)
-	t.fleet.SetRate(now, team.Rate, max(team.Burst, 1))
-	t.part.SetRate(now, team.Rate*part, max(partBurst*team.Burst*part, 1))
-}
-
-// take lets a request through or refuses it. Chance is a random number from 0 to
-// 1.
-func (t *teamState) take(now time.Time, team *router.Team, chance float64) bool {
-	own := t.part.Take(now)
-	if !t.whole && !own || t.whole && chance >= t.chanceLeft(now, team) {
-		return false
-	}
-	t.fleet.Spend(now, 1)
-	t.used++
-	return true
-}
-
-// chanceLeft returns the part of the requests that may be let through.
-func (t *teamState) chanceLeft(now time.Time, team *router.Team) float64 {
-	left := t.fleet.Tokens(now)
-	if left < 0 {
-		return 0
-	}
-	news := t.news.Seconds()
-	give := team.Rate*news + leftGain*(left-leftAim*team.Burst)
-	return give / max(t.expected(now)*news, 1)
-}
-
-// expected returns the demand over the fleet. A surge shows here before the
-// others' heartbeats tell of it.
-func (t *teamState) expected(now time.Time) float64 {
-	own := t.demand.Rate(now)
-	all := own + t.others
-	if t.demand.Count(now) >= surgeCount {
-		all = max(all, own/max(t.share, 1e-3))
-	}
-	return all
-}
-
-// giveBack returns the token of a request that did not run.
-func (t *teamState) giveBack() {
-	t.part.Put(1)
-	t.fleet.Put(1)
-	t.used--
-}
-
-const (
-	// startPart is the part of a burst that an instance takes to be left when it
-	// starts: others, or it itself before, may have used the rest.
-	startPart = 0.25
-	// leftAim is the part of a burst that is aimed to be left while a team asks
-	// for more than its rate, leftGain the part of the difference that is given
-	// out until news reaches all; a whole one would be given out twice.
-	leftAim  = 0.3
-	leftGain = 0.5
-	// surgeCount is the number of requests within a meter's memory from which on
-	// they tell of the demand at other instances too.
-	surgeCount = 5
-	// shareLearn weighs a new measurement of the share, five times a second.
-	shareLearn = 0.02
-	// partBurst is the part of its share of a burst that an instance may use
-	// before others hear of it.
-	partBurst = 0.4
-	// debtTime is the time of a team's rate that is made up for at most.
-	debtTime = 6 * time.Second
-	// nearBeat is the time between two heartbeats to instances of the region,
-	// while there are few instances.
-	nearBeat = 200 * time.Millisecond
-	// FarBeats is how many heartbeats other regions get one of.
-	FarBeats = 2
-	// manyInstances is the number of instances above which heartbeats become
-	// rarer, so that the bytes of an instance stay bounded.
-	manyInstances = 16
-	// newsMargin covers the way of a heartbeat and its jitter.
-	newsMargin = 150 * time.Millisecond
-)
-
-// BeatEvery returns the mean time between two heartbeats of an instance.
-func BeatEvery(instances int) time.Duration {
-	if instances <= manyInstances {
-		return nearBeat
-	}
-	return nearBeat * time.Duration(instances) / manyInstances
-}
-
-// newsTime returns how long it takes until all instances have heard of what one
-// did.
-func newsTime(instances int) time.Duration {
-	return FarBeats*BeatEvery(instances) + newsMargin
-}
-
-// teamOf returns the state of a team.
-func (m *Model) teamOf(now time.Time, name string) *teamState {
-	t, ok := m.teams[name]
-	if !ok {
-		t = &teamState{hash: placer.Hash32(name)}
-		m.teams[name] = t
-		m.byHash[t.hash] = t
-		team := m.config.Teams()[name]
-		t.fleet.Start(now, startPart*team.Burst)
-		t.part.Start(now, startPart*team.Burst*rationer.Part(m.fleet(), 0, 0))
-		t.setRate(now, team, m.fleet(), 0)
-	}
-	return t
-}
-
-// retryOf returns this instance's part of a service's retry budget. It earns a
-// part of each request and keeps an even part of the extra.
-func (m *Model) retryOf(now time.Time, service string) *retryState {
-	r, ok := m.retries[service]
-	if !ok {
-		r = &retryState{}
-		extra := m.bounds.RetryExtra / float64(max(m.fleet().Known, minFleet))
-		r.bucket.SetRate(now, 0, max(extra*extraUsed, 1))
-		m.retries[service] = r
-	}
-	return r
-}
-
-const (
-	// minFleet is the number of instances that a retry budget is divided by at
-	// least; some may be added.
-	minFleet = 12
-	// extraUsed is the part of the retry budget's extra that is used; the rest
-	// covers instances that start anew within a window.
-	extraUsed = 0.5
-	// ratioUsed is the part of the retry budget's ratio that is used.
-	ratioUsed = 0.85
-)
-
-// Beat returns what this instance tells the others.
-func (m *Model) Beat(now time.Time) Beat {
-	b := Beat{
-		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(),
-		Config: m.Version(), Fleet: uint32(m.told), Loads: m.board.Loads(), Touches: m.board.TakeTouches(), Rests: m.board.Rests(now), Keeps: m.board.Keeps(),
-	}
-	for _, t := range m.teams {
-		if rate := t.demand.Rate(now); rate > leastDemand {
-			b.Demand = append(b.Demand, Demand{Team: t.hash, TenthsPerSecond: uint32(rate * 10), Used: t.used})
-		}
-	}
-	return b
-}
-
-// leastDemand is the least rate per second that is told to others.
-const leastDemand = 0.05
-
 // Addresses returns where callers from a zone should connect: the instances of
 // their zone, else those of their region, else all.
 func (m *Model) Addresses(now time.Time, self string, region, zone string) []string {
@@ -370,14 +157,28 @@
 	return []string{self}
 }
 
-// Turn returns this instance's place among those that hear from the store, in an
-// order that all agree on.
+// Turn returns this instance's place among those that hear from the store.
 func (m *Model) Turn() int {
+	return m.place(func(b Beat) bool { return !b.Blind })
+}
+
+// farFetchers is the number of instances of a region that fetch news from other
+// regions for all of it.
+const farFetchers = 2
+
+// FetchesFar reports whether this instance is one of those that fetch news from
+// other regions.
+func (m *Model) FetchesFar() bool {
+	return m.place(func(b Beat) bool { return b.Region == m.region }) < farFetchers
+}
+
+// place returns this instance's place among the heard ones that count, in an
+// order that all agree on.
+func (m *Model) place(counts func(Beat) bool) int {
 	own := placer.Hash32(m.id)
 	place := 0
 	for _, p := range m.peers {
-		hears := !p.silent && !p.beat.Leaving && !p.beat.Blind
-		if hears && placer.Hash32(p.beat.ID) < own {
+		if !p.silent && !p.beat.Leaving && counts(p.beat) && placer.Hash32(p.beat.ID) < own {
 			place++
 		}
 	}
--- a/seam/conductor/play_test.go
+++ b/seam/conductor/play_test.go
@@ -17,6 +17,8 @@
 // A world plays a deployment in virtual time: instances of the loop, endpoints
 // with slots that keep some objects warm, callers, heartbeats and delays.
 type world struct {
+	// lost is the part of the heartbeats that get lost.
+	lost      float64
 	t         *testing.T
 	rng       *rand.Rand
 	now       time.Time
@@ -207,12 +209,22 @@
 func (w *world) beat(i *instance) {
 	i.model.Update(w.now, conductor.Ticked{})
 	i.serial++
-	b := i.model.Beat(w.now)
+	w.tell(i, conductor.Near)
+	if i.serial%conductor.FarBeats == 0 {
+		w.tell(i, conductor.Far)
+	}
+	every := conductor.BeatEvery(len(w.instances))
+	w.after(every/2+w.upTo(every), func() { w.beat(i) })
+}
+
+// tell sends a heartbeat to the instances of an audience.
+func (w *world) tell(i *instance, to conductor.Audience) {
+	b := i.model.Beat(w.now, to)
 	b.Started = i.started
 	b.Serial = i.serial
 	for _, other := range w.instances {
 		far := w.zones[other.zone] != w.zones[i.zone]
-		if other == i || i.cut || far && i.serial%conductor.FarBeats != 0 {
+		if other == i || i.cut || far != (to == conductor.Far) || w.rng.Float64() < w.lost {
 			continue
 		}
 		w.after(w.way(far), func() {
@@ -221,8 +233,6 @@
 			}
 		})
 	}
-	every := conductor.BeatEvery(len(w.instances))
-	w.after(every/2+w.upTo(every), func() { w.beat(i) })
 }
 
 func (w *world) way(far bool) time.Duration {
--- /dev/null
+++ b/seam/dialer/dialer_test.go
@@ -0,0 +1,38 @@
+package dialer_test
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"primroseseam.org/seam/dialer"
+)
+
+func TestConnectionsAreProbed(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	d := dialer.New(dialer.WithProbes(2*time.Second, time.Second), dialer.WithUnacked(2500*time.Millisecond))
+	conn, err := d.DialContext(context.Background(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[int]int{syscall.TCP_KEEPIDLE: 2, syscall.TCP_KEEPINTVL: 1, syscall.TCP_KEEPCNT: 3, 18: 2500}
+	_ = raw.Control(func(fd uintptr) {
+		for option, value := range want {
+			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
+			if err != nil || got != value {
+				t.Errorf("option %d is %d, %v; want %d", option, got, err, value)
+			}
+		}
+	})
+}
--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -87,6 +87,8 @@
 	Removed []string
 	// Regained is when the store answered again after it had not, or zero.
 	Regained time.Time
+	// Told means that another instance gave this view, not the store.
+	Told bool
 }
 
 // State says how far a follower has come.
@@ -125,6 +127,11 @@
 	// pauseAfterChange gathers changes that come in quick succession into one
 	// call.
 	pauseAfterChange = 250 * time.Millisecond
+	// firstPatience is how much longer than its wait a call may take, so that a
+	// connection that went silent is replaced early. After a failure the store's
+	// own bound holds for patientCalls, since the store may be slow.
+	firstPatience = 600 * time.Millisecond
+	patientCalls  = 20
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 150 * time.Millisecond
 	retryMax = 1200 * time.Millisecond
@@ -189,16 +196,18 @@
 func (f *Follower) Run(ctx context.Context) {
 	listed := false
 	failures := 0
+	patient := 0
 	for ctx.Err() == nil {
 		if wait := f.due(time.Now()); wait > 0 {
 			f.sleep(ctx, wait)
 			continue
 		}
-		changed, err := f.step(ctx, listed)
+		changed, err := f.step(ctx, listed, patient > 0)
 		switch {
 		case err == nil:
 			listed = true
 			failures = 0
+			patient = max(patient-1, 0)
 			if changed {
 				f.sleep(ctx, pauseAfterChange)
 			}
@@ -208,6 +217,7 @@
 			return
 		default:
 			failures++
+			patient = patientCalls
 			f.lost(err)
 			f.sleep(ctx, backOff(failures))
 		}
@@ -225,13 +235,23 @@
 	return f.checked.Add(checkAfter + turnStep*time.Duration(min(turn, turnMost))).Sub(now)
 }
 
-// step makes one call to the store and reports whether it brought a change.
-func (f *Follower) step(ctx context.Context, listed bool) (bool, error) {
+// step makes one call to the store and reports whether it brought a change. Only
+// the first in turn waits for one: another asks because nobody told for long.
+func (f *Follower) step(ctx context.Context, listed, patient bool) (bool, error) {
 	from := f.State(time.Now()).Position
 	if !listed && from == 0 {
 		return f.list(ctx)
 	}
-	changes, position, err := f.store.Watch(ctx, f.kind, from, checkWait)
+	wait := checkWait
+	if f.turn() > 0 {
+		wait = 0
+	}
+	if !patient {
+		bounded, cancel := context.WithTimeout(ctx, wait+firstPatience)
+		defer cancel()
+		ctx = bounded
+	}
+	changes, position, err := f.store.Watch(ctx, f.kind, from, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		return f.list(ctx)
 	}
@@ -252,6 +272,7 @@
 	if f.have && position < f.view.Position {
 		return false, nil
 	}
+	f.view.Told = false
 	return f.replace(objects, position, position), nil
 }
 
@@ -336,6 +357,7 @@
 	if d.Position <= f.view.Position && f.have {
 		return false
 	}
+	f.view.Told = true
 	if d.Whole {
 		return f.replace(d.Objects, d.Position, d.Changed)
 	}
@@ -401,10 +423,24 @@
 		}
 		next[c.Object.Name] = c.Object
 	}
-	f.publish(next, removed, position, position)
+	f.view.Told = false
+	f.publish(next, removed, position, lastChange(changes, position))
 	return true
 }
 
+// lastChange returns the position of the last of some changes. That of a removal
+// is not told; it is at most where the changes end.
+func lastChange(changes []Change, end uint64) uint64 {
+	var last uint64
+	for _, c := range changes {
+		if c.Deleted {
+			return end
+		}
+		last = max(last, c.Object.Revision)
+	}
+	return min(last, end)
+}
+
 // publish makes a newer view the current one.
 func (f *Follower) publish(objects map[string]Object, removed []string, position, changed uint64) {
 	f.have = true
--- a/seam/follower/follower_test.go
+++ b/seam/follower/follower_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,13 @@
 	m.gone = gone
 }
 
+// advance lets other kinds change.
+func (m *memory) advance(n uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision += n
+}
+
 func (m *memory) calls() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -223,3 +231,95 @@
 	}
 	eventually(t, time.Second, "the outage to be noticed", func() bool { return !fresh.Reachable() })
 }
+
+// silent is a store whose first calls for changes get no answer.
+type silent struct {
+	*memory
+	left atomic.Int32
+}
+
+func (s *silent) Watch(ctx context.Context, kind string, position uint64, wait time.Duration) ([]follower.Change, uint64, error) {
+	if s.left.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return s.memory.Watch(ctx, kind, position, wait)
+}
+
+// A connection that went silent delays a change by less than a second beyond
+// the instance's turn: by the bound of 3 s there is time to tell others.
+func TestASilentConnectionIsGivenUpEarly(t *testing.T) {
+	s := &silent{memory: newMemory()}
+	s.put("main", "1")
+	s.left.Store(1)
+	f := follower.New(s, "config", follower.WithTurn(func() int { return 9 }))
+	go f.Run(t.Context())
+	eventually(t, time.Second, "the first list", holds(f, "main", "1"))
+	s.put("main", "2")
+	eventually(t, 2500*time.Millisecond, "a change behind a silent connection", holds(f, "main", "2"))
+}
+
+// An instance that asks because nobody told does not wait for a change: many may
+// ask at once, and the answer is needed now.
+func TestOnlyTheFirstInTurnWaits(t *testing.T) {
+	m := newMemory()
+	m.put("main", "1")
+	f := follower.New(m, "config", follower.WithTurn(func() int { return 9 }))
+	go f.Run(t.Context())
+	eventually(t, time.Second, "the first list", holds(f, "main", "1"))
+	before := f.State(time.Now())
+	eventually(t, 1800*time.Millisecond, "a check", func() bool {
+		return f.State(time.Now()).Age < before.Age+100*time.Millisecond && m.calls() == 2
+	})
+}
+
+// The position of a change is that of the change itself: others that have it
+// must not fetch it again because the copy was checked later.
+func TestChangesAreToldByTheirOwnPosition(t *testing.T) {
+	m := newMemory()
+	m.put("main", "1")
+	f := follower.New(m, "config")
+	ctx, stop := context.WithCancel(t.Context())
+	go f.Run(ctx)
+	eventually(t, time.Second, "the first list", holds(f, "main", "1"))
+	stop()
+	m.put("main", "2")
+	m.advance(40)
+	go f.Run(t.Context())
+	eventually(t, time.Second, "the change", holds(f, "main", "2"))
+	if s := f.State(time.Now()); s.Changed != 3 || s.Position != 43 {
+		t.Errorf("changed at %d, complete up to %d", s.Changed, s.Position)
+	}
+}
+
+// slow is a store that takes its time for each answer.
+type slow struct {
+	*memory
+	by time.Duration
+}
+
+func (s *slow) Watch(ctx context.Context, kind string, position uint64, wait time.Duration) ([]follower.Change, uint64, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(s.by):
+	}
+	return s.memory.Watch(ctx, kind, position, wait)
+}
+
+// A store that is slow is not taken as lost again and again.
+func TestASlowStoreIsLostOnce(t *testing.T) {
+	s := &slow{memory: newMemory(), by: 800 * time.Millisecond}
+	s.put("main", "1")
+	var lost atomic.Int32
+	f := follower.New(s, "config", follower.WithTurn(func() int { return 1 }), follower.WithReport(func(_ string, err error) {
+		if err != nil {
+			lost.Add(1)
+		}
+	}))
+	go f.Run(t.Context())
+	time.Sleep(6 * time.Second)
+	if n := lost.Load(); n != 1 {
+		t.Errorf("it was lost %d times", n)
+	}
+}
--- a/seamd/edger/beats.go
+++ b/seamd/edger/beats.go
@@ -73,8 +73,9 @@
 	p.listed = p.listed || listed
 }
 
-// targets returns where to send a heartbeat.
-func (b *peerBook) targets(now time.Time, region string, far bool) []netip.AddrPort {
+// targets returns where to send a heartbeat for an audience, as seen from a
+// region. An instance of which the region isn't known yet counts as near.
+func (b *peerBook) targets(now time.Time, region string, to conductor.Audience) []netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []netip.AddrPort
@@ -83,7 +84,8 @@
 			delete(b.at, address)
 			continue
 		}
-		if far || p.region == region || p.region == "" {
+		far := p.region != region && p.region != ""
+		if far == (to == conductor.Far) {
 			list = append(list, p.address)
 		}
 	}
@@ -121,46 +123,53 @@
 	for _, address := range b.Known {
 		e.peers.add(address, "", time.Time{}, false)
 	}
-	e.update(conductor.BeatHeard{Beat: b})
+	if !b.News {
+		e.update(conductor.BeatHeard{Beat: b})
+	}
 	e.hearStates(b, now)
 }
 
-// beat sends heartbeats until ctx ends.
+// beat sends heartbeats until ctx ends, and news as soon as there are some.
 func (e *Edge) beat(ctx context.Context) {
-	for round := 0; ; round++ {
-		e.sendBeat(round)
-		every := conductor.BeatEvery(len(e.peers.addresses()))
-		timer := time.NewTimer(every/2 + rand.N(every))
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for round := 0; ; {
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return
-		case <-e.news:
-			// The others learn of a change at once, in all regions.
-			timer.Stop()
-			round -= round % conductor.FarBeats
-			round--
+		case <-e.newsAll:
+			e.sendNews(conductor.Near)
+			e.sendNews(conductor.Far)
+		case <-e.newsNear:
+			e.sendNews(conductor.Near)
 		case <-timer.C:
+			e.sendBeat(round)
+			round++
+			every := conductor.BeatEvery(len(e.peers.addresses()))
+			timer.Reset(every/2 + rand.N(every))
 		}
 	}
 }
 
-// tellNews makes the next heartbeat leave at once.
-func (e *Edge) tellNews() {
-	select {
-	case e.news <- struct{}{}:
-	default:
+// sendBeat tells the others how this instance is. Other regions hear each
+// FarBeats-th time, and of a stop at once.
+func (e *Edge) sendBeat(round int) {
+	e.mu.Lock()
+	e.serial++
+	serial := e.serial
+	e.mu.Unlock()
+	e.sendBeatTo(conductor.Near, serial, round)
+	if round%conductor.FarBeats == 0 || e.stopping.Load() {
+		e.sendBeatTo(conductor.Far, serial, round)
 	}
 }
 
-// sendBeat tells the others how this instance is.
-func (e *Edge) sendBeat(round int) {
+func (e *Edge) sendBeatTo(to conductor.Audience, serial uint64, round int) {
 	now := time.Now()
 	e.mu.Lock()
-	e.serial++
-	b := e.model.Beat(now)
-	b.Serial = e.serial
+	b := e.model.Beat(now, to)
 	e.mu.Unlock()
+	b.Serial = serial
 	b.Started = e.started
 	b.Callers = e.settings.Listen.Callers
 	b.Peers = e.settings.Listen.Peers
@@ -171,9 +180,16 @@
 		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 		b.Known = known[:min(len(known), knownMost)]
 	}
-	far := round%conductor.FarBeats == 0 || b.Leaving
-	if err := e.beats.Send(b, e.peers.targets(now, b.Region, far)); err != nil {
+	e.sendTo(b, e.peers.targets(now, b.Region, to))
+}
+
+// sendTo sends a heartbeat to addresses.
+func (e *Edge) sendTo(b conductor.Beat, to []netip.AddrPort) {
+	if err := e.beats.Send(b, to); err != nil {
 		e.metrics.beatErrors.Inc()
 		e.log.Debug("heartbeat: not sent", zap.Error(err))
 	}
 }
+
+// region returns the region of this instance.
+func (e *Edge) region() string { return e.settings.Zones[e.settings.Instance.Zone] }
--- a/seamd/edger/edger.go
+++ b/seamd/edger/edger.go
@@ -27,6 +27,7 @@
 
 	"primroseseam.org/platform"
 	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/dialer"
 	"primroseseam.org/seam/follower"
 	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/exchanger"
@@ -63,8 +64,11 @@
 	store     follower.Store
 	followers map[string]*follower.Follower
 	copies    *http.Client
-	wanted    chan want
-	news      chan struct{}
+	wishes    *wishes
+	// newsAll and newsNear make news leave at once, for all regions or for this
+	// one.
+	newsAll  chan struct{}
+	newsNear chan struct{}
 
 	mu       sync.Mutex
 	model    *conductor.Model
@@ -98,16 +102,19 @@
 		exchanger: exchanger.New(),
 		store:     platform.NewStore(settings.Store),
 		followers: map[string]*follower.Follower{},
-		copies:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}},
+		copies: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.New().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+		}},
 		model: conductor.New(
 			conductor.WithSelf(settings.Instance.ID, settings.Instance.Zone, settings.Zones),
 			conductor.WithBounds(settings.conductorBounds()),
 			conductor.WithSeed(rand.Uint64()),
 		),
-		wanted: make(chan want, wantedMost),
-		news:   make(chan struct{}, 1),
-		roster: newRoster(),
-		peers:  newPeerBook(settings.peerAddresses(), settings.Listen.Peers),
+		wishes:   newWishes(followedKinds...),
+		newsAll:  make(chan struct{}, 1),
+		newsNear: make(chan struct{}, 1),
+		roster:   newRoster(),
+		peers:    newPeerBook(settings.peerAddresses(), settings.Listen.Peers),
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -160,7 +167,9 @@
 	work(e.beat)
 	work(e.tick)
 	work(e.register)
-	work(e.fetchWanted)
+	for _, kind := range followedKinds {
+		work(func(ctx context.Context) { e.fetchNews(ctx, kind) })
+	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
 		work(func(context.Context) { failed <- s.serve() })
--- a/seamd/exchanger/pool.go
+++ b/seamd/exchanger/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"primroseseam.org/seam/dialer"
 )
 
 const (
@@ -23,14 +25,6 @@
 	freshFor = 3 * time.Second
 	// keptMost bounds the idle connections to one endpoint.
 	keptMost = 16
-	// probeIdle, probeInterval, probeCount and unackedTimeout find a silent
-	// connection while an answer is awaited.
-	probeIdle      = time.Second
-	probeInterval  = 500 * time.Millisecond
-	probeCount     = 3
-	unackedTimeout = 2 * time.Second
-	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT.
-	tcpUserTimeout = 18
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4 << 10
 )
@@ -147,21 +141,13 @@
 	delete(p.idle, address)
 }
 
+// connect opens connections to endpoints.
+var connect = dialer.New(dialer.WithTimeout(dialTimeout))
+
 // dial opens a connection.
 func dial(ctx context.Context, address string) (*conn, error) {
 	start := time.Now()
-	dialer := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-		},
-	}
-	opened, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := connect.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/seamd/forwarder/connections.go
+++ b/seamd/forwarder/connections.go
@@ -5,8 +5,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"primroseseam.org/seam/dialer"
 )
 
 const (
@@ -18,11 +19,10 @@
 	provenFor = 2 * time.Second
 	// unackedTimeout is how long bytes may stay without an acknowledgement.
 	unackedTimeout = 3 * time.Second
-	// probeIdle, probeInterval and probeCount find silent connections while an
-	// answer is awaited.
+	// probeIdle and probeInterval find silent connections while an answer is
+	// awaited.
 	probeIdle     = 2 * time.Second
 	probeInterval = time.Second
-	probeCount    = 3
 	// maxIdleConns bounds the kept connections to one endpoint or instance.
 	maxIdleConns = 128
 	// defaultConnections bounds the connections to one endpoint until the
@@ -30,9 +30,6 @@
 	defaultConnections = 16
 )
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
-const tcpUserTimeout = 18
-
 // connections holds a transport for each endpoint, so that suspicion of one
 // connection reaches all idle ones of the same endpoint.
 type connections struct {
@@ -93,19 +90,9 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-		},
-	}
+	connect := dialer.New(dialer.WithTimeout(dialTimeout), dialer.WithProbes(probeIdle, probeInterval), dialer.WithUnacked(unackedTimeout))
 	return &http.Transport{
-		DialContext:            countingDial(dialer.DialContext),
+		DialContext:            countingDial(connect.DialContext),
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        provenFor,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
--- a/seamd/heartbeater/copies.go
+++ b/seamd/heartbeater/copies.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -14,9 +13,6 @@
 // procedureCopy is the path of the call for a copy.
 const procedureCopy = "/seam.edge.v1.Copies/Copy"
 
-// copyTimeout bounds a call for a copy.
-const copyTimeout = 1200 * time.Millisecond
-
 // CopyRequest asks for what is newer than the positions of the kinds.
 type CopyRequest struct {
 	Positions map[string]uint64 `json:"positions"`
@@ -49,10 +45,8 @@
 	return procedureCopy, handler
 }
 
-// Fetch asks an instance for copies.
+// Fetch asks an instance for copies until ctx ends.
 func Fetch(ctx context.Context, client *http.Client, address string, request CopyRequest) (CopyAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	caller := connect.NewClient[CopyRequest, CopyAnswer](client, "http://"+address+procedureCopy, connect.WithCodec(jsonCodec{}))
 	answer, err := caller.CallUnary(ctx, connect.NewRequest(&request))
 	if err != nil {
