Add metrics of bytes, waits and what an instance believes

What crosses regions was only estimated.

Change: counters of heartbeat bytes by audience, of bodies to and from other regions, of copies taken and of log lines left out; a histogram of the expected wait; gauges of what the instance believes, written when they are asked for.

--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -370,3 +370,6 @@
 	}
 	return warm, cold
 }
+
+// Count returns the number of endpoints.
+func (b *Board) Count() int { return len(b.byID) }
--- a/seamd/edger/beats.go
+++ b/seamd/edger/beats.go
@@ -180,12 +180,14 @@
 		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 		b.Known = known[:min(len(known), knownMost)]
 	}
-	e.sendTo(b, e.peers.targets(now, b.Region, to))
+	e.sendTo(b, to)
 }
 
-// sendTo sends a heartbeat to addresses.
-func (e *Edge) sendTo(b conductor.Beat, to []netip.AddrPort) {
-	if err := e.beats.Send(b, to); err != nil {
+// sendTo sends a heartbeat to an audience.
+func (e *Edge) sendTo(b conductor.Beat, to conductor.Audience) {
+	sent, err := e.beats.Send(b, e.peers.targets(time.Now(), b.Region, to))
+	e.metrics.beatBytes[to].Add(sent)
+	if err != nil {
 		e.metrics.beatErrors.Inc()
 		e.log.Debug("heartbeat: not sent", zap.Error(err))
 	}
--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -220,6 +220,10 @@
 	if answer.Connect > 0 {
 		e.metrics.connections.Inc()
 	}
+	e.metrics.wait.Update(cmd.Choice.Wait.Seconds())
+	if cmd.Choice.Region != e.region() {
+		e.metrics.farBytes.Add(len(x.body) + len(answer.Body))
+	}
 	if outcome.Answered && !outcome.NotRun {
 		x.held = &answer
 	}
--- a/seamd/edger/logs.go
+++ b/seamd/edger/logs.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -102,8 +103,13 @@
 	second int64
 	lines  int
 	passed int
+	// leftOut counts the lines left out since the start.
+	leftOut atomic.Uint64
 }
 
+// LeftOut returns how many lines were left out since the start.
+func (l *Logs) LeftOut() uint64 { return l.leftOut.Load() }
+
 // NewLogs returns a log that Run writes to output.
 func NewLogs(output io.Writer, linesPerSecond int) *Logs {
 	buffer := &lineBuffer{}
@@ -139,6 +145,7 @@
 		_, _ = l.output.Write(lines)
 	}
 	if dropped > 0 || passed > 0 {
+		l.leftOut.Add(uint64(dropped + passed))
 		l.logger.Warn("log: lines left out", zap.Int("noRoom", dropped), zap.Int("overRate", passed))
 	}
 	return lines
--- a/seamd/edger/metrics.go
+++ b/seamd/edger/metrics.go
@@ -1,10 +1,15 @@
 package edger
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"primroseseam.org/seam/conductor"
 )
 
 // edgeMetrics holds the instance's counters; docs/LOGS-AND-METRICS.md lists
@@ -15,6 +20,13 @@
 	beatErrors  *metrics.Counter
 	retries     *metrics.Counter
 	connections *metrics.Counter
+	// wait is how long requests are expected to wait at their endpoint.
+	wait *metrics.Histogram
+	// farBytes counts bodies that go to and come from other regions, beatBytes
+	// heartbeats by audience, copies those taken from near and far instances.
+	farBytes  *metrics.Counter
+	beatBytes [2]*metrics.Counter
+	copies    [2]*metrics.Counter
 }
 
 func newMetrics() *edgeMetrics {
@@ -25,6 +37,16 @@
 		beatErrors:  set.NewCounter("seam_edge_heartbeat_errors_total"),
 		retries:     set.NewCounter("seam_edge_retries_total"),
 		connections: set.NewCounter("seam_edge_endpoint_connections_total"),
+		wait:        set.NewHistogram("seam_edge_expected_wait_seconds"),
+		farBytes:    set.NewCounter("seam_edge_far_body_bytes_total"),
+		beatBytes: [2]*metrics.Counter{
+			conductor.Near: set.NewCounter(`seam_edge_heartbeat_bytes_total{to="near"}`),
+			conductor.Far:  set.NewCounter(`seam_edge_heartbeat_bytes_total{to="far"}`),
+		},
+		copies: [2]*metrics.Counter{
+			conductor.Near: set.NewCounter(`seam_edge_copies_total{from="near"}`),
+			conductor.Far:  set.NewCounter(`seam_edge_copies_total{from="far"}`),
+		},
 	}
 }
 
@@ -45,5 +67,27 @@
 // serveMetrics answers with all metrics as text.
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	e.metrics.set.WritePrometheus(w)
+	e.writeBeliefs(w, time.Now())
 	metrics.WriteProcessMetrics(w)
 }
+
+// writeBeliefs writes what the instance believes at a time, and how old that is.
+func (e *Edge) writeBeliefs(w io.Writer, now time.Time) {
+	e.mu.Lock()
+	b := e.model.Beliefs(now)
+	e.mu.Unlock()
+	metrics.WriteCounterUint64(w, "seam_edge_log_lines_left_out_total", e.logs.LeftOut())
+	metrics.WriteGaugeUint64(w, "seam_edge_config_version", b.Version)
+	metrics.WriteGaugeUint64(w, "seam_edge_instances_heard", uint64(b.Heard))
+	metrics.WriteGaugeUint64(w, "seam_edge_instances_known", uint64(b.Known))
+	metrics.WriteGaugeUint64(w, "seam_edge_endpoints_known", uint64(b.Endpoints))
+	for team, left := range b.TeamsLeft {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_team_left{team=%q}", team), left)
+	}
+	for service, left := range b.RetriesLeft {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_retry_budget_left{service=%q}", service), left)
+	}
+	for kind, f := range e.followers {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_store_age_seconds{kind=%q}", kind), f.State(now).Age.Seconds())
+	}
+}
--- a/seamd/edger/news.go
+++ b/seamd/edger/news.go
@@ -35,6 +35,14 @@
 	near bool
 }
 
+// from returns whether the other instance is near or far.
+func (w want) from() conductor.Audience {
+	if w.near {
+		return conductor.Near
+	}
+	return conductor.Far
+}
+
 // wishes holds, for each kind, the newest change that is not fetched yet. Kinds
 // don't hold up each other. It is safe for concurrent use.
 type wishes struct {
@@ -152,6 +160,7 @@
 		if f, ok := e.followers[d.Kind]; ok && f.Offer(d) {
 			e.log.Info("copy: taken", zap.String("peer", w.peer), zap.String("kind", d.Kind), zap.Uint64("position", d.Position),
 				zap.Bool("whole", d.Whole))
+			e.metrics.copies[w.from()].Inc()
 			if !w.near {
 				e.tellNews(e.newsNear)
 			}
@@ -207,12 +216,11 @@
 
 // sendNews tells an audience how far this instance's copies have come.
 func (e *Edge) sendNews(to conductor.Audience) {
-	now := time.Now()
 	b := conductor.Beat{
 		ID: e.settings.Instance.ID, Started: e.started, Region: e.region(), Peers: e.settings.Listen.Peers,
-		News: true, States: e.states(now),
+		News: true, States: e.states(time.Now()),
 	}
-	e.sendTo(b, e.peers.targets(now, b.Region, to))
+	e.sendTo(b, to)
 }
 
 // blind reports whether the store doesn't answer this instance.
--- a/seamd/edger/news_test.go
+++ b/seamd/edger/news_test.go
@@ -78,7 +78,7 @@
 }
 
 func (s *speaker) say(b conductor.Beat) {
-	if err := s.socket.Send(b, []netip.AddrPort{s.to}); err != nil {
+	if _, err := s.socket.Send(b, []netip.AddrPort{s.to}); err != nil {
 		s.t.Error(err)
 	}
 }
--- a/seamd/heartbeater/heartbeater.go
+++ b/seamd/heartbeater/heartbeater.go
@@ -69,11 +69,12 @@
 	}
 }
 
-// Send sends a heartbeat to addresses. Losing one does no harm.
-func (h *Heartbeater) Send(beat conductor.Beat, addresses []netip.AddrPort) error {
+// Send sends a heartbeat to addresses and returns the bytes of all datagrams.
+// Losing one does no harm.
+func (h *Heartbeater) Send(beat conductor.Beat, addresses []netip.AddrPort) (int, error) {
 	data, err := Encode(beat)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var failed error
 	for _, a := range addresses {
@@ -81,7 +82,7 @@
 			failed = fmt.Errorf("send heartbeat to %s: %w", a, err)
 		}
 	}
-	return failed
+	return len(data) * len(addresses), failed
 }
 
 // Encode encodes a heartbeat.
