Give a whole copy to those who are behind this one's first list

Cause: an instance that has just listed the endpoints knows no removals from before, yet answered one that was behind with a difference without them. There the removed endpoint stayed usable.

Ruled out: late news (all others had it within 0.4 s, this one never), the keeper of entries that went missing around an outage (it logs the removal as well).

Change: the first copy's position bounds what a follower can tell as a difference.

--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -443,6 +443,10 @@
 
 // publish makes a newer view the current one.
 func (f *Follower) publish(objects map[string]Object, removed []string, position, changed uint64) {
+	if !f.have {
+		// What was removed before the first copy is not known.
+		f.forgotten = position
+	}
 	f.have = true
 	f.changed = max(f.changed, changed)
 	f.view.Objects = objects
--- a/seam/follower/follower_test.go
+++ b/seam/follower/follower_test.go
@@ -323,3 +323,26 @@
 		t.Errorf("it was lost %d times", n)
 	}
 }
+
+// An instance that has just listed knows no removals from before. What it gives
+// to one that is behind must be whole, or a removed object would stay there.
+func TestAFreshCopyHidesNoRemovals(t *testing.T) {
+	m := newMemory()
+	m.put("a", "1")
+	m.put("b", "1")
+	behind := follower.New(m, "servers")
+	ctx, cancel := context.WithCancel(t.Context())
+	go behind.Run(ctx)
+	eventually(t, time.Second, "the first list", holds(behind, "b", "1"))
+	cancel()
+	time.Sleep(10 * time.Millisecond)
+	m.remove("b")
+	m.put("a", "2")
+	fresh := follower.New(m, "servers")
+	go fresh.Run(t.Context())
+	eventually(t, time.Second, "a list after the removal", holds(fresh, "a", "2"))
+	d, ok := fresh.Delta(behind.State(time.Now()).Position)
+	if !ok || !behind.Offer(d) || !holds(behind, "b", "")() {
+		t.Errorf("after %+v the removed object is still there", d)
+	}
+}
