Tell near instances of loads five times a second; use open connections

Cause: with 63 instances heartbeats came every 0.8 s to the own region and 1.6 s to others, longer than a run takes.

Change: heartbeats to the region and to others have their own pace. Who sends stands in whole heartbeats only, the others are known by their address; one that is new is introduced to. The time to open a connection is expected, an open one preferred among endpoints that are alike, and answers over new ones teach run times without it. Connections are used until a second before the endpoint's own timeout.

--- a/seam/conductor/beats.go
+++ b/seam/conductor/beats.go
@@ -7,30 +7,39 @@
 )
 
 const (
-	// nearBeat is the time between two heartbeats to instances of the region,
-	// while there are few instances.
+	// nearBeat is the time between two heartbeats to instances of the region.
+	// Loads that are older than a run takes say little, and instances that spread
+	// their requests by them meet at the same endpoints.
 	nearBeat = 200 * time.Millisecond
-	// FarBeats is how many heartbeats other regions get one of.
-	FarBeats = 2
-	// manyInstances is the number of instances above which heartbeats become
-	// rarer, so that the bytes of an instance stay bounded.
+	// farBeat is that to other regions, where few requests go.
+	farBeat = 400 * time.Millisecond
+	// manyNear and manyInstances are the numbers of instances, in the region and
+	// in all, above which heartbeats become rarer, so that the bytes of an
+	// instance stay bounded.
+	manyNear      = 32
 	manyInstances = 16
 	// newsMargin covers the way of a heartbeat and its jitter.
 	newsMargin = 150 * time.Millisecond
 )
 
-// BeatEvery returns the mean time between two heartbeats of an instance.
-func BeatEvery(instances int) time.Duration {
-	if instances <= manyInstances {
-		return nearBeat
+// BeatEvery returns the mean time between two heartbeats to an audience, where
+// there are a number of instances in the region and in all.
+func BeatEvery(to Audience, near, all int) time.Duration {
+	if to == Near {
+		return stretch(nearBeat, near, manyNear)
 	}
-	return nearBeat * time.Duration(instances) / manyInstances
+	return stretch(farBeat, all, manyInstances)
+}
+
+// stretch lengthens a time by how many times there are more than many.
+func stretch(d time.Duration, count, many int) time.Duration {
+	return d * time.Duration(max(count, many)) / time.Duration(many)
 }
 
 // newsTime returns how long it takes until all instances have heard of what one
 // did.
 func newsTime(instances int) time.Duration {
-	return FarBeats*BeatEvery(instances) + newsMargin
+	return BeatEvery(Far, 0, instances) + newsMargin
 }
 
 // Audience is to whom a heartbeat goes.
@@ -39,15 +48,16 @@
 const (
 	// Near are the instances of the region.
 	Near Audience = iota
-	// Far are those of other regions, which get one heartbeat of FarBeats.
+	// Far are those of other regions.
 	Far
 	audiences
 )
 
 const (
-	// wholeEvery is the number of heartbeats to an audience of which one tells of
-	// all teams, for instances that are new or missed one.
+	// wholeEvery is the number of heartbeats to an audience of which one is whole,
+	// for instances that missed one, and firstWhole how many are at the start.
 	wholeEvery = 8
+	firstWhole = 3
 	// leastDemand is the least rate per second that is told to others.
 	leastDemand = 0.05
 	// fellTo is the part of a rate that was told below which it is told again
@@ -65,21 +75,38 @@
 // only the teams are told of which there is something new, since there are many
 // teams and heartbeats and few requests between two.
 func (m *Model) Beat(now time.Time, to Audience) Beat {
-	whole := m.beats[to]%wholeEvery == 0
+	leaving := !m.stopping.IsZero()
+	b := m.common(now)
+	b.Whole = m.beats[to]%wholeEvery == 0 || m.beats[to] < firstWhole || leaving
+	b.Touches = m.touchesFor(to)
 	m.beats[to]++
-	b := Beat{
-		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(),
-		Config: m.Version(), Fleet: uint32(m.told), Loads: m.board.Loads(), Touches: m.touchesFor(to),
-		Rests: m.board.Rests(now), Keeps: m.board.Keeps(), WholeDemand: whole,
-	}
 	for _, t := range m.teams {
-		if d, ok := t.tell(now, to, whole); ok {
+		if d, ok := t.tell(now, to, b.Whole); ok {
 			b.Demand = append(b.Demand, d)
 		}
 	}
 	return b
 }
 
+// Introduction returns what this instance tells one that it heard for the first
+// time.
+func (m *Model) Introduction(now time.Time) Beat {
+	b := m.common(now)
+	b.Whole = true
+	for _, t := range m.teams {
+		b.Demand = append(b.Demand, t.demandNow(now))
+	}
+	return b
+}
+
+// common returns what all heartbeats hold.
+func (m *Model) common(now time.Time) Beat {
+	return Beat{
+		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(), Config: m.Version(), Fleet: uint32(m.told),
+		Loads: m.board.Loads(), Rests: m.board.Rests(now), Keeps: m.board.Keeps(),
+	}
+}
+
 // touchesFor returns the news of warm objects that an audience doesn't have.
 func (m *Model) touchesFor(to Audience) []placer.Touch {
 	fresh := m.board.TakeTouches()
@@ -98,11 +125,7 @@
 
 // tell returns what an audience should hear of the team now, if anything.
 func (t *teamState) tell(now time.Time, to Audience, whole bool) (Demand, bool) {
-	rate := t.demand.Rate(now)
-	d := Demand{Team: t.hash, TenthsPerSecond: uint32(rate * 10), Used: t.used}
-	if rate <= leastDemand {
-		d.TenthsPerSecond = 0
-	}
+	d := t.demandNow(now)
 	old := t.told[to]
 	fell := float64(d.TenthsPerSecond) < fellTo*float64(old.tenths)
 	if d.Used == old.used && !fell && (!whole || d.TenthsPerSecond == 0) {
@@ -111,3 +134,12 @@
 	t.told[to] = toldDemand{used: d.Used, tenths: d.TenthsPerSecond}
 	return d, true
 }
+
+// demandNow returns the team's demand.
+func (t *teamState) demandNow(now time.Time) Demand {
+	d := Demand{Team: t.hash, Used: t.used}
+	if rate := t.demand.Rate(now); rate > leastDemand {
+		d.TenthsPerSecond = uint32(rate * 10)
+	}
+	return d
+}
--- a/seam/conductor/beats_test.go
+++ b/seam/conductor/beats_test.go
@@ -24,8 +24,10 @@
 	m.Update(start, conductor.Ticked{})
 	m.Update(start, conductor.RequestArrived{ID: 1, Host: "h", Path: "/x", Key: "k", CallerLeft: 4 * time.Second, Read: start})
 	for _, to := range []conductor.Audience{conductor.Near, conductor.Far} {
-		if n := teamsToldOf(m, start, to); n != 1 {
-			t.Errorf("the first heartbeat tells of %d teams", n)
+		for range 3 {
+			if n := teamsToldOf(m, start, to); n != 1 {
+				t.Errorf("a first heartbeat tells of %d teams", n)
+			}
 		}
 		if n := teamsToldOf(m, start, to); n != 0 {
 			t.Errorf("a heartbeat without news tells of %d teams", n)
--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -47,6 +47,8 @@
 	zones  map[string]string
 	bounds Bounds
 	rng    *rand.Rand
+	// connected tells which endpoints have an open connection, if it is set.
+	connected func(address string, once bool) bool
 
 	config   *router.Config
 	board    *placer.Board
@@ -96,6 +98,12 @@
 	return func(m *Model) { m.rng = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithConnected sets what tells whether a connection to an endpoint's address is
+// open and may carry a request, which may run only once if once is set.
+func WithConnected(connected func(address string, once bool) bool) Option {
+	return func(m *Model) { m.connected = connected }
+}
+
 // New returns a model without a configuration.
 func New(opts ...Option) *Model {
 	m := &Model{
@@ -114,6 +122,9 @@
 	}
 	m.board = placer.New(m.zone, m.zones)
 	m.board.SetKeeper(m.keepsCold)
+	if m.connected != nil {
+		m.board.SetConnected(m.connected)
+	}
 	m.refreshLive()
 	return m
 }
@@ -142,7 +153,7 @@
 	case InstancesSeen:
 		m.instancesSeen(msg.IDs)
 	case BeatHeard:
-		m.beatHeard(now, msg.Beat)
+		return m.beatHeard(now, msg.Beat)
 	case BoundsChanged:
 		m.bounds = msg.Bounds
 	case Ticked:
--- a/seam/conductor/load_test.go
+++ b/seam/conductor/load_test.go
@@ -30,21 +30,24 @@
 	}
 }
 
-// Many instances hear late of each other's loads, and the endpoints of a region
-// keep fewer objects than its callers ask for. Most callers are in time.
+// Many instances share few endpoints, which in one region keep fewer objects and
+// have fewer slots than its callers ask for. All regions together have twice the
+// slots that warm runs need, so most callers must be in time: five in six.
 func TestManyInstancesWithFewEndpointsNearby(t *testing.T) {
 	slow := times{target: 500 * time.Millisecond, timeout: 1200 * time.Millisecond, work: 640 * time.Millisecond}
-	w := newWorldOf(t, 1, [3]int{21, 21, 21}, [3]int{11, 25, 32}, 3, 18, openTeams, slow)
-	for _, i := range w.instances {
-		w.load(i, 520.0/63, 101, "a", "/x", 20*time.Second)
-	}
-	w.run(8 * time.Second)
-	since := w.now
-	w.run(14 * time.Second)
-	good, bad := w.inTime(since)
-	t.Logf("in time %.3f, refused or failed %.3f, warm %.2v", good, bad, w.warmth())
-	if good < 0.75 {
-		t.Errorf("only %.3f of callers were answered in time", good)
+	for seed := range uint64(2) {
+		w := newWorldOf(t, seed+1, [3]int{21, 21, 21}, [3]int{11, 25, 32}, 3, 18, openTeams, slow)
+		for _, i := range w.instances {
+			w.load(i, 520.0/63, 101, "a", "/x", 20*time.Second)
+		}
+		w.run(8 * time.Second)
+		since := w.now
+		w.run(14 * time.Second)
+		good, bad := w.inTime(since)
+		t.Logf("seed %d: in time %.3f, refused or failed %.3f, warm %.2v", seed, good, bad, w.warmth())
+		if good < 5.0/6 {
+			t.Errorf("seed %d: only %.3f of callers were answered in time", seed, good)
+		}
 	}
 }
 
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -136,9 +136,14 @@
 // Deliver asks to give the caller the endpoint's last whole answer.
 type Deliver struct{ ID uint64 }
 
-func (Send) isCmd()    {}
-func (Refuse) isCmd()  {}
-func (Deliver) isCmd() {}
+// Introduce asks to tell an instance that was heard for the first time who is
+// here. Peers is its address.
+type Introduce struct{ Peers string }
+
+func (Introduce) isCmd() {}
+func (Send) isCmd()      {}
+func (Refuse) isCmd()    {}
+func (Deliver) isCmd()   {}
 
 // Beat is what an instance tells the others, several times a second.
 type Beat struct {
@@ -161,9 +166,9 @@
 	Loads   []placer.Load
 	Touches []placer.Touch
 	Demand  []Demand
-	// WholeDemand means that teams that Demand doesn't list ask nothing; else
-	// what was told of them holds.
-	WholeDemand bool
+	// Whole means that teams that Demand doesn't list ask nothing; else what was
+	// told of them holds.
+	Whole bool
 	// Rests tells of endpoints that can't be reached or have come back.
 	Rests []placer.Rest
 	// Keeps tells how many objects endpoints keep warm.
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -45,13 +45,17 @@
 }
 
 // beatHeard takes a heartbeat unless it is older than the last one.
-func (m *Model) beatHeard(now time.Time, b Beat) {
+func (m *Model) beatHeard(now time.Time, b Beat) []Cmd {
 	if b.ID == m.id {
-		return
+		return nil
 	}
 	p, ok := m.peers[b.ID]
 	if ok && (b.Started < p.beat.Started || b.Started == p.beat.Started && b.Serial <= p.beat.Serial) {
-		return
+		return nil
+	}
+	var cmds []Cmd
+	if !ok || b.Started != p.beat.Started {
+		cmds = append(cmds, Introduce{Peers: b.Peers})
 	}
 	if !ok {
 		p = &peer{}
@@ -75,12 +79,13 @@
 	m.board.PeerRests(now, b.Rests)
 	m.board.PeerKeeps(b.Keeps)
 	m.refreshLive()
+	return cmds
 }
 
 // demandHeard takes what teams asked and used at another instance. What was used
 // before this instance heard of the other is not counted.
 func (m *Model) demandHeard(now time.Time, p *peer, b Beat) {
-	if b.WholeDemand || p.demand == nil {
+	if b.Whole || p.demand == nil {
 		p.demand = make(map[uint32]float64, len(b.Demand))
 	}
 	for _, d := range b.Demand {
--- a/seam/conductor/play_test.go
+++ b/seam/conductor/play_test.go
@@ -49,6 +49,7 @@
 	model    *conductor.Model
 	serial   uint64
 	started  int64
+	idle     connections
 	// cut instances hear no others and are not heard.
 	cut bool
 }
@@ -183,7 +184,9 @@
 	i := &instance{id: id, zone: zone}
 	w.instances = append(w.instances, i)
 	w.restart(i)
-	w.after(w.upTo(playRate), func() { w.beat(i) })
+	for _, to := range []conductor.Audience{conductor.Near, conductor.Far} {
+		w.after(w.upTo(playRate), func() { w.beat(i, to) })
+	}
 	return i
 }
 
@@ -191,8 +194,10 @@
 func (w *world) restart(i *instance) {
 	i.started++
 	i.serial = 0
+	i.idle = connections{}
+	connected := func(address string, once bool) bool { return i.idle.has(w.now, address, once) }
 	i.model = conductor.New(conductor.WithSelf(i.id, i.zone, w.zones), conductor.WithBounds(playBounds),
-		conductor.WithSeed(w.rng.Uint64()))
+		conductor.WithSeed(w.rng.Uint64()), conductor.WithConnected(connected))
 	i.model.Update(w.now, conductor.ConfigSeen{Config: w.config})
 	w.tellEndpoints(i)
 }
@@ -205,16 +210,19 @@
 	i.model.Update(w.now, conductor.EndpointsSeen{Endpoints: list})
 }
 
-// beat sends a heartbeat and plans the next.
-func (w *world) beat(i *instance) {
+// beat sends a heartbeat to an audience and plans the next.
+func (w *world) beat(i *instance, to conductor.Audience) {
 	i.model.Update(w.now, conductor.Ticked{})
 	i.serial++
-	w.tell(i, conductor.Near)
-	if i.serial%conductor.FarBeats == 0 {
-		w.tell(i, conductor.Far)
+	w.tell(i, to)
+	near := 0
+	for _, other := range w.instances {
+		if w.zones[other.zone] == w.zones[i.zone] {
+			near++
+		}
 	}
-	every := conductor.BeatEvery(len(w.instances))
-	w.after(every/2+w.upTo(every), func() { w.beat(i) })
+	every := conductor.BeatEvery(to, near, len(w.instances))
+	w.after(every/2+w.upTo(every), func() { w.beat(i, to) })
 }
 
 // tell sends a heartbeat to the instances of an audience.
@@ -297,12 +305,21 @@
 		e = &fakeEndpoint{down: true}
 	}
 	way := w.way(e.region != w.zones[i.zone])
+	var opening time.Duration
+	if !i.idle.take(w.now, cmd.Address, !cmd.Repeatable) {
+		opening = 2 * way
+	}
+	idle := i.idle
 	end := func(o conductor.Outcome) {
+		o.Connect = opening
 		w.after(way, func() {
+			if o.Answered {
+				idle.put(w.now, cmd.Address)
+			}
 			w.carry(i, team, i.model.Update(w.now, conductor.AttemptEnded{ID: cmd.ID, Outcome: o}), done, object)
 		})
 	}
-	w.after(way, func() {
+	w.after(opening+way, func() {
 		if e.down {
 			end(conductor.Outcome{Unreachable: true, Refused: true, NotRun: true})
 			return
@@ -310,7 +327,7 @@
 		w.admitted[team] = append(w.admitted[team], w.now)
 		w.runs = append(w.runs, run{at: w.now, from: w.zones[i.zone], in: e.region})
 		e.arrive(w, job{object: object, done: func(status int, notRun bool) {
-			end(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun, Connect: 2 * way})
+			end(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun})
 		}})
 	})
 }
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -83,7 +83,7 @@
 	}
 	r.service = m.splitOf(route).next()
 	m.retryOf(now, r.service).bucket.Put(m.bounds.RetryRatio * ratioUsed)
-	r.place = placer.Request{Service: r.service, Target: route.Target, Timeout: r.deadline.Sub(r.arrived)}
+	r.place = placer.Request{Service: r.service, Target: route.Target, Timeout: r.deadline.Sub(r.arrived), Once: !route.Idempotent}
 	if route.Sticky {
 		r.place.Object = msg.Object
 	}
--- a/seam/placer/learn.go
+++ b/seam/placer/learn.go
@@ -92,9 +92,9 @@
 // learnTime compares an answer's time with what was expected. Only runs that
 // did not wait tell how long a run takes and whether its object was warm.
 func (b *Board) learnTime(now time.Time, s *service, e *endpoint, o Outcome) {
-	took := now.Sub(o.SentAt)
+	took := now.Sub(o.SentAt) - o.Connect
 	warm, cold := s.times(o.Target, o.Timeout)
-	expected := o.Choice.Expect
+	expected := o.Choice.Expect - o.Choice.Opening
 	run := took - b.distanceTo(e.region)
 	missed := o.Choice.Warm && float64(run-o.Choice.Wait) > o.Choice.Slow*float64(warm+cold)/2
 	if missed {
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -39,6 +39,8 @@
 	// the time after which nobody waits any more.
 	Target  time.Duration
 	Timeout time.Duration
+	// Once means that the request may run only once.
+	Once bool
 }
 
 // Choice is an endpoint and what is expected of it.
@@ -46,12 +48,14 @@
 	ID      string
 	Address string
 	Region  string
-	// Expect is the time until the answer, Wait the part spent in a queue.
-	Expect time.Duration
-	Wait   time.Duration
-	Warm   bool
-	Load   int
-	Slots  int
+	// Expect is the time until the answer, Wait the part spent in a queue and
+	// Opening that for a new connection.
+	Expect  time.Duration
+	Wait    time.Duration
+	Opening time.Duration
+	Warm    bool
+	Load    int
+	Slots   int
 	// Room is how long a request for a warm object could wait there and still
 	// be in time.
 	Room time.Duration
@@ -105,6 +109,9 @@
 	started  bool
 	// keepCold reports whether this instance may send to a cold endpoint.
 	keepCold func(endpoint uint32) bool
+	// connected reports whether this instance has an open connection to an
+	// address that may carry a request.
+	connected func(address string, once bool) bool
 }
 
 const (
@@ -116,6 +123,10 @@
 	// the target.
 	otherZone   = 0.04
 	otherRegion = 0.12
+	// openingCost is what a new connection costs beside its time, as a part of
+	// the target: it holds a slot of the endpoint for a moment, and endpoints bear
+	// a bounded number.
+	openingCost = 0.04
 	// spread is the part of a cold run by which endpoints are preferred for a
 	// new object, in an order that all instances agree on.
 	spread = 1.0
@@ -139,13 +150,18 @@
 		byID: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
 		services: map[string]*service{}, evacuated: map[string]bool{},
 		distance: map[string]time.Duration{}, peers: map[string]map[uint32]int{},
-		keepCold: func(uint32) bool { return true },
+		keepCold:  func(uint32) bool { return true },
+		connected: func(string, bool) bool { return true },
 	}
 }
 
 // SetKeeper sets which cold endpoints this instance may send to.
 func (b *Board) SetKeeper(keeps func(endpoint uint32) bool) { b.keepCold = keeps }
 
+// SetConnected sets what tells whether there is an open connection to an address
+// for a request, which may run only once if once is set.
+func (b *Board) SetConnected(connected func(address string, once bool) bool) { b.connected = connected }
+
 func (b *Board) service(name string) *service {
 	s, ok := b.services[name]
 	if !ok {
@@ -303,13 +319,21 @@
 	if waiting := c.Load - c.Slots + 1; waiting > 0 {
 		c.Wait = time.Duration(float64(mean) * slow * float64(waiting) / float64(c.Slots))
 	}
-	c.Expect = b.distanceTo(e.region) + c.Wait + time.Duration(float64(run)*slow)
-	c.Room = max(r.Target-b.distanceTo(e.region)-time.Duration(float64(warm)*slow), 0)
+	if !b.connected(e.spec.Address, r.Once) {
+		c.Opening = b.distanceTo(e.region)
+	}
+	c.Expect = c.Opening + b.distanceTo(e.region) + c.Wait + time.Duration(float64(run)*slow)
+	c.Room = max(r.Target-c.Opening-b.distanceTo(e.region)-time.Duration(float64(warm)*slow), 0)
 	// An attempt that is long overdue says more than earlier answers.
 	if stalled := e.stalled(now); stalled > 3*cold {
 		c.Expect += stalled
 	}
-	cost := c.Expect.Seconds() + b.farness(e, r.Target)
+	// The time to open is left out here: each request that goes to another region
+	// would draw more after it.
+	cost := (c.Expect - c.Opening).Seconds() + b.farness(e, r.Target)
+	if c.Opening > 0 {
+		cost += openingCost * r.Target.Seconds()
+	}
 	cost += failurePenalty * e.failing(now) * r.Target.Seconds()
 	if !c.Warm && s.crowded(e) {
 		cost += crowdedCost * cold.Seconds()
--- a/seam/placer/placer_test.go
+++ b/seam/placer/placer_test.go
@@ -129,3 +129,59 @@
 		}
 	}
 }
+
+// Of endpoints that are alike, the one with an open connection is used: a new one
+// takes a way there and back more.
+func TestOpenConnectionsArePreferred(t *testing.T) {
+	b := newBoard("a-1")
+	open := map[string]bool{}
+	b.SetConnected(func(address string, _ bool) bool { return open[address] })
+	r := request(7)
+	r.Regions, r.Bound = []string{"b"}, true
+	for _, id := range []string{"b-1/0", "b-1/1"} {
+		b.Sent(start, id, 7)
+		b.Ended(start, id, placer.Outcome{SentAt: start, Object: 7, Left: true})
+	}
+	now := start.Add(time.Second)
+	for _, id := range []string{"b-1/0", "b-1/1"} {
+		open = map[string]bool{id: true}
+		choice, _ := b.Pick(now, r)
+		if choice.ID != id || choice.Opening != 0 {
+			t.Errorf("%s has the connection and %s is chosen", id, choice.ID)
+		}
+	}
+	open = nil
+	if choice, _ := b.Pick(now, r); choice.Opening == 0 || choice.Expect <= choice.Opening {
+		t.Errorf("a new connection is expected to take %v of %v", choice.Opening, choice.Expect)
+	}
+}
+
+// The time of a new connection says nothing about how long a run takes: two
+// boards, of which one opens a connection for each request, learn the same.
+func TestNewConnectionsDontCountAsSlowRuns(t *testing.T) {
+	const opening = 300 * time.Millisecond
+	run := func(opens bool) time.Duration {
+		b := newBoard("a-1")
+		b.SetConnected(func(string, bool) bool { return !opens })
+		r := request(7)
+		r.Regions, r.Bound = []string{"b"}, true
+		now := start
+		for i := range 40 {
+			choice, _ := b.Pick(now, r)
+			o := placer.Outcome{SentAt: now, Object: 7, Choice: choice, Answered: true, Good: true, Target: r.Target, Timeout: r.Timeout}
+			if opens || i == 0 {
+				o.Connect = opening
+			}
+			b.Sent(now, choice.ID, 7)
+			now = now.Add(o.Connect + opening + 200*time.Millisecond)
+			b.Ended(now, choice.ID, o)
+		}
+		choice, _ := b.Pick(now, r)
+		return choice.Expect - choice.Opening
+	}
+	kept, opened := run(false), run(true)
+	// Beliefs fade with time, of which there is more between two requests here.
+	if (kept - opened).Abs() > 5*time.Millisecond {
+		t.Errorf("an answer is expected after %v on kept connections and after %v beside the opening of new ones", kept, opened)
+	}
+}
--- a/seamd/edger/beats.go
+++ b/seamd/edger/beats.go
@@ -12,13 +12,8 @@
 	"primroseseam.org/seam/conductor"
 )
 
-const (
-	// knownEvery is how many heartbeats pass until the addresses of others are
-	// told again.
-	knownEvery = 8
-	// knownMost bounds those addresses in one heartbeat.
-	knownMost = 12
-)
+// knownMost bounds the addresses of others in one whole heartbeat.
+const knownMost = 12
 
 // peerBook holds the addresses of other instances.
 type peerBook struct {
@@ -92,6 +87,19 @@
 	return list
 }
 
+// count returns how many instances are known in a region and in all. One whose
+// region isn't known yet counts as near.
+func (b *peerBook) count(region string) (near, all int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.at {
+		if p.region == region || p.region == "" {
+			near++
+		}
+	}
+	return near, len(b.at)
+}
+
 // addresses returns the addresses that are known.
 func (b *peerBook) addresses() []string {
 	b.mu.Lock()
@@ -124,16 +132,23 @@
 		e.peers.add(address, "", time.Time{}, false)
 	}
 	if !b.News {
-		e.update(conductor.BeatHeard{Beat: b})
+		for _, cmd := range e.update(conductor.BeatHeard{Beat: b}) {
+			if cmd, ok := cmd.(conductor.Introduce); ok {
+				e.introduce(cmd.Peers)
+			}
+		}
 	}
 	e.hearStates(b, now)
 }
 
 // beat sends heartbeats until ctx ends, and news as soon as there are some.
 func (e *Edge) beat(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for round := 0; ; {
+	var timers [2]*time.Timer
+	for to := range timers {
+		timers[to] = time.NewTimer(0)
+		defer timers[to].Stop()
+	}
+	for {
 		select {
 		case <-ctx.Done():
 			return
@@ -142,45 +157,66 @@
 			e.sendNews(conductor.Far)
 		case <-e.newsNear:
 			e.sendNews(conductor.Near)
-		case <-timer.C:
-			e.sendBeat(round)
-			round++
-			every := conductor.BeatEvery(len(e.peers.addresses()))
-			timer.Reset(every/2 + rand.N(every))
+		case <-timers[conductor.Near].C:
+			e.sendBeat(conductor.Near)
+			timers[conductor.Near].Reset(e.untilBeat(conductor.Near))
+		case <-timers[conductor.Far].C:
+			e.sendBeat(conductor.Far)
+			timers[conductor.Far].Reset(e.untilBeat(conductor.Far))
 		}
 	}
 }
 
-// sendBeat tells the others how this instance is. Other regions hear each
-// FarBeats-th time, and of a stop at once.
-func (e *Edge) sendBeat(round int) {
+// untilBeat returns the time until the next heartbeat to an audience.
+func (e *Edge) untilBeat(to conductor.Audience) time.Duration {
+	near, all := e.peers.count(e.region())
+	every := conductor.BeatEvery(to, near+1, all+1)
+	return every/2 + rand.N(every)
+}
+
+// sendBeat tells an audience how this instance is.
+func (e *Edge) sendBeat(to conductor.Audience) {
+	now := time.Now()
 	e.mu.Lock()
+	b := e.model.Beat(now, to)
 	e.serial++
-	serial := e.serial
+	b.Serial = e.serial
 	e.mu.Unlock()
-	e.sendBeatTo(conductor.Near, serial, round)
-	if round%conductor.FarBeats == 0 || e.stopping.Load() {
-		e.sendBeatTo(conductor.Far, serial, round)
+	e.complete(&b, now)
+	if b.Whole {
+		known := e.peers.alive(now, addressKept)
+		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+		b.Known = known[:min(len(known), knownMost)]
 	}
+	e.sendTo(b, to)
 }
 
-func (e *Edge) sendBeatTo(to conductor.Audience, serial uint64, round int) {
+// introduce tells an instance that is new here who this one is.
+func (e *Edge) introduce(peers string) {
+	to, err := netip.ParseAddrPort(peers)
+	if err != nil {
+		e.log.Info("heartbeat: address not used", zap.String("peer", peers), zap.Error(err))
+		return
+	}
 	now := time.Now()
 	e.mu.Lock()
-	b := e.model.Beat(now, to)
+	b := e.model.Introduction(now)
+	b.Serial = e.serial
 	e.mu.Unlock()
-	b.Serial = serial
+	e.complete(&b, now)
+	if _, err := e.beats.Send(b, []netip.AddrPort{to}); err != nil {
+		e.metrics.beatErrors.Inc()
+		e.log.Debug("heartbeat: not sent", zap.Error(err))
+	}
+}
+
+// complete adds to a heartbeat what the loop doesn't know.
+func (e *Edge) complete(b *conductor.Beat, now time.Time) {
 	b.Started = e.started
 	b.Callers = e.settings.Listen.Callers
 	b.Peers = e.settings.Listen.Peers
 	b.States = e.states(now)
 	b.Blind = e.blind()
-	if round%knownEvery == 0 {
-		known := e.peers.alive(now, addressKept)
-		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-		b.Known = known[:min(len(known), knownMost)]
-	}
-	e.sendTo(b, to)
 }
 
 // sendTo sends a heartbeat to an audience.
--- a/seamd/edger/edger.go
+++ b/seamd/edger/edger.go
@@ -93,13 +93,14 @@
 func New(settings Settings, output io.Writer, opts ...Option) *Edge {
 	started := time.Now().UnixMilli()
 	logs := NewLogs(output, settings.Log.LinesPerSecond)
+	exchange := exchanger.New()
 	e := &Edge{
 		settings:  settings,
 		started:   started,
 		logs:      logs,
 		log:       logs.logger.With(zap.String("instance", settings.Instance.ID)),
 		metrics:   newMetrics(),
-		exchanger: exchanger.New(),
+		exchanger: exchange,
 		store:     platform.NewStore(settings.Store),
 		followers: map[string]*follower.Follower{},
 		copies: &http.Client{Transport: &http.Transport{
@@ -109,6 +110,7 @@
 			conductor.WithSelf(settings.Instance.ID, settings.Instance.Zone, settings.Zones),
 			conductor.WithBounds(settings.conductorBounds()),
 			conductor.WithSeed(rand.Uint64()),
+			conductor.WithConnected(exchange.Connected),
 		),
 		wishes:   newWishes(followedKinds...),
 		newsAll:  make(chan struct{}, 1),
--- a/seamd/edger/news_test.go
+++ b/seamd/edger/news_test.go
@@ -88,7 +88,7 @@
 	return conductor.Beat{
 		ID: fmt.Sprintf("peer-%d", instance), Started: 1, Serial: position, Region: "region-1", Zone: "z",
 		Callers: "127.0.0.1:2", Peers: peers,
-		States: []conductor.KindState{{Kind: kind, Position: position, Changed: position}},
+		Whole: true, States: []conductor.KindState{{Kind: kind, Position: position, Changed: position}},
 	}
 }
 
--- a/seamd/edger/stop.go
+++ b/seamd/edger/stop.go
@@ -35,7 +35,8 @@
 	e.update(conductor.StopRequested{})
 	e.log.Info("stop: requested", zap.Int64("requests", e.serving.Load()))
 	for range goodbyes {
-		e.sendBeat(0)
+		e.sendBeat(conductor.Near)
+		e.sendBeat(conductor.Far)
 	}
 	e.unregister()
 	time.Sleep(time.Until(start.Add(time.Duration(lingerPart * float64(grace)))))
--- a/seamd/exchanger/exchanger.go
+++ b/seamd/exchanger/exchanger.go
@@ -89,6 +89,12 @@
 // Prune closes connections that have been idle too long.
 func (x *Exchanger) Prune() { x.pool.prune(time.Now()) }
 
+// Connected reports whether a connection to an address is open and may carry a
+// request, which may run only once if once is set.
+func (x *Exchanger) Connected(address string, once bool) bool {
+	return x.pool.has(address, once, time.Now())
+}
+
 // Drop closes the idle connections to an address.
 func (x *Exchanger) Drop(address string) { x.pool.drop(address) }
 
@@ -216,7 +222,8 @@
 			continue
 		}
 		if s, err := strconv.Atoi(value); err == nil && s >= 0 {
-			return time.Duration(idlePart * float64(s) * float64(time.Second))
+			timeout := time.Duration(s) * time.Second
+			return max(timeout-idleMargin, time.Duration(idlePart*float64(timeout)))
 		}
 	}
 	return keptIdle
--- a/seamd/exchanger/pool.go
+++ b/seamd/exchanger/pool.go
@@ -17,9 +17,11 @@
 	dialTimeout = 450 * time.Millisecond
 	// keptIdle is how long a connection is kept if its endpoint doesn't say.
 	keptIdle = 4 * time.Second
-	// idlePart is the part of an endpoint's idle timeout for which a connection
-	// is used again; the rest covers the way of the request.
-	idlePart = 0.75
+	// idleMargin is how long before an endpoint's idle timeout a connection is no
+	// longer used; it covers the way of the request. Of a short timeout, idlePart
+	// is used.
+	idleMargin = time.Second
+	idlePart   = 0.5
 	// freshFor is how long after its last answer a connection is used for a
 	// request that may run only once. Endpoints may forget idle connections.
 	freshFor = 3 * time.Second
@@ -111,6 +113,19 @@
 	p.idle[address] = append(list, c)
 }
 
+// has reports whether an idle connection may carry a request.
+func (p *pool) has(address string, once bool, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return false
+	}
+	last := list[len(list)-1]
+	age := now.Sub(last.usedAt)
+	return age <= last.usable && (!once || age <= freshFor)
+}
+
 // prune closes connections that have been idle too long.
 func (p *pool) prune(now time.Time) {
 	p.mu.Lock()
--- a/seamd/heartbeater/heartbeater.go
+++ b/seamd/heartbeater/heartbeater.go
@@ -2,7 +2,9 @@
 // copies of what the store says to instances that can't reach it.
 //
 // Heartbeats are datagrams in MessagePack, since a call for each would cost
-// more than all requests on a small instance. Copies are connect calls.
+// more than all requests on a small instance. Who the sender is stands in whole
+// heartbeats only; the others are known by the address they come from. Copies
+// are connect calls.
 //
 // # Usage
 //
@@ -12,14 +14,11 @@
 package heartbeater
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/netip"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"primroseseam.org/seam/conductor"
 )
 
@@ -31,6 +30,7 @@
 	socket  *net.UDPConn
 	receive func(conductor.Beat)
 	report  func(error)
+	senders senders
 }
 
 // Listen opens the socket at an address. Receive is called with each heartbeat,
@@ -44,35 +44,40 @@
 	if err != nil {
 		return nil, fmt.Errorf("heartbeats: %w", err)
 	}
-	return &Heartbeater{socket: socket, receive: receive, report: report}, nil
+	return &Heartbeater{socket: socket, receive: receive, report: report, senders: senders{}}, nil
 }
 
+// Address returns where heartbeats are received.
+func (h *Heartbeater) Address() string { return h.socket.LocalAddr().String() }
+
 // Run receives heartbeats until ctx ends.
 func (h *Heartbeater) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = h.socket.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := h.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := h.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				h.report(fmt.Errorf("receive heartbeat: %w", err))
 			}
 			continue
 		}
-		beat, err := Decode(buffer[:n])
+		m, err := decode(buffer[:n])
 		if err != nil {
 			h.report(err)
 			continue
 		}
-		h.receive(beat)
+		if beat, ok := h.senders.complete(m, from); ok {
+			h.receive(beat)
+		}
 	}
 }
 
 // Send sends a heartbeat to addresses and returns the bytes of all datagrams.
 // Losing one does no harm.
 func (h *Heartbeater) Send(beat conductor.Beat, addresses []netip.AddrPort) (int, error) {
-	data, err := Encode(beat)
+	data, err := encode(beat)
 	if err != nil {
 		return 0, err
 	}
@@ -84,27 +89,3 @@
 	}
 	return len(data) * len(addresses), failed
 }
-
-// Encode encodes a heartbeat.
-func Encode(beat conductor.Beat) ([]byte, error) {
-	var buffer bytes.Buffer
-	encoder := msgpack.NewEncoder(&buffer)
-	encoder.UseArrayEncodedStructs(true)
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(beat); err != nil {
-		return nil, fmt.Errorf("encode heartbeat: %w", err)
-	}
-	return buffer.Bytes(), nil
-}
-
-// Decode decodes what Encode made.
-func Decode(data []byte) (conductor.Beat, error) {
-	var beat conductor.Beat
-	if err := msgpack.Unmarshal(data, &beat); err != nil {
-		return conductor.Beat{}, fmt.Errorf("decode heartbeat: %w", err)
-	}
-	if beat.ID == "" {
-		return conductor.Beat{}, fmt.Errorf("decode heartbeat: it names no instance")
-	}
-	return beat, nil
-}
