Drop settings that nothing used

Cause: bounds.retryWindow, coldOver and coldSlack were asked for and checked, and no code read them (constants of the placer stand in their place); the loop's message CallerLeft was never sent, since an attempt that ends tells the same.

Ruled out: using them, as the keeper's part of a cold endpoint's rate is below what any of them allows.

Conclusion: fewer settings to explain.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -29,14 +29,9 @@
 // Bounds are the fleet-wide limits that don't come with the configuration.
 type Bounds struct {
 	// RetryRatio and RetryExtra bound the arrivals beyond the first of each
-	// request: the ratio of a service's requests in RetryWindow, plus the extra.
-	RetryRatio  float64
-	RetryExtra  float64
-	RetryWindow time.Duration
-	// ColdOver is how many times its rate a cold endpoint bears, ColdSlack what
-	// it bears beyond in a second.
-	ColdOver  float64
-	ColdSlack float64
+	// request: a part of a service's requests, and a number beside.
+	RetryRatio float64
+	RetryExtra float64
 }
 
 // Model is the state of an instance. It is not safe for concurrent use.
@@ -140,8 +135,6 @@
 		return m.requestArrived(now, msg)
 	case AttemptEnded:
 		return m.attemptEnded(now, msg)
-	case CallerLeft:
-		m.forget(msg.ID)
 	case RequestEnded:
 		m.forget(msg.ID)
 	case ConfigSeen:
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -57,9 +57,6 @@
 	Outcome Outcome
 }
 
-// CallerLeft says that the caller is gone.
-type CallerLeft struct{ ID uint64 }
-
 // RequestEnded says that the caller has its answer.
 type RequestEnded struct{ ID uint64 }
 
@@ -73,7 +70,6 @@
 func (StopRequested) isMsg()   {}
 func (RequestArrived) isMsg()  {}
 func (AttemptEnded) isMsg()    {}
-func (CallerLeft) isMsg()      {}
 func (RequestEnded) isMsg()    {}
 
 // Outcome is how an attempt ended.
--- a/seam/conductor/play_test.go
+++ b/seam/conductor/play_test.go
@@ -178,7 +178,7 @@
 func zone(r int) string   { return fmt.Sprintf("zone-%d", r) }
 func region(r int) string { return fmt.Sprintf("region-%d", r) }
 
-var playBounds = conductor.Bounds{RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second, ColdOver: 1.5, ColdSlack: 5}
+var playBounds = conductor.Bounds{RetryRatio: 0.2, RetryExtra: 60}
 
 func (w *world) addInstance(id, zone string) *instance {
 	i := &instance{id: id, zone: zone}
--- a/seamd/edger/settings.go
+++ b/seamd/edger/settings.go
@@ -43,12 +43,9 @@
 
 // BoundsSettings holds what the operators of the platform promise.
 type BoundsSettings struct {
-	// RetryRatio, RetryWindow and RetryExtra bound retries over the fleet.
-	RetryRatio  float64 `json:"retryRatio"`
-	RetryWindow float64 `json:"retryWindow"`
-	RetryExtra  float64 `json:"retryExtra"`
-	ColdOver    float64 `json:"coldOver"`
-	ColdSlack   float64 `json:"coldSlack"`
+	// RetryRatio and RetryExtra bound retries over the fleet.
+	RetryRatio float64 `json:"retryRatio"`
+	RetryExtra float64 `json:"retryExtra"`
 	// Grace is how long the instance may run on after SIGTERM.
 	Grace float64 `json:"grace"`
 	// LookupTTL is the most that a look-up answer may be used.
@@ -141,9 +138,7 @@
 		}
 	}
 	numbers := map[string]float64{
-		"bounds.retryRatio": s.Bounds.RetryRatio, "bounds.retryWindow": s.Bounds.RetryWindow,
-		"bounds.retryExtra": s.Bounds.RetryExtra, "bounds.coldOver": s.Bounds.ColdOver,
-		"bounds.coldSlack": s.Bounds.ColdSlack, "bounds.grace": s.Bounds.Grace,
+		"bounds.retryRatio": s.Bounds.RetryRatio, "bounds.retryExtra": s.Bounds.RetryExtra, "bounds.grace": s.Bounds.Grace,
 		"log.linesPerSecond": float64(s.Log.LinesPerSecond), "memory.limitMb": float64(s.Memory.LimitMB),
 	}
 	for path, n := range numbers {
@@ -172,11 +167,7 @@
 }
 
 func (s *Settings) conductorBounds() conductor.Bounds {
-	return conductor.Bounds{
-		RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra,
-		RetryWindow: duration(s.Bounds.RetryWindow),
-		ColdOver:    s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
-	}
+	return conductor.Bounds{RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra}
 }
 
 func duration(seconds float64) time.Duration {
