Add a soak of processes under faults from outside

Change: seamctl soak starts instances as processes with stand-ins of the store and of endpoints behind proxies, lets series of faults overlap and judges fourteen rules from callers and endpoints. The store's stand-in writes typed entries, so that nothing outside it and platform/ names the users' fields.

Ruled out: proxies between instances; heartbeats are datagrams, pauses and kills silence them.

--- a/seamctl/commander/commander.go
+++ b/seamctl/commander/commander.go
@@ -24,7 +24,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(demoCommand())
+	root.AddCommand(demoCommand(), soakCommand())
 	root.AddCommand(configCommand(), keyCommand(), upstreamCommand(), clientsCommand(), measureCommand())
 	root.AddCommand(traceCommand(), replayCommand())
 	root.AddCommand(statusCommand(), instanceCommand(), explainCommand())
