Check the settings of an edge instance without starting it

Cause: settings check knew only the settings of seamd run; and what a log line costs was not measured. Ruled out: nothing.

--- a/seamd/commander/commander.go
+++ b/seamd/commander/commander.go
@@ -102,18 +102,21 @@
 
 func settingsCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "settings", Short: "Work with settings files"}
-	parent.AddCommand(&cobra.Command{
+	var edge bool
+	check := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if _, err := loader.Load(args[0]); err != nil {
+			if err := checkSettings(args[0], edge); err != nil {
 				return err
 			}
 			cmd.Println("settings are valid")
 			return nil
 		},
-	})
+	}
+	check.Flags().BoolVar(&edge, "edge", false, "the file is that of an edge instance")
+	parent.AddCommand(check)
 	return parent
 }
 
@@ -140,3 +143,13 @@
 	l.log.Warn("daemon: library says", zap.String("line", line))
 	return len(p), nil
 }
+
+// checkSettings checks the settings of an instance, or of an edge instance.
+func checkSettings(path string, edge bool) error {
+	if edge {
+		_, err := edger.LoadSettings(path)
+		return err
+	}
+	_, err := loader.Load(path)
+	return err
+}
--- /dev/null
+++ b/seamd/edger/logs_bench_test.go
@@ -0,0 +1,27 @@
+package edger
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// BenchmarkLogLine measures a line about a request that was sent, the longest of
+// the frequent ones, with the buffer emptied as it fills.
+func BenchmarkLogLine(b *testing.B) {
+	logs := NewLogs(io.Discard, 200)
+	log := logs.logger.With(zap.String("instance", "edge-1"))
+	var spare []byte
+	b.ReportAllocs()
+	for n := range b.N {
+		log.Info("request: sent", zap.String("request", "9c41d07be2a35f68"), zap.String("team", "team-1"),
+			zap.String("endpoint", "i-7f3a91c2"), zap.String("region", "region-1"), zap.Int("attempt", 1),
+			zap.Duration("expected", 300*time.Millisecond), zap.Duration("wait", 0), zap.Bool("warm", true),
+			zap.Int("load", 2), zap.Int("slots", 3), zap.Float64("slow", 1.1), zap.Duration("budget", time.Second), zap.Uint64("version", 12))
+		if n%64 == 0 {
+			spare = logs.flush(spare)
+		}
+	}
+}
