Let some callers who came back wait longer, on the credit of those in time

The queue was kept to the room that others need to be in time.

Change: a request that is in time adds 0.3 to its service's credit at the instance, a caller who came back takes 1 of it to wait up to three times the room. Tested without a network: with nobody in time the credit ends.

--- a/seam/admitter/admitter.go
+++ b/seam/admitter/admitter.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	decision := admitter.Decide(admitter.Load{Expect: choice.Expect, Wait: choice.Wait}, request, rng.Float64())
+//	decision := admitter.Decide(admitter.Load{Expect: choice.Expect, Wait: choice.Wait}, request, credit, rng.Float64())
 //	if decision.Refuse { ... }
 package admitter
 
@@ -50,6 +50,13 @@
 	// ones could make it longer, nobody would be.
 	latePart = 0.5
 	backPart = 1.0
+	// creditPart is that for callers who were refused once while there is credit.
+	// A second refusal ends most requests, and an answer that is late is better.
+	creditPart = 3.0
+	// creditEach is what a request that is in time adds to the credit, and
+	// creditMost how much can gather.
+	creditEach = 0.3
+	creditMost = 5.0
 	// safety is the part of the time left that an answer may be expected to
 	// take; expectations err.
 	safety = 0.9
@@ -60,22 +67,48 @@
 	retryLeast = 20 * time.Millisecond
 )
 
-// Decide decides about a request. Chance is a random number from 0 to 1, which
-// spreads the returns.
-func Decide(l Load, r Request, chance float64) Decision {
+// Credit is how many callers who came back may make a queue longer than others
+// may. Requests that are in time add to it, so that it ends when late ones take
+// the places of those that could be in time.
+type Credit struct{ left float64 }
+
+func (c *Credit) earn() { c.left = min(c.left+creditEach, creditMost) }
+
+// spend takes the credit for a request, or reports that there is none.
+func (c *Credit) spend() bool {
+	if c.left < 1 {
+		return false
+	}
+	c.left--
+	return true
+}
+
+// Decide decides about a request, with the credit of its service. Chance is a
+// random number from 0 to 1, which spreads the returns.
+func Decide(l Load, r Request, c *Credit, chance float64) Decision {
 	if l.Expect <= r.TargetLeft {
+		c.earn()
 		return Decision{}
 	}
-	part := latePart
-	if r.CameBack {
-		part = backPart
-	}
-	if l.Expect <= time.Duration(safety*float64(r.TimeLeft)) && float64(l.Wait) <= part*float64(l.Room) {
+	if l.Expect <= time.Duration(safety*float64(r.TimeLeft)) && mayWait(l, r, c) {
 		return Decision{}
 	}
 	return Decision{Refuse: true, RetryAfter: retryAfter(l, r, chance)}
 }
 
+// mayWait reports whether a request that will be late may take its place in the
+// queue.
+func mayWait(l Load, r Request, c *Credit) bool {
+	fits := func(part float64) bool { return float64(l.Wait) <= part*float64(l.Room) }
+	switch {
+	case !r.CameBack:
+		return fits(latePart)
+	case fits(backPart):
+		return true
+	}
+	return fits(creditPart) && c.spend()
+}
+
 // retryAfter sends a caller back for when the queue has gone down far enough, if
 // its answer can then still be in time; else spread over the time it has.
 func retryAfter(l Load, r Request, chance float64) time.Duration {
--- a/seam/admitter/admitter_test.go
+++ b/seam/admitter/admitter_test.go
@@ -46,7 +46,7 @@
 			true,
 		},
 	} {
-		d := admitter.Decide(c.load, c.request, 0.5)
+		d := admitter.Decide(c.load, c.request, &admitter.Credit{}, 0.5)
 		if d.Refuse != c.refuse {
 			t.Errorf("%s: refused %v", name, d.Refuse)
 		}
@@ -56,6 +56,35 @@
 	}
 }
 
+// Requests that are in time let some callers who came back wait longer. There are
+// few of them, so that the queue stays short enough for others.
+func TestCallersWhoCameBackWaitOnCredit(t *testing.T) {
+	inTime := admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms}
+	back := admitter.Request{TargetLeft: -200 * ms, TimeLeft: 1200 * ms, CallerLeft: 2000 * ms, CameBack: true}
+	long := admitter.Load{Expect: 650 * ms, Wait: 500 * ms, Room: 200 * ms}
+	tooLong := admitter.Load{Expect: 800 * ms, Wait: 650 * ms, Room: 200 * ms}
+	var credit admitter.Credit
+	served := 0
+	for range 100 {
+		admitter.Decide(admitter.Load{Expect: 300 * ms}, inTime, &credit, 0.5)
+		if !admitter.Decide(tooLong, back, &credit, 0.5).Refuse {
+			t.Fatal("a caller waits longer than three times the room")
+		}
+		if !admitter.Decide(long, back, &credit, 0.5).Refuse {
+			served++
+		}
+	}
+	if served < 25 || served > 30 {
+		t.Errorf("%d callers who came back were served beside 100 that were in time", served)
+	}
+	for range 10 {
+		admitter.Decide(long, back, &credit, 0.5)
+	}
+	if !admitter.Decide(long, back, &credit, 0.5).Refuse {
+		t.Error("the queue grows although nobody is in time")
+	}
+}
+
 func TestReturnsAreSpread(t *testing.T) {
 	first := admitter.RetryAfter(400*ms, 3000*ms, 0)
 	last := admitter.RetryAfter(400*ms, 3000*ms, 0.999)
--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -21,6 +21,7 @@
 	"math/rand/v2"
 	"time"
 
+	"primroseseam.org/seam/admitter"
 	"primroseseam.org/seam/placer"
 	"primroseseam.org/seam/rationer"
 	"primroseseam.org/seam/router"
@@ -51,6 +52,7 @@
 	teams    map[string]*teamState
 	byHash   map[uint32]*teamState
 	retries  map[string]*retryState
+	credits  map[string]*admitter.Credit
 	peers    map[string]*peer
 	known    map[string]bool
 	// beats counts the heartbeats to each audience, touches are the news of warm
@@ -107,6 +109,7 @@
 		teams:    map[string]*teamState{},
 		byHash:   map[uint32]*teamState{},
 		retries:  map[string]*retryState{},
+		credits:  map[string]*admitter.Credit{},
 		peers:    map[string]*peer{},
 		known:    map[string]bool{},
 		splits:   map[string]*split{},
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -147,7 +147,7 @@
 		admitter.Request{
 			TargetLeft: r.targetEnd.Sub(now), TimeLeft: r.deadline.Sub(now),
 			CallerLeft: r.callerEnd.Sub(now), CameBack: r.cameBack,
-		}, m.rng.Float64())
+		}, m.creditOf(r.service), m.rng.Float64())
 	if decision.Refuse {
 		m.giveBack(r)
 		return []Cmd{Refuse{
@@ -161,6 +161,16 @@
 	return m.send(now, r, choice)
 }
 
+// creditOf returns the credit of a service for callers who come back.
+func (m *Model) creditOf(service string) *admitter.Credit {
+	c, ok := m.credits[service]
+	if !ok {
+		c = &admitter.Credit{}
+		m.credits[service] = c
+	}
+	return c
+}
+
 // giveBack returns the token of a request that will not run.
 func (m *Model) giveBack(r *request) {
 	if t, ok := m.teams[r.team]; ok {
