Keep one copy of the pause that ends with its context

Cause: the edge, the demo and the soak each had it, and the soak's faults repeated how one is noted and taken back. Change: seam/waiter; lasting and once in the soak. Ruled out: nothing.

--- a/seamctl/demonstrator/caller.go
+++ b/seamctl/demonstrator/caller.go
@@ -18,6 +18,7 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/steerer"
+	"primroseseam.org/seam/waiter"
 	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/standin/responder"
 )
@@ -84,7 +85,7 @@
 	for ctx.Err() == nil {
 		request := c.nextRequest()
 		open.Go(func() { c.send(request) })
-		pause(ctx, time.Duration(c.rng.ExpFloat64()/c.rate*float64(time.Second)))
+		waiter.Pause(ctx, time.Duration(c.rng.ExpFloat64()/c.rate*float64(time.Second)))
 	}
 }
 
--- a/seamctl/demonstrator/demonstrator.go
+++ b/seamctl/demonstrator/demonstrator.go
@@ -24,6 +24,7 @@
 
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/storer"
+	"primroseseam.org/seam/waiter"
 	"primroseseam.org/seamd/daemon"
 	"primroseseam.org/standin/storekeeper"
 )
@@ -206,7 +207,7 @@
 			if ctx.Err() != nil {
 				return fmt.Errorf("instances are not ready: %w", ctx.Err())
 			}
-			pause(ctx, readyPoll)
+			waiter.Pause(ctx, readyPoll)
 		}
 	}
 	return nil
--- a/seamctl/demonstrator/fleet.go
+++ b/seamctl/demonstrator/fleet.go
@@ -11,6 +11,7 @@
 
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/storer"
+	"primroseseam.org/seam/waiter"
 	"primroseseam.org/seamd/daemon"
 	"primroseseam.org/seamd/loader"
 	"primroseseam.org/standin/disruptor"
@@ -134,7 +135,7 @@
 	i.markEnded()
 	i.daemon.Kill()
 	<-i.done
-	pause(ctx, listLag)
+	waiter.Pause(ctx, listLag)
 	d.keeper.RemoveInstance(i.id)
 }
 
--- a/seamctl/demonstrator/operator.go
+++ b/seamctl/demonstrator/operator.go
@@ -11,6 +11,7 @@
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/storer"
+	"primroseseam.org/seam/waiter"
 )
 
 // operatorRetry is the wait before a failed write is tried again.
@@ -29,7 +30,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, operatorRetry)
+		waiter.Pause(ctx, operatorRetry)
 	}
 }
 
@@ -97,13 +98,3 @@
 	}
 	return o.write(ctx, storer.Object{Kind: storer.KindKey, Name: record.Digest.String(), Version: version, Value: value})
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/seamctl/demonstrator/prober.go
+++ b/seamctl/demonstrator/prober.go
@@ -9,6 +9,7 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/waiter"
 )
 
 const (
@@ -68,7 +69,7 @@
 	defer open.Wait()
 	for ctx.Err() == nil {
 		p.round(&open)
-		pause(ctx, probeEvery)
+		waiter.Pause(ctx, probeEvery)
 	}
 	p.round(&open)
 }
--- a/seamctl/demonstrator/timeline.go
+++ b/seamctl/demonstrator/timeline.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"primroseseam.org/seam/configurer"
+	"primroseseam.org/seam/waiter"
 )
 
 const (
@@ -78,7 +79,7 @@
 	for _, s := range d.steps() {
 		open.Go(func() {
 			after := time.Duration(s.at * float64(d.duration))
-			pause(ctx, after)
+			waiter.Pause(ctx, after)
 			if ctx.Err() == nil {
 				d.progress(fmt.Sprintf("%5.1fs %s", after.Seconds(), s.name))
 				s.do(context.WithoutCancel(ctx))
@@ -126,7 +127,7 @@
 // storeOutage ends with a write that takes effect and whose answer is lost.
 func (d *Demo) storeOutage(ctx context.Context) {
 	d.keeper.SetDown(true)
-	pause(ctx, d.duration*15/100)
+	waiter.Pause(ctx, d.duration*15/100)
 	d.keeper.SetDown(false)
 	d.keeper.LoseAnswers(1)
 	d.note("config", d.prober.addRoute(ctx, nil))
@@ -156,6 +157,6 @@
 		for region := range all {
 			d.checker.sampledHeadroom(float64(free[region]) / float64(all[region]))
 		}
-		pause(ctx, headroomEvery)
+		waiter.Pause(ctx, headroomEvery)
 	}
 }
--- a/seamctl/soaker/caller.go
+++ b/seamctl/soaker/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"primroseseam.org/platform"
+	"primroseseam.org/seam/waiter"
 )
 
 const (
@@ -53,7 +54,7 @@
 	if keys[c.key] == hotTeam {
 		mean = hotPause
 	}
-	for pause(ctx, below(c.rng, 2*mean)) {
+	for waiter.Pause(ctx, below(c.rng, 2*mean)) {
 		if c.instance == nil || time.Since(c.resolved) > lookupFor {
 			c.resolve()
 		}
--- a/seamctl/soaker/faults.go
+++ b/seamctl/soaker/faults.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
 
+	"primroseseam.org/seam/waiter"
+	"primroseseam.org/standin/disruptor"
 	"primroseseam.org/standin/objectkeeper"
 )
 
@@ -49,7 +52,7 @@
 		working.Add(1)
 		go func() {
 			defer working.Done()
-			for pause(ctx, below(rng, gapMost)) {
+			for waiter.Pause(ctx, below(rng, gapMost)) {
 				list[rng.IntN(len(list))](ctx, s, rng)
 			}
 		}()
@@ -70,7 +73,7 @@
 
 // held waits for as long as bounds take to bind, and a while longer.
 func held(ctx context.Context, rng *rand.Rand) func() {
-	return func() { pause(ctx, applyWithin+length(rng)) }
+	return func() { waiter.Pause(ctx, applyWithin+length(rng)) }
 }
 
 func drain(ctx context.Context, s *Soak, rng *rand.Rand) {
@@ -92,7 +95,7 @@
 		i.kill()
 	}
 	end()
-	pause(ctx, restartAfter)
+	waiter.Pause(ctx, restartAfter)
 	s.restart(i)
 }
 
@@ -110,12 +113,8 @@
 
 // freeze pauses a process.
 func freeze(ctx context.Context, s *Soak, rng *rand.Rand) {
-	i, d := anyOf(rng, s.instances), length(rng)
-	s.note("%s is paused for %v", i.id, d)
-	s.ledger.fault(i, d)
-	i.signal(syscall.SIGSTOP)
-	pause(ctx, d)
-	i.signal(syscall.SIGCONT)
+	i := anyOf(rng, s.instances)
+	s.lasting(ctx, rng, i, i.id+" is paused", func() { i.signal(syscall.SIGSTOP) }, func() { i.signal(syscall.SIGCONT) })
 }
 
 // crash ends a process at once and starts it again.
@@ -124,7 +123,7 @@
 	s.note("%s is killed", i.id)
 	s.ledger.fault(i, restartAfter+time.Second)
 	i.kill()
-	pause(ctx, restartAfter)
+	waiter.Pause(ctx, restartAfter)
 	s.restart(i)
 }
 
@@ -133,74 +132,76 @@
 	return s.endpoints[s.operator.serviceNow()*endpointsEach+rng.IntN(endpointsEach)]
 }
 
+// lasting does something to a subject, nil for all, and takes it back after a
+// while.
+func (s *Soak) lasting(ctx context.Context, rng *rand.Rand, subject any, what string, do, undo func()) {
+	d := length(rng)
+	s.note("%s for %v", what, d)
+	s.ledger.fault(subject, d)
+	do()
+	waiter.Pause(ctx, d)
+	undo()
+}
+
+// once does something to a subject that is over at once.
+func (s *Soak) once(subject any, what string, do func()) {
+	s.note("%s", what)
+	s.ledger.fault(subject, 0)
+	do()
+}
+
 // loseAnswers lets an endpoint run requests and not answer them.
 func loseAnswers(ctx context.Context, s *Soak, rng *rand.Rand) {
-	e, d := s.usedEndpoint(rng), length(rng)
-	s.note("answers of %s are lost for %v", e.id, d)
-	s.ledger.fault(e, d)
-	e.setLoses(true)
-	pause(ctx, d)
-	e.setLoses(false)
+	e := s.usedEndpoint(rng)
+	s.lasting(ctx, rng, e, "answers are lost of "+e.id, func() { e.setLoses(true) }, func() { e.setLoses(false) })
 }
 
 func resetEndpoint(_ context.Context, s *Soak, rng *rand.Rand) {
 	e := s.usedEndpoint(rng)
-	s.note("connections to %s are reset", e.id)
-	s.ledger.fault(e, 0)
-	e.proxy.Reset()
+	s.once(e, "connections are reset to "+e.id, e.proxy.Reset)
 }
 
 // cutEndpoint drops the bytes to an endpoint, from it, or both.
 func cutEndpoint(ctx context.Context, s *Soak, rng *rand.Rand) {
-	e, d, way := s.usedEndpoint(rng), length(rng), 1+rng.IntN(3)
-	s.note("%s is cut off (%d) for %v", e.id, way, d)
-	s.ledger.fault(e, d)
-	e.proxy.SetCut(way&1 != 0, way&2 != 0)
-	pause(ctx, d)
-	e.proxy.SetCut(false, false)
+	e := s.usedEndpoint(rng)
+	s.cut(ctx, rng, e, e.id, e.proxy)
+}
+
+// cut drops the bytes of a proxy one way or both.
+func (s *Soak) cut(ctx context.Context, rng *rand.Rand, subject any, id string, p *disruptor.Proxy) {
+	way := 1 + rng.IntN(3)
+	what := fmt.Sprintf("bytes are dropped (%d) of %s", way, id)
+	s.lasting(ctx, rng, subject, what, func() { p.SetCut(way&1 != 0, way&2 != 0) }, func() { p.SetCut(false, false) })
+}
+
+// slowLink holds the bytes of a proxy.
+func (s *Soak) slowLink(ctx context.Context, rng *rand.Rand, subject any, id string, p *disruptor.Proxy) {
+	s.lasting(ctx, rng, subject, "the link is slow of "+id, func() { p.SetDelay(proxyDelay) }, func() { p.SetDelay(0) })
 }
 
 func delayEndpoint(ctx context.Context, s *Soak, rng *rand.Rand) {
-	e, d := s.usedEndpoint(rng), length(rng)
-	s.note("the link to %s is slow for %v", e.id, d)
-	s.ledger.fault(e, d)
-	e.proxy.SetDelay(proxyDelay)
-	pause(ctx, d)
-	e.proxy.SetDelay(0)
+	e := s.usedEndpoint(rng)
+	s.slowLink(ctx, rng, e, e.id, e.proxy)
 }
 
 func slowEndpoint(ctx context.Context, s *Soak, rng *rand.Rand) {
-	e, d := s.usedEndpoint(rng), length(rng)
-	s.note("%s is slow for %v", e.id, d)
-	s.ledger.fault(e, d)
-	e.setSlow(slowRun)
-	pause(ctx, d)
-	e.setSlow(0)
+	e := s.usedEndpoint(rng)
+	s.lasting(ctx, rng, e, "runs are slow of "+e.id, func() { e.setSlow(slowRun) }, func() { e.setSlow(0) })
 }
 
 func resetStore(_ context.Context, s *Soak, rng *rand.Rand) {
 	i := anyOf(rng, s.instances)
-	s.note("connections of %s to the store are reset", i.id)
-	s.ledger.fault(i, 0)
-	i.store.Reset()
+	s.once(i, "connections to the store are reset of "+i.id, i.store.Reset)
 }
 
 func cutStore(ctx context.Context, s *Soak, rng *rand.Rand) {
-	i, d, way := anyOf(rng, s.instances), length(rng), 1+rng.IntN(3)
-	s.note("%s is cut off (%d) from the store for %v", i.id, way, d)
-	s.ledger.fault(i, d)
-	i.store.SetCut(way&1 != 0, way&2 != 0)
-	pause(ctx, d)
-	i.store.SetCut(false, false)
+	i := anyOf(rng, s.instances)
+	s.cut(ctx, rng, i, i.id+" and the store", i.store)
 }
 
 func delayStore(ctx context.Context, s *Soak, rng *rand.Rand) {
-	i, d := anyOf(rng, s.instances), length(rng)
-	s.note("the link of %s to the store is slow for %v", i.id, d)
-	s.ledger.fault(i, d)
-	i.store.SetDelay(proxyDelay)
-	pause(ctx, d)
-	i.store.SetDelay(0)
+	i := anyOf(rng, s.instances)
+	s.slowLink(ctx, rng, i, i.id+" and the store", i.store)
 }
 
 // breakStore lets the store misbehave towards all.
@@ -209,12 +210,9 @@
 		objectkeeper.FaultBusy, objectkeeper.FaultMany, objectkeeper.FaultSilent, objectkeeper.FaultReset, objectkeeper.FaultLost,
 		objectkeeper.FaultDeaf,
 	}
-	kind, d := anyOf(rng, kinds), length(rng)
-	s.note("the store misbehaves (%d) for %v", kind, d)
-	s.ledger.fault(nil, d)
-	s.keeper.SetFault(kind)
-	pause(ctx, d)
-	s.keeper.SetFault(objectkeeper.FaultNone)
+	kind := anyOf(rng, kinds)
+	s.lasting(ctx, rng, nil, fmt.Sprintf("the store misbehaves (%d)", kind),
+		func() { s.keeper.SetFault(kind) }, func() { s.keeper.SetFault(objectkeeper.FaultNone) })
 }
 
 func forgetHistory(_ context.Context, s *Soak, _ *rand.Rand) {
--- a/seamctl/soaker/soaker.go
+++ b/seamctl/soaker/soaker.go
@@ -24,6 +24,7 @@
 	"sync"
 	"time"
 
+	"primroseseam.org/seam/waiter"
 	"primroseseam.org/standin/objectkeeper"
 )
 
@@ -92,7 +93,7 @@
 		}()
 	}
 	s.disturb(ctx)
-	pause(ctx, settleTime)
+	waiter.Pause(ctx, settleTime)
 	stop()
 	working.Wait()
 	return s.ledger.report(s.seed), ctx.Err()
@@ -136,7 +137,7 @@
 		if time.Now().After(end) {
 			return fmt.Errorf("soak: instances are not ready within %v", readyWithin)
 		}
-		if !pause(ctx, 50*time.Millisecond) {
+		if !waiter.Pause(ctx, 50*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
@@ -162,18 +163,6 @@
 	_, _ = fmt.Fprintf(s.output, "%s soak: %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
 }
 
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // get asks an address and reports whether it answered with 200.
 func get(url string) bool {
 	client := http.Client{Timeout: time.Second}
--- a/seamd/edger/news.go
+++ b/seamd/edger/news.go
@@ -9,6 +9,7 @@
 
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/follower"
+	"primroseseam.org/seam/waiter"
 	"primroseseam.org/seamd/heartbeater"
 )
 
@@ -113,7 +114,7 @@
 			continue
 		}
 		if !w.near && !e.fetchesFar() {
-			pause(ctx, farPatience)
+			waiter.Pause(ctx, farPatience)
 			if newer, ok := e.wishes.take(kind); ok {
 				w = newer
 			}
--- a/seamd/edger/register.go
+++ b/seamd/edger/register.go
@@ -10,6 +10,7 @@
 	"primroseseam.org/platform"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/follower"
+	"primroseseam.org/seam/waiter"
 )
 
 const (
@@ -35,11 +36,11 @@
 			break
 		}
 		e.log.Warn("instance: not registered", zap.Error(err))
-		pause(ctx, registerRetry)
+		waiter.Pause(ctx, registerRetry)
 	}
 	for ctx.Err() == nil {
 		e.listInstances(ctx)
-		pause(ctx, instancesEvery)
+		waiter.Pause(ctx, instancesEvery)
 	}
 }
 
@@ -62,15 +63,3 @@
 	}
 	e.update(conductor.InstancesSeen{IDs: ids})
 }
-
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
