--- /dev/null
+++ b/seamd/main_test.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A hangup that comes while the process starts doesn't end it.
+func TestEarlyHangupsAreHeld(t *testing.T) {
+	holdHangups()
+	for range 3 {
+		if err := syscall.Kill(syscall.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
