--- a/seamctl/soaker/soaker.go
+++ b/seamctl/soaker/soaker.go
@@ -133,7 +133,7 @@
 		}
 	}
 	end := time.Now().Add(readyWithin)
-	for !slices.ContainsFunc(s.instances, (*instance).ready) || !allReady(s.instances) {
+	for !allReady(s.instances) {
 		if time.Now().After(end) {
 			return fmt.Errorf("soak: instances are not ready within %v", readyWithin)
 		}
