--- a/seamctl/commander/fleet_test.go
+++ b/seamctl/commander/fleet_test.go
@@ -115,7 +115,7 @@
 		Measures   struct{ Requests int }
 	}
 	if err := json.Unmarshal([]byte(stdout), &report); err != nil || code != 0 {
-		t.Fatalf("exit code %d, %v: %s", code, err, stderr)
+		t.Fatalf("exit code %d, %v: %s%s", code, err, stderr, stdout)
 	}
 	if report.Deployment != "nathibandh" || len(report.Promises) == 0 || report.Measures.Requests == 0 {
 		t.Fatalf("got %s", stdout)
