Keep a stopping instance out of readiness when it hears of a change

Ruled out: slow stops (all end within their grace); look-ups (they left them).

Change: a stopping instance neither becomes ready nor answers so. TestStoppingInstanceIsNotReadyAgain failed before.

--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -332,7 +332,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if !e.ready.Load() {
+	if !e.ready.Load() || e.stopping.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/seamd/edger/edger_test.go
+++ b/seamd/edger/edger_test.go
@@ -408,6 +408,23 @@
 }
 
 // An output that takes no lines delays no request.
+// A stopping instance that hears of a change stays out of readiness.
+func TestStoppingInstanceIsNotReadyAgain(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "s")
+	r.endpoint("e-1", "s", nil)
+	run := r.start("one", &logSink{})
+	run.until(5*time.Second, "ready", run.ready)
+	run.stop()
+	run.until(time.Second, "not ready", func() bool { return !run.ready() })
+	r.configure("key-2", "s")
+	for end := time.Now().Add(700 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if run.ready() {
+			t.Fatal("a stopping instance says again that it is ready")
+		}
+	}
+}
+
 func TestBlockedOutputDelaysNoRequest(t *testing.T) {
 	r := newRig(t)
 	r.configure("key-1", "a")
--- a/seamd/edger/follow.go
+++ b/seamd/edger/follow.go
@@ -99,8 +99,11 @@
 	e.tellAll(v)
 }
 
-// checkReady makes the instance ready once it can serve.
+// checkReady makes the instance ready once it can serve, unless it stops.
 func (e *Edge) checkReady() {
+	if e.stopping.Load() {
+		return
+	}
 	e.mu.Lock()
 	able := e.model.Version() > 0 && len(e.roster.endpoints) > 0
 	e.mu.Unlock()
