Tell when callers leave, connections run out and the process is late

Now they can: each attempt says whether its caller had left before it (`left` of `request: sent`, `seam_edge_callers_left_total`), a left one how long its connection took to close (`closeAfter`, `seam_edge_left_close_seconds`); open and idle connections are counted by kind, failed accepts by socket, and a shortage of descriptors is a line with these counts; late ticks are counted and logged. No decision changes.

Lines were torn when the output took a part of a write; what is left over is now written first the next time (TestLinesAreNotTornByAnOutputThatTakesAPart, which fails without this).

--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -17,6 +17,7 @@
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
+	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/exchanger"
 )
 
@@ -205,7 +206,11 @@
 		x.header.Set(platform.HeaderTeam, cmd.Team)
 	}
 	start := time.Now()
-	e.logSend(x, cmd, start)
+	left := accepter.Left(x.request.Context())
+	if left {
+		e.metrics.left(leftBeforeSend)
+	}
+	e.logSend(x, cmd, left, start)
 	if cmd.Attempt > 1 {
 		e.metrics.retries.Inc()
 	}
@@ -217,6 +222,10 @@
 	outcome := e.judge(x, answer)
 	e.metrics.exchanged(outcome.Answered, time.Since(start).Seconds())
 	e.logAttempt(x, cmd, answer, outcome, time.Since(start))
+	if outcome.Left {
+		e.metrics.left(leftBeforeAnswer)
+		e.metrics.closeAfter.Update(answer.CloseAfter.Seconds())
+	}
 	if answer.Connect > 0 {
 		e.metrics.connections.Inc()
 	}
@@ -303,8 +312,8 @@
 }
 
 // logSend writes where a request is sent and why.
-func (e *Edge) logSend(x *exchange, cmd conductor.Send, now time.Time) {
-	if cmd.Attempt == 1 && !e.logs.Ordinary(now) {
+func (e *Edge) logSend(x *exchange, cmd conductor.Send, left bool, now time.Time) {
+	if cmd.Attempt == 1 && !left && !e.logs.Ordinary(now) {
 		return
 	}
 	c := cmd.Choice
@@ -312,7 +321,7 @@
 		zap.String("endpoint", cmd.Endpoint), zap.String("region", c.Region), zap.Int("attempt", cmd.Attempt),
 		zap.Duration("expected", c.Expect), zap.Duration("wait", c.Wait), zap.Bool("warm", c.Warm),
 		zap.Int("load", c.Load), zap.Int("slots", c.Slots), zap.Float64("slow", c.Slow), zap.Duration("budget", cmd.Budget),
-		zap.Uint64("version", cmd.Version))
+		zap.Uint64("version", cmd.Version), zap.Bool("left", left))
 }
 
 // logAttempt writes how an attempt ended that brought no proper answer.
@@ -323,7 +332,8 @@
 	e.log.Warn("request: attempt failed", zap.String("request", x.name), zap.String("team", cmd.Team),
 		zap.String("endpoint", cmd.Endpoint), zap.Int("attempt", cmd.Attempt), zap.Int("status", o.Status),
 		zap.Bool("notRun", o.NotRun), zap.Bool("left", o.Left), zap.Bool("timedOut", o.TimedOut),
-		zap.Bool("reused", a.Reused), zap.Duration("took", took), zap.NamedError("error", a.Err))
+		zap.Bool("reused", a.Reused), zap.Duration("took", took),
+		zap.Duration("closeAfter", a.CloseAfter), zap.NamedError("error", a.Err))
 }
 
 // serveReady tells the platform whether this instance takes requests.
--- a/seamd/edger/edger.go
+++ b/seamd/edger/edger.go
@@ -38,6 +38,8 @@
 	// tickEvery is how often parts of rates are renewed and silent instances
 	// are noticed.
 	tickEvery = 200 * time.Millisecond
+	// heldUpLine is the lateness of a tick from which it is logged.
+	heldUpLine = 250 * time.Millisecond
 	// pruneEvery is how often idle connections are looked through.
 	pruneEvery = time.Second
 	// headerTimeout and headerMost bound a caller's header until the
@@ -69,6 +71,8 @@
 	// one.
 	newsAll  chan struct{}
 	newsNear chan struct{}
+	servers  []server
+	short    shortage
 
 	mu       sync.Mutex
 	model    *conductor.Model
@@ -156,8 +160,7 @@
 		defer stop()
 		work(func(ctx context.Context) { e.watchSettings(ctx, e.path, signals) })
 	}
-	servers, err := e.listen()
-	if err != nil {
+	if err := e.listen(); err != nil {
 		return err
 	}
 	e.log.Info("start", zap.String("zone", e.settings.Instance.Zone), zap.String("callers", e.settings.Listen.Callers),
@@ -172,8 +175,8 @@
 	for _, kind := range followedKinds {
 		work(func(ctx context.Context) { e.fetchNews(ctx, kind) })
 	}
-	failed := make(chan error, len(servers))
-	for _, s := range servers {
+	failed := make(chan error, len(e.servers))
+	for _, s := range e.servers {
 		work(func(context.Context) { failed <- s.serve() })
 	}
 	select {
@@ -181,12 +184,13 @@
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	}
-	e.stop(servers)
+	e.stop()
 	return nil
 }
 
 // server is an HTTP server and its listener.
 type server struct {
+	name     string
 	http     *http.Server
 	listener *accepter.Listener
 	// ended is closed when no more connections are accepted.
@@ -202,42 +206,56 @@
 }
 
 // listen opens all sockets.
-func (e *Edge) listen() ([]server, error) {
+func (e *Edge) listen() error {
 	var err error
 	report := func(err error) { e.log.Warn("heartbeat: not read", zap.Error(err)) }
 	if e.beats, err = heartbeater.Listen(e.settings.Listen.Peers, e.heard, report); err != nil {
-		return nil, err
+		return err
 	}
 	path, copies := heartbeater.Handler(e.copiesFor)
 	peers := http.NewServeMux()
 	peers.Handle(path, copies)
 	handlers := []struct {
+		name    string
 		address string
 		handler http.Handler
 	}{
-		{e.settings.Listen.Callers, http.HandlerFunc(e.serveCaller)},
-		{e.settings.Listen.Ready, http.HandlerFunc(e.serveReady)},
-		{e.settings.Listen.Lookups, http.HandlerFunc(e.serveLookup)},
-		{e.settings.Listen.Peers, peers},
-	}
-	if e.settings.Listen.Metrics != "" {
-		handlers = append(handlers, struct {
-			address string
-			handler http.Handler
-		}{e.settings.Listen.Metrics, http.HandlerFunc(e.serveMetrics)})
+		{"callers", e.settings.Listen.Callers, http.HandlerFunc(e.serveCaller)},
+		{"ready", e.settings.Listen.Ready, http.HandlerFunc(e.serveReady)},
+		{"lookups", e.settings.Listen.Lookups, http.HandlerFunc(e.serveLookup)},
+		{"peers", e.settings.Listen.Peers, peers},
+		{"metrics", e.settings.Listen.Metrics, http.HandlerFunc(e.serveMetrics)},
 	}
-	var servers []server
 	for _, h := range handlers {
+		if h.address == "" {
+			continue
+		}
 		l, err := net.Listen("tcp4", h.address)
 		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
+			return fmt.Errorf("listen: %w", err)
 		}
-		servers = append(servers, server{listener: accepter.New(l), ended: make(chan struct{}), http: &http.Server{
-			Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: headerMost, ErrorLog: zap.NewStdLog(e.log),
-		}})
+		e.servers = append(e.servers, e.newServer(h.name, l, h.handler))
+	}
+	return nil
+}
+
+// newServer returns a server that is not serving yet.
+func (e *Edge) newServer(name string, l net.Listener, handler http.Handler) server {
+	listener := accepter.New(l, accepter.WithReport(func(err error) { e.accepted(name, err) }))
+	return server{name: name, listener: listener, ended: make(chan struct{}), http: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: headerMost, ErrorLog: zap.NewStdLog(e.log),
+		ConnState: listener.Track, ConnContext: accepter.Context,
+	}}
+}
+
+// ticked notes the time between two ticks.
+func (e *Edge) ticked(between time.Duration) {
+	late := max(between-tickEvery, 0)
+	e.metrics.late.Update(late.Seconds())
+	if late > heldUpLine {
+		e.log.Warn("process: was held up", zap.Duration("late", late))
 	}
-	return servers, nil
 }
 
 // tick drives what depends on time alone.
@@ -245,11 +263,15 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	pruned := time.Now()
+	last := pruned
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			e.ticked(now.Sub(last))
+			last = now
 			e.update(conductor.Ticked{})
 			e.releaseGone(now)
 			if now.Sub(pruned) > pruneEvery {
--- a/seamd/edger/logs.go
+++ b/seamd/edger/logs.go
@@ -122,33 +122,49 @@
 func (l *Logs) Run(ctx context.Context) {
 	ticker := time.NewTicker(logFlush)
 	defer ticker.Stop()
-	var spare []byte
+	var lines, spare []byte
 	for {
 		select {
 		case <-ctx.Done():
-			l.flush(spare)
+			// A second write takes what the first one left over, and what came meanwhile.
+			lines, spare = l.flush(lines, spare)
+			l.flush(lines, spare)
 			return
 		case <-ticker.C:
-			spare = l.flush(spare)
+			lines, spare = l.flush(lines, spare)
 		}
 	}
 }
 
-func (l *Logs) flush(spare []byte) []byte {
+// flush writes the lines that an output didn't take before, or else those that
+// wait. It returns what is left over, and a buffer that is free.
+func (l *Logs) flush(left, spare []byte) (rest, free []byte) {
+	if len(left) > 0 {
+		return l.write(left, spare)
+	}
 	l.mu.Lock()
 	passed := l.passed
 	l.passed = 0
 	l.mu.Unlock()
 	lines, dropped := l.buffer.take(spare)
-	if len(lines) > 0 {
-		// A failed write can't be logged; the next one is tried.
-		_, _ = l.output.Write(lines)
-	}
 	if dropped > 0 || passed > 0 {
 		l.leftOut.Add(uint64(dropped + passed))
 		l.logger.Warn("log: lines left out", zap.Int("noRoom", dropped), zap.Int("overRate", passed))
 	}
-	return lines
+	return l.write(lines, left)
+}
+
+// write writes lines. A failed write can't be logged; what it left over is
+// tried again.
+func (l *Logs) write(lines, spare []byte) (rest, free []byte) {
+	if len(lines) == 0 {
+		return nil, lines
+	}
+	n, _ := l.output.Write(lines)
+	if n < len(lines) {
+		return lines[n:], spare
+	}
+	return nil, lines
 }
 
 // Ordinary reports whether one more line about a request that went well may be
--- a/seamd/edger/logs_bench_test.go
+++ b/seamd/edger/logs_bench_test.go
@@ -21,7 +21,7 @@
 			zap.Duration("expected", 300*time.Millisecond), zap.Duration("wait", 0), zap.Bool("warm", true),
 			zap.Int("load", 2), zap.Int("slots", 3), zap.Float64("slow", 1.1), zap.Duration("budget", time.Second), zap.Uint64("version", 12))
 		if n%64 == 0 {
-			spare = logs.flush(spare)
+			_, spare = logs.flush(nil, spare)
 		}
 	}
 }
--- /dev/null
+++ b/seamd/edger/logs_test.go
@@ -0,0 +1,40 @@
+package edger
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+
+	"go.uber.org/zap"
+)
+
+// narrowOutput takes a part of each write only.
+type narrowOutput struct{ bytes.Buffer }
+
+func (o *narrowOutput) Write(p []byte) (int, error) {
+	n, _ := o.Buffer.Write(p[:min(len(p), 100)])
+	if n < len(p) {
+		return n, errors.New("no room")
+	}
+	return n, nil
+}
+
+func TestLinesAreNotTornByAnOutputThatTakesAPart(t *testing.T) {
+	out := &narrowOutput{}
+	logs := NewLogs(out, 100)
+	for range 3 {
+		logs.logger.Info("something", zap.String("text", "a line of more than a hundred bytes, so that the output takes two"))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 6*logFlush+logFlush/2)
+	defer cancel()
+	logs.Run(ctx)
+	for _, line := range bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n")) {
+		if !bytes.HasPrefix(line, []byte(`{"level"`)) || !bytes.HasSuffix(line, []byte("}")) {
+			t.Errorf("torn: %s", line)
+		}
+	}
+	if n := bytes.Count(out.Bytes(), []byte("something")); n != 3 {
+		t.Errorf("%d lines of 3 came after %v", n, 6*logFlush)
+	}
+}
--- a/seamd/edger/metrics.go
+++ b/seamd/edger/metrics.go
@@ -22,6 +22,10 @@
 	connections *metrics.Counter
 	// wait is how long requests are expected to wait at their endpoint.
 	wait *metrics.Histogram
+	// late is how late ticks are, closeAfter how long after its caller left the
+	// connection of an attempt is closed, both in seconds.
+	late       *metrics.Histogram
+	closeAfter *metrics.Histogram
 	// farBytes counts bodies that go to and come from other regions, beatBytes
 	// heartbeats by audience, copies those taken from near and far instances.
 	farBytes  *metrics.Counter
@@ -38,6 +42,8 @@
 		retries:     set.NewCounter("seam_edge_retries_total"),
 		connections: set.NewCounter("seam_edge_endpoint_connections_total"),
 		wait:        set.NewHistogram("seam_edge_expected_wait_seconds"),
+		late:        set.NewHistogram("seam_edge_tick_late_seconds"),
+		closeAfter:  set.NewHistogram("seam_edge_left_close_seconds"),
 		farBytes:    set.NewCounter("seam_edge_far_body_bytes_total"),
 		beatBytes: [2]*metrics.Counter{
 			conductor.Near: set.NewCounter(`seam_edge_heartbeat_bytes_total{to="near"}`),
@@ -64,10 +70,27 @@
 	m.set.GetOrCreateHistogram(`seam_edge_attempt_seconds{answered="` + strconv.FormatBool(ok) + `"}`).Update(seconds)
 }
 
+// Moments at which a caller can have left.
+const (
+	leftBeforeSend   = "send"
+	leftBeforeAnswer = "answer"
+)
+
+// left counts a caller that had left at a moment.
+func (m *edgeMetrics) left(before string) {
+	m.set.GetOrCreateCounter(`seam_edge_callers_left_total{before="` + before + `"}`).Inc()
+}
+
+// acceptFailed counts a connection that could not be accepted at a socket.
+func (m *edgeMetrics) acceptFailed(socket string) {
+	m.set.GetOrCreateCounter(`seam_edge_accept_errors_total{socket="` + socket + `"}`).Inc()
+}
+
 // serveMetrics answers with all metrics as text.
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	e.metrics.set.WritePrometheus(w)
 	e.writeBeliefs(w, time.Now())
+	e.writeSockets(w)
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/seamd/edger/stop.go
+++ b/seamd/edger/stop.go
@@ -27,7 +27,7 @@
 // stop stops the instance: first it leaves look-ups and says that it isn't
 // ready, then it serves callers who follow older look-ups, then it refuses, and
 // it ends when the last answer is given.
-func (e *Edge) stop(servers []server) {
+func (e *Edge) stop() {
 	start := time.Now()
 	grace := duration(e.settings.Bounds.Grace)
 	e.stopping.Store(true)
@@ -47,7 +47,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(endCheck))
 	defer cancel()
-	for _, s := range servers {
+	for _, s := range e.servers {
 		if err := s.close(ctx); err != nil {
 			e.log.Info("stop: connections were still busy", zap.Error(err))
 		}
--- a/seamd/exchanger/exchanger.go
+++ b/seamd/exchanger/exchanger.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -74,11 +75,15 @@
 	// Connect is how long a new connection took, or 0.
 	Connect time.Duration
 	Reused  bool
+	// CloseAfter is how long after the end of its context the call's connection
+	// was closed, or 0.
+	CloseAfter time.Duration
 }
 
 // Exchanger keeps connections to endpoints. It is safe for concurrent use.
 type Exchanger struct {
 	pool pool
+	open atomic.Int64
 }
 
 // New returns an exchanger without connections.
@@ -86,6 +91,12 @@
 	return &Exchanger{pool: pool{idle: map[string][]*conn{}}}
 }
 
+// Connections returns how many connections are open, those that are being
+// opened among them, and how many of them carry no request.
+func (x *Exchanger) Connections() (open, idle int) {
+	return int(x.open.Load()), x.pool.count()
+}
+
 // Prune closes connections that have been idle too long.
 func (x *Exchanger) Prune() { x.pool.prune(time.Now()) }
 
@@ -107,7 +118,7 @@
 		ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 		defer cancel()
 		var err error
-		if c, err = dial(ctx, call.Address); err != nil {
+		if c, err = x.dial(ctx, call.Address); err != nil {
 			return Answer{Err: fmt.Errorf("connect: %w", err)}
 		}
 	}
@@ -122,7 +133,11 @@
 // exchange makes a call on a connection.
 func (x *Exchanger) exchange(ctx context.Context, c *conn, call Call) Answer {
 	_ = c.SetDeadline(call.Deadline)
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	var ended atomic.Int64
+	stop := context.AfterFunc(ctx, func() {
+		ended.Store(time.Now().UnixNano())
+		_ = c.SetDeadline(time.Unix(1, 0))
+	})
 	written := make(chan error, 1)
 	if small(call) {
 		written <- writeRequest(c, call)
@@ -134,7 +149,11 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
-		return Answer{Err: err, Sent: true}
+		failed := Answer{Err: err, Sent: true}
+		if at := ended.Load(); at != 0 {
+			failed.CloseAfter = time.Since(time.Unix(0, at))
+		}
+		return failed
 	}
 	finish := func(whole bool) {
 		stopped := stop()
--- a/seamd/exchanger/pool.go
+++ b/seamd/exchanger/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,6 +42,17 @@
 	usedAt time.Time
 	// connect is how long it took to open.
 	connect time.Duration
+	// open counts the connections that are open, this one until it is closed.
+	open   *atomic.Int64
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // quiet reports whether the other side has neither closed the connection nor
@@ -126,6 +138,17 @@
 	return age <= last.usable && (!once || age <= freshFor)
 }
 
+// count returns the number of idle connections.
+func (p *pool) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
 // prune closes connections that have been idle too long.
 func (p *pool) prune(now time.Time) {
 	p.mu.Lock()
@@ -160,14 +183,16 @@
 var connect = dialer.New(dialer.WithTimeout(dialTimeout))
 
 // dial opens a connection.
-func dial(ctx context.Context, address string) (*conn, error) {
+func (x *Exchanger) dial(ctx context.Context, address string) (*conn, error) {
 	start := time.Now()
+	x.open.Add(1)
 	opened, err := connect.DialContext(ctx, "tcp", address)
 	if err != nil {
+		x.open.Add(-1)
 		return nil, err
 	}
 	return &conn{
 		Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), usable: keptIdle,
-		usedAt: time.Now(), connect: time.Since(start),
+		usedAt: time.Now(), connect: time.Since(start), open: &x.open,
 	}, nil
 }
