Show that requests of callers who left are sent on

A caller who has closed its connection while its request was unread: the request reaches an endpoint (2 arrive, 1 is allowed). A caller who closes one direction only and reads on: it gets an empty 200 that no endpoint gave.

--- /dev/null
+++ b/seamd/edger/left_test.go
@@ -0,0 +1,83 @@
+package edger_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rawRequest returns a request as a caller of the test configuration sends it.
+func rawRequest(id string) string {
+	return fmt.Sprintf("GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Key: key-1\r\nX-Deadline-Ms: 3000\r\n\r\n", id)
+}
+
+// dialCaller opens a connection as a caller does.
+func dialCaller(t *testing.T, e *running) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", e.settings.Listen.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.(*net.TCPConn)
+}
+
+func write(t *testing.T, w io.Writer, text string) {
+	t.Helper()
+	if _, err := io.WriteString(w, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The second request is read after its caller has closed.
+func TestRequestsOfCallersWhoLeftAreNotSent(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	started := make(chan struct{}, 2)
+	served := r.endpoint("i-1", "a", func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(w, "done")
+	})
+	e := r.start("edge-1", &logSink{})
+	e.until(3*time.Second, "ready", e.ready)
+	conn := dialCaller(t, e)
+	write(t, conn, rawRequest("first"))
+	<-started
+	write(t, conn, rawRequest("second"))
+	if err := conn.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Fatal(err)
+	}
+	if n := served.Load(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, 1 of them before its caller left", n)
+	}
+}
+
+// A caller who closes one direction only still reads what comes.
+func TestCallerWhoLeftGetsNoEmptySuccess(t *testing.T) {
+	r := newRig(t)
+	r.configure("key-1", "a")
+	started := make(chan struct{})
+	r.endpoint("i-1", "a", func(_ http.ResponseWriter, q *http.Request) {
+		close(started)
+		<-q.Context().Done()
+	})
+	e := r.start("edge-1", &logSink{})
+	e.until(3*time.Second, "ready", e.ready)
+	conn := dialCaller(t, e)
+	write(t, conn, rawRequest("only"))
+	<-started
+	if err := conn.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := io.ReadAll(conn); strings.HasPrefix(string(got), "HTTP/1.1 2") {
+		t.Errorf("an answer that no endpoint gave: %s", got)
+	}
+}
