Give callers who left no empty success

What callers saw: one who closes its own direction of a connection and reads on, while its request is under way, got "HTTP/1.1 200" with an empty body that no endpoint gave.

Cause: the close ends the request's context, the loop forgets the request and has no command left, and the handler returned without having written anything, which net/http turns into an empty success. Such a request now ends its connection without an answer, and a line says so.

Ruled out: that an answer of the endpoint was passed on; it gave none.

--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"net/http"
 	"time"
 
 	"primroseseam.org/seam/coder"
@@ -95,6 +96,12 @@
 	Connect time.Duration
 }
 
+// Good reports whether the attempt brought an answer that is not an endpoint's
+// failure.
+func (o Outcome) Good() bool {
+	return o.Answered && !o.NotRun && o.Status < http.StatusInternalServerError
+}
+
 // Cmd is a command of the loop. The set of commands is closed.
 type Cmd interface{ isCmd() }
 
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -207,12 +207,11 @@
 	if !o.NotRun {
 		r.mayHaveRun = true
 	}
-	failed := !o.Answered || o.NotRun || o.Status >= http.StatusInternalServerError
 	switch {
 	case o.Left || o.Begun:
 		m.forget(r.id)
 		return nil
-	case !failed:
+	case o.Good():
 		return []Cmd{Deliver{ID: r.id}}
 	}
 	if o.Answered && !o.NotRun {
--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -17,7 +17,6 @@
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
-	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/exchanger"
 )
 
@@ -69,8 +68,20 @@
 		msg.Object = placer.Hash32(affinity)
 	}
 	x.header = forwardHeader(r.Header)
-	e.carry(w, x, e.update(msg))
+	answered := e.carry(w, x, e.update(msg))
 	e.update(conductor.RequestEnded{ID: x.id})
+	if !answered {
+		e.abandon(x, leftBeforeAnswer)
+	}
+}
+
+// abandon ends a request whose caller has left. Its connection breaks, so that
+// a caller who still reads takes nothing for an answer.
+func (e *Edge) abandon(x *exchange, before string) {
+	e.metrics.left(before)
+	e.log.Info("request: caller left", zap.String("request", x.name), zap.String("before", before),
+		zap.Int("attempts", x.last.Attempt), zap.Duration("took", time.Since(x.arrived)))
+	panic(http.ErrAbortHandler)
 }
 
 // checkFrame reads the body and refuses what can't be read or is too large.
@@ -180,20 +191,22 @@
 	return out
 }
 
-// carry carries out the loop's commands about a request, until it has an answer.
-func (e *Edge) carry(w http.ResponseWriter, x *exchange, cmds []conductor.Cmd) {
+// carry carries out the loop's commands about a request until it has an answer,
+// and reports whether it has one. It has none if the caller left.
+func (e *Edge) carry(w http.ResponseWriter, x *exchange, cmds []conductor.Cmd) bool {
 	for len(cmds) > 0 {
 		switch cmd := cmds[0].(type) {
 		case conductor.Send:
 			cmds = e.send(w, x, cmd)
 		case conductor.Refuse:
 			e.refuse(w, x, cmd)
-			return
+			return true
 		case conductor.Deliver:
 			e.deliver(w, x, x.held)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // send makes an attempt and tells the loop how it ended.
@@ -206,24 +219,21 @@
 		x.header.Set(platform.HeaderTeam, cmd.Team)
 	}
 	start := time.Now()
-	left := accepter.Left(x.request.Context())
-	if left {
-		e.metrics.left(leftBeforeSend)
-	}
-	e.logSend(x, cmd, left, start)
+	e.logSend(x, cmd, start)
 	if cmd.Attempt > 1 {
 		e.metrics.retries.Inc()
 	}
-	answer := e.exchanger.Do(x.request.Context(), exchanger.Call{
+	ctx := x.request.Context()
+	answer := e.exchanger.Do(ctx, exchanger.Call{
 		Address: cmd.Address, Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host,
 		Header: x.header, Body: x.body, Rest: x.rest, Length: x.length, RequestID: x.name, IDHeader: platform.HeaderRequestID,
 		Once: !cmd.Repeatable, Deadline: cmd.Deadline,
 	})
 	outcome := e.judge(x, answer)
+	outcome.Left = ctx.Err() != nil
 	e.metrics.exchanged(outcome.Answered, time.Since(start).Seconds())
 	e.logAttempt(x, cmd, answer, outcome, time.Since(start))
 	if outcome.Left {
-		e.metrics.left(leftBeforeAnswer)
 		e.metrics.closeAfter.Update(answer.CloseAfter.Seconds())
 	}
 	if answer.Connect > 0 {
@@ -241,7 +251,7 @@
 
 // judge says what an answer means.
 func (e *Edge) judge(x *exchange, a exchanger.Answer) conductor.Outcome {
-	o := conductor.Outcome{Connect: a.Connect, Left: x.request.Context().Err() != nil}
+	o := conductor.Outcome{Connect: a.Connect}
 	if a.Err != nil {
 		o.Unreachable = !a.Sent
 		o.Refused = errors.Is(a.Err, syscall.ECONNREFUSED)
@@ -312,8 +322,8 @@
 }
 
 // logSend writes where a request is sent and why.
-func (e *Edge) logSend(x *exchange, cmd conductor.Send, left bool, now time.Time) {
-	if cmd.Attempt == 1 && !left && !e.logs.Ordinary(now) {
+func (e *Edge) logSend(x *exchange, cmd conductor.Send, now time.Time) {
+	if cmd.Attempt == 1 && !e.logs.Ordinary(now) {
 		return
 	}
 	c := cmd.Choice
@@ -321,12 +331,12 @@
 		zap.String("endpoint", cmd.Endpoint), zap.String("region", c.Region), zap.Int("attempt", cmd.Attempt),
 		zap.Duration("expected", c.Expect), zap.Duration("wait", c.Wait), zap.Bool("warm", c.Warm),
 		zap.Int("load", c.Load), zap.Int("slots", c.Slots), zap.Float64("slow", c.Slow), zap.Duration("budget", cmd.Budget),
-		zap.Uint64("version", cmd.Version), zap.Bool("left", left))
+		zap.Uint64("version", cmd.Version))
 }
 
 // logAttempt writes how an attempt ended that brought no proper answer.
 func (e *Edge) logAttempt(x *exchange, cmd conductor.Send, a exchanger.Answer, o conductor.Outcome, took time.Duration) {
-	if o.Answered && !o.NotRun && o.Status < http.StatusInternalServerError {
+	if o.Good() {
 		return
 	}
 	e.log.Warn("request: attempt failed", zap.String("request", x.name), zap.String("team", cmd.Team),
