Send nothing for callers who have already left

What users saw: work for callers who had left (GONE).

Cause: a request can wait unread in the kernel while its caller gives up and closes. Nothing looked at the caller's connection before an attempt: the context of a request ends only once the server's own read has met the close, and that read begins when the handler does. So every stale request was decided and sent; the endpoint's connection was closed a moment later, with the request delivered.

Now the connection is asked whether the other side has closed it, when the request is taken and before it is sent once more. This sees the close also behind unread bytes. A good answer is delivered without that question.

--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -17,6 +17,7 @@
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
+	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/exchanger"
 )
 
@@ -68,6 +69,9 @@
 		msg.Object = placer.Hash32(affinity)
 	}
 	x.header = forwardHeader(r.Header)
+	if accepter.Left(r.Context()) {
+		e.abandon(x, leftBeforeSend)
+	}
 	answered := e.carry(w, x, e.update(msg))
 	e.update(conductor.RequestEnded{ID: x.id})
 	if !answered {
@@ -230,7 +234,8 @@
 		Once: !cmd.Repeatable, Deadline: cmd.Deadline,
 	})
 	outcome := e.judge(x, answer)
-	outcome.Left = ctx.Err() != nil
+	// An answer that can be delivered needs no look at the connection.
+	outcome.Left = ctx.Err() != nil || !outcome.Good() && accepter.Left(ctx)
 	e.metrics.exchanged(outcome.Answered, time.Since(start).Seconds())
 	e.logAttempt(x, cmd, answer, outcome, time.Since(start))
 	if outcome.Left {
--- a/seamd/exchanger/exchanger.go
+++ b/seamd/exchanger/exchanger.go
@@ -112,6 +112,9 @@
 // Do sends the request and reads the answer. It ends when ctx ends or at the
 // call's deadline.
 func (x *Exchanger) Do(ctx context.Context, call Call) Answer {
+	if err := ctx.Err(); err != nil {
+		return Answer{Err: err}
+	}
 	c := x.pool.take(call.Address, call.Once, time.Now())
 	reused := c != nil
 	if c == nil {
