Let idle callers make room before descriptors run out

Cause: nothing bounded callers' connections. A caller that is refused and tries again does so on a new connection and keeps the old one; 75 s was the idle time. 3,700 of 3,900 sockets were idle callers. Then no socket of the process accepts, and net/http's pause after each failure doubles up to a second, so that what waits is accepted long after its caller has gone.

Now the sockets are shared out (shareSockets): callers get what endpoints and the other sockets leave, less an eighth; a new connection beyond that closes the one that has been idle the longest, unless a request has reached it. Idle connections to endpoints are bounded over all endpoints, those of look-ups, other instances and metrics each. The configuration's idle time is applied. A failed accept is tried again after 5 ms. The limit comes from the settings, else from the process.

Ruled out: connections to endpoints (at most 160 to 180 at that time), and a lack of processor time (0.1 of 0.32 cores).

--- a/seamd/accepter/accepter.go
+++ b/seamd/accepter/accepter.go
@@ -1,27 +1,39 @@
-// Package accepter accepts callers' connections and knows which are open.
+// Package accepter accepts callers' connections and keeps their number bounded.
 //
-// A closing listener does not reset callers that have just connected.
+// A closing listener does not reset callers that have just connected. An open one
+// goes on accepting when descriptors run short: connections that have been idle
+// the longest make room for new ones.
 //
 // # Usage
 //
 //	l := accepter.New(inner, accepter.WithReport(report))
 //	server := &http.Server{ConnState: l.Track, ConnContext: accepter.Context}
 //	go server.Serve(l)
+//	l.SetMost(3000)
+//	l.CloseIdle(15 * time.Second)
 //	left := accepter.Left(request.Context())
 //	err := l.Close() // what waits is still accepted
 package accepter
 
 import (
+	"container/list"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// backlogGrace is how long a closing listener still accepts connections that
-// were opened before it closed.
-const backlogGrace = 100 * time.Millisecond
+const (
+	// backlogGrace is how long a closing listener still accepts connections that
+	// were opened before it closed.
+	backlogGrace = 100 * time.Millisecond
+	// shortPause is the time between two attempts to accept while no descriptor
+	// is free. Callers give up within a second.
+	shortPause = 5 * time.Millisecond
+)
 
 // Listener accepts what waits in the backlog before it closes, since the kernel
 // resets connections that were never accepted. It is safe for concurrent use.
@@ -32,7 +44,9 @@
 
 	mu   sync.Mutex
 	open int
-	idle int
+	most int
+	// idle holds the connections without a request, the longest idle first.
+	idle *list.List
 }
 
 var _ net.Listener = (*Listener)(nil)
@@ -46,33 +60,49 @@
 
 // New returns a listener around a TCP listener.
 func New(inner net.Listener, opts ...Option) *Listener {
-	l := &Listener{inner: inner, report: func(error) {}}
+	l := &Listener{inner: inner, report: func(error) {}, idle: list.New()}
 	for _, opt := range opts {
 		opt(l)
 	}
 	return l
 }
 
-// Accept implements net.Listener. After Close it accepts for a short while and
-// then fails.
+// Accept implements net.Listener. Without a free descriptor it waits until there
+// is one. After Close it accepts for a short while and then fails.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.inner.Accept()
-	if l.closing.Load() {
-		if err != nil {
-			// Nothing is left to close but the socket itself.
-			_ = l.inner.Close()
+	for {
+		conn, err := l.inner.Accept()
+		if l.closing.Load() {
+			if err != nil {
+				// Nothing is left to close but the socket itself.
+				_ = l.inner.Close()
+			}
+			return conn, err
 		}
-		return conn, err
-	}
-	l.report(err)
-	if err != nil {
-		return nil, err
+		l.report(err)
+		switch {
+		case err == nil:
+			l.makeRoom(l.mostOpen())
+			return wrap(conn), nil
+		case !IsShort(err):
+			return nil, err
+		}
+		open, _ := l.Connections()
+		l.makeRoom(open)
+		time.Sleep(shortPause)
 	}
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return conn, nil
+}
+
+// IsShort reports whether an error says that no descriptor is free.
+func IsShort(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+func wrap(conn net.Conn) net.Conn {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return newConn(tcp)
 	}
-	return newConn(tcp), nil
+	return conn
 }
 
 // Close implements net.Listener. The accept loop ends with a timeout.
@@ -98,16 +128,26 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.state == http.StateIdle {
-		l.idle--
+	if c.waiting != nil {
+		l.idle.Remove(c.waiting)
+		c.waiting = nil
 	}
-	c.state = state
 	switch state {
 	case http.StateNew:
+		c.counted = true
 		l.open++
 	case http.StateIdle:
-		l.idle++
+		c.idleSince = time.Now()
+		c.waiting = l.idle.PushBack(c)
 	case http.StateClosed, http.StateHijacked:
+		l.uncount(c)
+	}
+}
+
+// uncount takes a connection out of the open ones. The caller holds the lock.
+func (l *Listener) uncount(c *Conn) {
+	if c.counted {
+		c.counted = false
 		l.open--
 	}
 }
@@ -117,5 +157,57 @@
 func (l *Listener) Connections() (open, idle int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open, l.idle
+	return l.open, l.idle.Len()
+}
+
+// SetMost sets how many connections may be open before a new one makes an idle
+// one close; 0 means any number.
+func (l *Listener) SetMost(most int) {
+	l.mu.Lock()
+	l.most = most
+	l.mu.Unlock()
+	l.makeRoom(most)
+}
+
+func (l *Listener) mostOpen() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.most
+}
+
+// CloseIdle closes connections that have been idle for too long, and returns
+// their number.
+func (l *Listener) CloseIdle(longest time.Duration) int {
+	before := time.Now().Add(-longest)
+	return l.closeIdle(func(c *Conn, _ int) bool { return c.idleSince.Before(before) })
+}
+
+// makeRoom closes idle connections so that one more can be opened.
+func (l *Listener) makeRoom(most int) {
+	if most > 0 {
+		l.closeIdle(func(_ *Conn, open int) bool { return open >= most })
+	}
+}
+
+// closeIdle closes idle connections, the longest idle first, as long as due says
+// so, and returns their number. One that a request has reached stays open.
+func (l *Listener) closeIdle(due func(c *Conn, open int) bool) int {
+	l.mu.Lock()
+	var closed []*Conn
+	for e := l.idle.Front(); e != nil && due(e.Value.(*Conn), l.open); {
+		c := e.Value.(*Conn)
+		e = e.Next()
+		if c.readable() {
+			continue
+		}
+		l.idle.Remove(c.waiting)
+		c.waiting = nil
+		l.uncount(c)
+		closed = append(closed, c)
+	}
+	l.mu.Unlock()
+	for _, c := range closed {
+		_ = c.Close()
+	}
+	return len(closed)
 }
--- a/seamd/accepter/conn.go
+++ b/seamd/accepter/conn.go
@@ -1,10 +1,11 @@
 package accepter
 
 import (
+	"container/list"
 	"context"
 	"net"
-	"net/http"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -13,8 +14,12 @@
 type Conn struct {
 	*net.TCPConn
 	raw syscall.RawConn
-	// state belongs to the listener.
-	state http.ConnState
+	// counted means that the listener counts it among the open ones.
+	counted bool
+	// waiting is the place among the idle connections, or nil, and idleSince the
+	// start of that. All belong to the listener.
+	waiting   *list.Element
+	idleSince time.Time
 }
 
 func newConn(tcp *net.TCPConn) *Conn {
@@ -26,19 +31,25 @@
 	return &Conn{TCPConn: tcp, raw: raw}
 }
 
-// Left reports whether the other side has closed the connection, also while
-// bytes that it sent before are unread.
-func (c *Conn) Left() bool {
+// Left reports whether the connection is closed on either side, also while bytes
+// that were sent before are unread.
+func (c *Conn) Left() bool { return c.is(unix.POLLRDHUP) }
+
+// readable reports whether bytes or the other side's close are unread.
+func (c *Conn) readable() bool { return c.is(unix.POLLIN | unix.POLLRDHUP) }
+
+// is reports whether one of the conditions holds, or the connection has failed.
+func (c *Conn) is(conditions int16) bool {
 	if c.raw == nil {
 		return true
 	}
-	left := false
+	holds := false
 	err := c.raw.Control(func(fd uintptr) {
-		asked := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		asked := []unix.PollFd{{Fd: int32(fd), Events: conditions}}
 		n, err := unix.Poll(asked, 0)
-		left = err == nil && n > 0
+		holds = err == nil && n > 0
 	})
-	return err != nil || left
+	return err != nil || holds
 }
 
 type connKey struct{}
--- a/seamd/edger/edger.go
+++ b/seamd/edger/edger.go
@@ -163,6 +163,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	e.shareSockets()
 	e.log.Info("start", zap.String("zone", e.settings.Instance.Zone), zap.String("callers", e.settings.Listen.Callers),
 		zap.String("store", e.settings.Store), zap.Strings("peers", e.peers.addresses()))
 	for _, f := range e.follow() {
@@ -188,6 +189,9 @@
 	return nil
 }
 
+// socketCallers names the callers' socket in logs and metrics.
+const socketCallers = "callers"
+
 // server is an HTTP server and its listener.
 type server struct {
 	name     string
@@ -220,7 +224,7 @@
 		address string
 		handler http.Handler
 	}{
-		{"callers", e.settings.Listen.Callers, http.HandlerFunc(e.serveCaller)},
+		{socketCallers, e.settings.Listen.Callers, http.HandlerFunc(e.serveCaller)},
 		{"ready", e.settings.Listen.Ready, http.HandlerFunc(e.serveReady)},
 		{"lookups", e.settings.Listen.Lookups, http.HandlerFunc(e.serveLookup)},
 		{"peers", e.settings.Listen.Peers, peers},
@@ -274,6 +278,7 @@
 			last = now
 			e.update(conductor.Ticked{})
 			e.releaseGone(now)
+			e.shareSockets()
 			if now.Sub(pruned) > pruneEvery {
 				pruned = now
 				e.exchanger.Prune()
--- a/seamd/edger/edger_test.go
+++ b/seamd/edger/edger_test.go
@@ -141,7 +141,7 @@
 	at := func(n int) string { return fmt.Sprintf("127.0.0.%d:%s", r.instances, r.ports[n]) }
 	data := fmt.Sprintf(`{"instance":{"id":%q,"zone":"z"},"zones":{"z":"region-1"},
 	"listen":{"callers":%q,"ready":%q,"lookups":%q,"peers":%q,"metrics":%q},"store":%q,"seeds":["127.0.0.1:1"],
-	"bounds":{"retryRatio":0.2,"retryExtra":60,"grace":2}}`,
+	"bounds":{"retryRatio":0.2,"retryExtra":60,"grace":2},"descriptors":512}`,
 		id, at(0), at(1), at(2), at(3), at(4), r.address)
 	path := filepath.Join(r.t.TempDir(), "settings.json")
 	if err := os.WriteFile(path, []byte(data), 0o600); err != nil {
--- a/seamd/edger/left_test.go
+++ b/seamd/edger/left_test.go
@@ -80,3 +80,31 @@
 		t.Errorf("an answer that no endpoint gave: %s", got)
 	}
 }
+
+func TestIdleCallersDoNotUseUpTheDescriptors(t *testing.T) {
+	const callers, room = 300, 224
+	r := newRig(t)
+	r.configure("key-1", "a")
+	r.endpoint("i-1", "a", nil)
+	e := r.start("edge-1", &logSink{})
+	e.until(3*time.Second, "ready", e.ready)
+	for range callers {
+		conn := dialCaller(t, e)
+		write(t, conn, rawRequest("one"))
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+	}
+	resp, err := http.Get("http://" + e.settings.Listen.Metrics + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(resp.Body)
+	_, after, _ := strings.Cut(string(text), `seam_edge_connections_open{kind="callers"} `)
+	var open int
+	if _, err := fmt.Sscan(after, &open); err != nil || open > room {
+		t.Errorf("%d connections of callers are open, %d allowed: %v", open, room, err)
+	}
+}
--- a/seamd/edger/settings.go
+++ b/seamd/edger/settings.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"net"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"primroseseam.org/seam/coder"
@@ -24,6 +26,8 @@
 	Bounds BoundsSettings `json:"bounds"`
 	Log    LogSettings    `json:"log"`
 	Memory MemorySettings `json:"memory"`
+	// Descriptors is how many files and sockets the process may have open.
+	Descriptors int `json:"descriptors"`
 }
 
 // InstanceSettings says who and where the instance is.
@@ -75,6 +79,9 @@
 	defaultLookupTTL      = 5.0
 )
 
+// leastDescriptors leave some to callers beside what the instance needs itself.
+const leastDescriptors = 512
+
 // LoadSettings reads and checks a settings file. Errors carry
 // [coder.SettingsInvalid] and the path of the field at fault.
 func LoadSettings(path string) (Settings, error) {
@@ -113,6 +120,18 @@
 	if s.Bounds.LookupTTL == 0 {
 		s.Bounds.LookupTTL = defaultLookupTTL
 	}
+	if s.Descriptors == 0 {
+		s.Descriptors = descriptorLimit()
+	}
+}
+
+// descriptorLimit returns the process's own limit.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return leastDescriptors
+	}
+	return int(min(limit.Cur, math.MaxInt32))
 }
 
 func (s *Settings) check() error {
@@ -146,6 +165,9 @@
 			return invalid(path, "must not be negative")
 		}
 	}
+	if s.Descriptors < leastDescriptors {
+		return invalid("descriptors", "must be at least %d", leastDescriptors)
+	}
 	return nil
 }
 
--- a/seamd/edger/sockets.go
+++ b/seamd/edger/sockets.go
@@ -1,48 +1,126 @@
 package edger
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"primroseseam.org/seamd/accepter"
+)
+
+const (
+	// fileDescriptors are kept for what is no connection of callers or endpoints:
+	// files, listeners, the store and other instances.
+	fileDescriptors = 256
+	// spareSockets is the part of the sockets that stays free for what opens
+	// between two ticks.
+	spareSockets = 0.125
+	// endpointsIdlePart bounds the idle connections to all endpoints, and
+	// otherPart those at each socket that isn't the callers'; both are parts of
+	// the sockets.
+	endpointsIdlePart = 0.25
+	otherPart         = 0.0625
+	// leastCallers are left to callers whatever else is open.
+	leastCallers = 64
+	// shortageOver is how long after the last failure a shortage is over.
+	shortageOver = time.Second
 )
 
-// shortage tells once when the process has no descriptors left for new
-// connections, and once when it has some again.
+// socketShares say how many connections of a kind may be open before idle ones
+// close.
+type socketShares struct {
+	callers       int
+	others        int
+	endpointsIdle int
+}
+
+// shareSockets divides descriptors, of which the connections to endpoints and
+// at other sockets take elsewhere.
+func shareSockets(descriptors, elsewhere int) socketShares {
+	sockets := float64(descriptors - fileDescriptors)
+	return socketShares{
+		callers:       max(int(sockets*(1-spareSockets))-elsewhere, leastCallers),
+		others:        int(sockets * otherPart),
+		endpointsIdle: int(sockets * endpointsIdlePart),
+	}
+}
+
+// shareSockets closes connections that are idle for too long, or that others
+// need the room of.
+func (e *Edge) shareSockets() {
+	e.mu.Lock()
+	longest := e.model.Limits().IdleTimeout
+	e.mu.Unlock()
+	if longest <= 0 {
+		longest = idleTimeout
+	}
+	elsewhere, _ := e.exchanger.Connections()
+	for _, s := range e.servers {
+		open, _ := s.listener.Connections()
+		if s.name != socketCallers {
+			elsewhere += open
+		}
+	}
+	shares := shareSockets(e.settings.Descriptors, elsewhere)
+	e.exchanger.Trim(shares.endpointsIdle)
+	for _, s := range e.servers {
+		s.listener.CloseIdle(longest)
+		if s.name == socketCallers {
+			s.listener.SetMost(shares.callers)
+			continue
+		}
+		s.listener.SetMost(shares.others)
+	}
+	e.checkShortage(time.Now())
+}
+
+// shortage is a time in which the process has no descriptors left for new
+// connections.
 type shortage struct {
 	mu       sync.Mutex
 	since    time.Time
+	last     time.Time
 	failures int
 }
 
 // accepted takes how an attempt to accept a connection ended.
 func (e *Edge) accepted(socket string, err error) {
-	short := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-	if err != nil {
-		e.metrics.acceptFailed(socket)
+	if err == nil {
+		return
+	}
+	e.metrics.acceptFailed(socket)
+	if !accepter.IsShort(err) {
+		return
 	}
 	s := &e.short
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case short && s.since.IsZero():
-		s.since = time.Now()
-		s.failures = 1
+	s.last = time.Now()
+	s.failures++
+	if s.since.IsZero() {
+		s.since = s.last
 		e.log.Warn("descriptors: none left", append(e.openSockets(), zap.String("socket", socket))...)
-	case short:
-		s.failures++
-	case err == nil && !s.since.IsZero():
-		e.log.Warn("descriptors: some again", append(e.openSockets(), zap.Int("failures", s.failures),
-			zap.Duration("took", time.Since(s.since)))...)
-		s.since = time.Time{}
 	}
 }
 
+// checkShortage notes the end of a shortage.
+func (e *Edge) checkShortage(now time.Time) {
+	s := &e.short
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() || now.Sub(s.last) < shortageOver {
+		return
+	}
+	e.log.Warn("descriptors: some again", append(e.openSockets(), zap.Int("failures", s.failures),
+		zap.Duration("took", s.last.Sub(s.since)))...)
+	s.since = time.Time{}
+	s.failures = 0
+}
+
 // openSockets returns the open connections by kind, for the log.
 func (e *Edge) openSockets() []zap.Field {
 	open, idle := e.exchanger.Connections()
--- a/seamd/exchanger/exchanger.go
+++ b/seamd/exchanger/exchanger.go
@@ -100,6 +100,14 @@
 // Prune closes connections that have been idle too long.
 func (x *Exchanger) Prune() { x.pool.prune(time.Now()) }
 
+// Trim closes idle connections, the longest idle first, until no more than most
+// are left.
+func (x *Exchanger) Trim(most int) {
+	if over := x.pool.count() - most; over > 0 {
+		x.pool.dropOldest(over)
+	}
+}
+
 // Connected reports whether a connection to an address is open and may carry a
 // request, which may run only once if once is set.
 func (x *Exchanger) Connected(address string, once bool) bool {
--- a/seamd/exchanger/exchanger_test.go
+++ b/seamd/exchanger/exchanger_test.go
@@ -263,3 +263,25 @@
 		}
 	}
 }
+
+func TestIdleConnectionsToAllEndpointsAreBounded(t *testing.T) {
+	x := exchanger.New()
+	answer := func(c net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(c, ok(r.Header.Get(idHeader), "a"))
+		return err == nil
+	}
+	var last *endpoint
+	for range 6 {
+		last = listen(t, answer)
+		if a := x.Do(context.Background(), call(last, "1")); a.Err != nil {
+			t.Fatal(a.Err)
+		}
+	}
+	x.Trim(2)
+	if open, idle := x.Connections(); open != 2 || idle != 2 {
+		t.Errorf("%d are open and %d idle, 2 allowed", open, idle)
+	}
+	if !x.Connected(last.address, false) {
+		t.Error("the last one used was closed")
+	}
+}
--- a/seamd/exchanger/pool.go
+++ b/seamd/exchanger/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -169,6 +170,25 @@
 	}
 }
 
+// dropOldest closes the n connections that have been idle the longest.
+func (p *pool) dropOldest(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []*conn
+	for _, list := range p.idle {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b *conn) int { return a.usedAt.Compare(b.usedAt) })
+	oldest := map[*conn]bool{}
+	for _, c := range all[:min(n, len(all))] {
+		oldest[c] = true
+		_ = c.Close()
+	}
+	for address, list := range p.idle {
+		p.idle[address] = slices.DeleteFunc(list, func(c *conn) bool { return oldest[c] })
+	}
+}
+
 // drop closes all idle connections to an address.
 func (p *pool) drop(address string) {
 	p.mu.Lock()
