Bound what is read of bytes that are no answer

What users would see: an endpoint in trouble that sends bytes without end takes an entry instance with it.

Cause, one class in four places, reading that ends only with the other side: the head of an answer was read without a bound (0.4 to 1.1 GB in 5 s to 7 s, where an instance has 284 MB); the body of another request's answer was skipped without a bound (1.9 to 2.5 GB); an answer that was not delivered (no signature, not run, or replaced by a later attempt's) kept its connection and the endpoint sending; and bytes after a whole answer filled the idle connection until it was due.

Now a head may take 64 KiB, a foreign answer 256 KiB, the end of each use of an answer closes what is left of it, and idle connections on which anything came close within a second.

A caller who leaves within a body without end ends it within 0.5 s.

--- a/seamd/edger/callers.go
+++ b/seamd/edger/callers.go
@@ -42,7 +42,8 @@
 	body    []byte
 	rest    io.Reader
 	length  int64
-	// held is an endpoint's failure that is given if nothing better comes.
+	// held is the last proper answer of an endpoint, given if nothing better
+	// comes.
 	held *exchanger.Answer
 	team string
 	last conductor.Send
@@ -72,6 +73,7 @@
 	if accepter.Left(r.Context()) {
 		e.abandon(x, leftBeforeSend)
 	}
+	defer func() { closeTail(x.held) }()
 	answered := e.carry(w, x, e.update(msg))
 	e.update(conductor.RequestEnded{ID: x.id})
 	if !answered {
@@ -249,11 +251,26 @@
 		e.metrics.farBytes.Add(len(x.body) + len(answer.Body))
 	}
 	if outcome.Answered && !outcome.NotRun {
-		x.held = &answer
+		x.hold(&answer)
+	} else {
+		closeTail(&answer)
 	}
 	return e.update(conductor.AttemptEnded{ID: x.id, Outcome: outcome})
 }
 
+// hold keeps an answer in place of the one before.
+func (x *exchange) hold(a *exchanger.Answer) {
+	closeTail(x.held)
+	x.held = a
+}
+
+// closeTail ends what follows an answer that nobody will read. a may be nil.
+func closeTail(a *exchanger.Answer) {
+	if a != nil && a.Close != nil {
+		a.Close()
+	}
+}
+
 // judge says what an answer means.
 func (e *Edge) judge(x *exchange, a exchanger.Answer) conductor.Outcome {
 	o := conductor.Outcome{Connect: a.Connect}
@@ -284,11 +301,8 @@
 	}
 	w.WriteHeader(a.Status)
 	_, err := w.Write(a.Body)
-	if a.Tail != nil {
-		defer a.Close()
-		if err == nil {
-			_, err = io.Copy(w, a.Tail)
-		}
+	if a.Tail != nil && err == nil {
+		_, err = io.Copy(w, a.Tail)
 	}
 	took := time.Since(x.arrived)
 	e.metrics.answered(coder.OK.String(), a.Status, x.team, took.Seconds())
--- a/seamd/edger/left_test.go
+++ b/seamd/edger/left_test.go
@@ -108,3 +108,63 @@
 		t.Errorf("%d connections of callers are open, %d allowed: %v", open, room, err)
 	}
 }
+
+// pourer returns an endpoint's answer without end, and a channel that tells when
+// the connection was closed.
+func pourer(header http.Header, status int) (http.HandlerFunc, <-chan struct{}) {
+	closed := make(chan struct{}, 8)
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del("X-Response-Signature")
+		for name, values := range header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(status)
+		block := strings.Repeat("a", 16<<10)
+		for {
+			if _, err := io.WriteString(w, block); err != nil {
+				closed <- struct{}{}
+				return
+			}
+		}
+	}, closed
+}
+
+func TestBodiesWithoutEndEndWithTheirUse(t *testing.T) {
+	signed := http.Header{"X-Response-Signature": {"s"}}
+	for name, c := range map[string]struct {
+		header http.Header
+		status int
+		// leave means that the caller leaves while it reads.
+		leave bool
+		want  string
+	}{
+		"no signature":           {http.Header{}, http.StatusOK, false, "HTTP/1.1 502"},
+		"not run":                {http.Header{"X-Not-Executed": {"1"}}, http.StatusServiceUnavailable, false, "HTTP/1.1 503"},
+		"the caller leaves":      {signed, http.StatusOK, true, "HTTP/1.1 200"},
+		"a failure, then leaves": {signed, http.StatusInternalServerError, true, "HTTP/1.1 500"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure("key-1", "a")
+			answer, closed := pourer(c.header, c.status)
+			r.endpoint("i-1", "a", answer)
+			e := r.start("edge-1", &logSink{})
+			e.until(3*time.Second, "ready", e.ready)
+			conn := dialCaller(t, e)
+			write(t, conn, rawRequest("one"))
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			got := make([]byte, 12)
+			if _, err := io.ReadFull(conn, got); err != nil || string(got) != c.want {
+				t.Errorf("got %q, %v", got, err)
+			}
+			if c.leave {
+				_ = conn.Close()
+			}
+			select {
+			case <-closed:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the endpoint still sends")
+			}
+		})
+	}
+}
--- a/seamd/exchanger/exchanger.go
+++ b/seamd/exchanger/exchanger.go
@@ -18,6 +18,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +30,9 @@
 // is passed on, so that a broken one never reaches a caller.
 const heldMost = 256 << 10
 
+// headMost is the most bytes that are read to find the head of an answer.
+const headMost = 64 << 10
+
 // extraMost is the number of answers to other requests that are passed over.
 const extraMost = 3
 
@@ -195,10 +199,12 @@
 func (x *Exchanger) read(c *conn, call Call) (Answer, *http.Response, error) {
 	request := &http.Request{Method: call.Method}
 	for extra := 0; extra <= extraMost; extra++ {
+		c.input.N = headMost
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return Answer{}, nil, fmt.Errorf("read answer: %w", err)
 		}
+		c.input.N = math.MaxInt64
 		if response.StatusCode/100 == 1 {
 			continue
 		}
@@ -209,9 +215,8 @@
 		id := response.Header.Get(call.IDHeader)
 		if id != "" && id != call.RequestID {
 			// It belongs to an earlier request; ours is still to come.
-			response.Close = true
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
-				return Answer{}, nil, fmt.Errorf("read an answer to another request: %w", err)
+			if len(body) == heldMost {
+				return Answer{}, nil, ErrMisframed
 			}
 			continue
 		}
--- a/seamd/exchanger/pool.go
+++ b/seamd/exchanger/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -37,6 +38,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// input bounds what reader takes from the connection.
+	input *io.LimitedReader
 	// usable is how long the connection may be idle, usedAt when it last
 	// brought an answer.
 	usable time.Duration
@@ -150,14 +153,15 @@
 	return n
 }
 
-// prune closes connections that have been idle too long.
+// prune closes connections that have been idle too long, or on which anything
+// came.
 func (p *pool) prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.usedAt) > c.usable {
+			if now.Sub(c.usedAt) > c.usable || !c.quiet() {
 				_ = c.Close()
 				continue
 			}
@@ -211,8 +215,9 @@
 		x.open.Add(-1)
 		return nil, err
 	}
+	input := &io.LimitedReader{R: opened, N: headMost}
 	return &conn{
-		Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), usable: keptIdle,
+		Conn: opened, reader: bufio.NewReaderSize(input, readBuffer), input: input, usable: keptIdle,
 		usedAt: time.Now(), connect: time.Since(start), open: &x.open,
 	}, nil
 }
