Send nothing for callers who have left in seamd run either

Callers see nothing of it, upstreams work for nobody.

Such a request now gets the refusal CallerGone, which says that it was not run, as those get whose caller leaves in the queue. The question is the one that edge instances ask, passed through the wrappers of TLS and of the request's head.

--- a/seamd/accepter/conn.go
+++ b/seamd/accepter/conn.go
@@ -56,7 +56,22 @@
 
 // Context is an [http.Server]'s ConnContext; [Left] needs it.
 func Context(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, accepted(conn))
+}
+
+// accepted returns the connection below those that are wrapped around it, or nil
+// if it was not accepted here.
+func accepted(conn net.Conn) *Conn {
+	for {
+		switch c := conn.(type) {
+		case *Conn:
+			return c
+		case interface{ NetConn() net.Conn }:
+			conn = c.NetConn()
+		default:
+			return nil
+		}
+	}
 }
 
 // Left reports whether the caller of a request has closed its connection. ctx is
@@ -65,6 +80,6 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	c, ok := ctx.Value(connKey{}).(*Conn)
-	return ok && c.Left()
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c != nil && c.Left()
 }
--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -13,6 +13,7 @@
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/forwarder"
 )
 
@@ -40,7 +41,7 @@
 			}
 		},
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(accepter.Context(ctx, c), connKey{}, c)
 		},
 	}
 }
@@ -78,6 +79,10 @@
 		refuse(w, decider.Refuse{Code: coder.RequestMalformed})
 		return
 	}
+	if accepter.Left(r.Context()) {
+		refuse(w, decider.Refuse{Code: coder.CallerGone})
+		return
+	}
 	name := r.Header.Get(forwarder.HeaderName)
 	home, err := d.homeOf(name)
 	if err != nil {
--- a/seamd/daemon/heads.go
+++ b/seamd/daemon/heads.go
@@ -38,6 +38,9 @@
 	done bool
 }
 
+// NetConn returns the connection below.
+func (c *headConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *headConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
