Take an instance's own cut from the store for no outage of it

Cause: entries that expire while the store is away come back within 2 s of its return, so a removal seen in that time is held. "Away" meant that this instance's own call had failed. A cut of the instance alone, and even a single slow call, thus held removals for 2 s, though the store answered all others and nothing had expired. The instance logs show it: 41 endpoints at position 69, 40 elsewhere.

Now an outage is a time in which the store answered nobody, 2 s at least, as the heartbeats tell. The other way round it also counts for an instance that did not ask itself while the store was away; it had dropped such entries at once.

--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -85,7 +85,8 @@
 	Objects  map[string]Object
 	// Removed lists what went since the view before.
 	Removed []string
-	// Regained is when the store answered again after it had not, or zero.
+	// Regained is when the store answered again after it had answered no instance
+	// for a time, or zero.
 	Regained time.Time
 	// Told means that another instance gave this view, not the store.
 	Told bool
@@ -135,6 +136,9 @@
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 150 * time.Millisecond
 	retryMax = 1200 * time.Millisecond
+	// outageLeast is how long the store must have answered nobody for an outage.
+	// It is longer than the time between two checks by the whole fleet.
+	outageLeast = 2 * time.Second
 	// removedKept is the number of removed names that are remembered.
 	removedKept = 4096
 )
@@ -160,7 +164,10 @@
 	changed   uint64
 	checked   time.Time
 	reachable bool
-	removed   []removal
+	// answeredAt is when the store last answered any instance, as far as is
+	// known.
+	answeredAt time.Time
+	removed    []removal
 	// forgotten is the position up to which removals are no longer known.
 	forgotten uint64
 }
@@ -302,6 +309,10 @@
 func (f *Follower) Hear(s State, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	at := now.Add(-s.Age)
+	if s.Position > 0 {
+		f.storeAnswered(at)
+	}
 	if s.Position < f.view.Position || s.Position == 0 {
 		return false
 	}
@@ -309,7 +320,7 @@
 		return true
 	}
 	f.view.Position = s.Position
-	if at := now.Add(-s.Age); at.After(f.checked) {
+	if at.After(f.checked) {
 		f.checked = at
 	}
 	return false
@@ -465,14 +476,25 @@
 // answered notes that the store answered.
 func (f *Follower) answered() {
 	f.checked = time.Now()
+	f.storeAnswered(f.checked)
 	if f.reachable {
 		return
 	}
 	f.reachable = true
-	f.view.Regained = f.checked
 	f.report(f.kind, nil)
 }
 
+// storeAnswered notes that the store answered some instance at a time.
+func (f *Follower) storeAnswered(at time.Time) {
+	if !at.After(f.answeredAt) {
+		return
+	}
+	if !f.answeredAt.IsZero() && at.Sub(f.answeredAt) > outageLeast {
+		f.view.Regained = at
+	}
+	f.answeredAt = at
+}
+
 // lost notes that the store didn't answer.
 func (f *Follower) lost(err error) {
 	f.mu.Lock()
