Give edge instances a program of their own

`seamd edge` is now `seamedge run`. The accepter, used by both daemons, moves to seam, the command line's common part becomes seam/launcher, and fields of messages that nothing read go.

--- a/seamd/accepter/accepter_test.go
+++ b/seam/accepter/accepter_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"primroseseam.org/seamd/accepter"
+	"primroseseam.org/seam/accepter"
 )
 
 // serve starts a server behind a listener and returns the listener.
--- a/seam/conductor/beats.go
+++ b/seam/conductor/beats.go
@@ -102,7 +102,7 @@
 // common returns what all heartbeats hold.
 func (m *Model) common(now time.Time) Beat {
 	return Beat{
-		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(), Config: m.Version(), Fleet: uint32(m.told),
+		ID: m.id, Region: m.region, Zone: m.zone, Leaving: !m.stopping.IsZero(), Fleet: uint32(m.told),
 		Loads: m.board.Loads(), Rests: m.board.Rests(now), Keeps: m.board.Keeps(),
 	}
 }
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -80,8 +80,6 @@
 	Status   int
 	// NotRun means that the request is known not to have run.
 	NotRun bool
-	// Misdirected means that another endpoint has the address.
-	Misdirected bool
 	// Unreachable means that no connection could be opened, Refused that this
 	// was the other side's answer.
 	Unreachable bool
@@ -90,8 +88,6 @@
 	TimedOut bool
 	// Left means that the caller left.
 	Left bool
-	// Begun means that a part of the answer is with the caller.
-	Begun bool
 	// Connect is how long a new connection took, or 0.
 	Connect time.Duration
 }
@@ -163,9 +159,7 @@
 	// Fleet is the number of instances that it knows of, if it was told.
 	Fleet uint32
 	// Blind means that the store doesn't answer this instance.
-	Blind bool
-	// Config is the version in force.
-	Config  uint64
+	Blind   bool
 	Loads   []placer.Load
 	Touches []placer.Touch
 	Demand  []Demand
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -208,7 +208,7 @@
 		r.mayHaveRun = true
 	}
 	switch {
-	case o.Left || o.Begun:
+	case o.Left:
 		m.forget(r.id)
 		return nil
 	case o.Good():
--- a/seam/conductor/requests_test.go
+++ b/seam/conductor/requests_test.go
@@ -54,7 +54,7 @@
 		"time is over":              {false, conductor.Outcome{TimedOut: true}, false, http.StatusGatewayTimeout},
 		"time is over, idempotent":  {true, conductor.Outcome{TimedOut: true}, false, http.StatusGatewayTimeout},
 		"endpoint says not run":     {false, conductor.Outcome{Answered: true, Status: 503, NotRun: true}, true, 0},
-		"another endpoint is there": {false, conductor.Outcome{Answered: true, Status: 421, NotRun: true, Misdirected: true}, true, 0},
+		"another endpoint is there": {false, conductor.Outcome{Answered: true, Status: 421, NotRun: true}, true, 0},
 		"nobody listens":            {false, conductor.Outcome{NotRun: true, Unreachable: true, Refused: true}, true, 0},
 	} {
 		m := newModel(oneRoute(c.idempotent), nil)
--- /dev/null
+++ b/seam/launcher/launcher.go
@@ -0,0 +1,58 @@
+// Package launcher runs the command line of a daemon and says how it ended.
+//
+// # Usage
+//
+//	os.Exit(launcher.Execute(ctx, root, os.Args[1:], os.Stdout, os.Stderr))
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"primroseseam.org/seam/coder"
+)
+
+// Exit codes of a daemon; docs/OPERATIONS.md lists them.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Execute runs a command line, prints its error, if there is one, and returns the
+// process's exit code.
+func Execute(ctx context.Context, root *cobra.Command, args []string, stdout, stderr io.Writer) int {
+	root.SilenceUsage = true
+	root.SilenceErrors = true
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintf(stderr, "%s: %v\n", root.Name(), err)
+	if coder.Of(err) == coder.SettingsInvalid {
+		return exitSettings
+	}
+	return exitFailed
+}
+
+// CheckCommand returns the command that checks a settings file without starting.
+func CheckCommand(load func(path string) error) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := load(args[0]); err != nil {
+				return err
+			}
+			cmd.Println("settings are valid")
+			return nil
+		},
+	}
+}
--- a/seamctl/commander/soak.go
+++ b/seamctl/commander/soak.go
@@ -39,7 +39,7 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return runSoak(cmd, f) },
 	}
-	cmd.Flags().StringVar(&f.binary, "seamd", "", "path of the daemon's program (required)")
+	cmd.Flags().StringVar(&f.binary, "seamedge", "", "path of the program seamedge (required)")
 	cmd.Flags().Uint64Var(&f.seed, "seed", 1, "first seed")
 	cmd.Flags().Uint64Var(&f.seeds, "seeds", 1, "number of seeds, one after the other")
 	cmd.Flags().DurationVar(&f.duration, "duration", 15*time.Second, "how long faults happen for each seed")
@@ -50,7 +50,7 @@
 
 func runSoak(cmd *cobra.Command, f soakFlags) error {
 	if f.binary == "" || f.seeds == 0 || f.duration <= 0 || f.instances < 2 {
-		return coder.Errorf(coder.ArgumentInvalid, "soak", "needs --seamd, and at least one seed, two instances and some time")
+		return coder.Errorf(coder.ArgumentInvalid, "soak", "needs --seamedge, and at least one seed, two instances and some time")
 	}
 	broken := false
 	for n := range f.seeds {
--- a/seamctl/soaker/instance.go
+++ b/seamctl/soaker/instance.go
@@ -99,7 +99,7 @@
 	if i.process != nil {
 		return nil
 	}
-	cmd := exec.Command(i.soak.binary, "edge", "--settings", i.settings)
+	cmd := exec.Command(i.soak.binary, "run", "--settings", i.settings)
 	cmd.Stdout = i.soak.output
 	cmd.Stderr = i.soak.output
 	if err := cmd.Start(); err != nil {
--- a/seamd/commander/commander.go
+++ b/seamd/commander/commander.go
@@ -7,50 +7,24 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log"
-	"os"
 	"strings"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/launcher"
 	"primroseseam.org/seamd/daemon"
-	"primroseseam.org/seamd/edger"
 	"primroseseam.org/seamd/loader"
 )
 
-// Exit codes of the daemon; docs/OPERATIONS.md lists them.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitSettings = 2
-)
-
 // Execute runs the command line and returns the process's exit code.
 func Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	root := &cobra.Command{
-		Use:           "seamd",
-		Short:         "seamd is an entry instance of primroseseam",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	root.SetArgs(args)
-	root.SetOut(stdout)
-	root.SetErr(stderr)
-	root.AddCommand(runCommand(stderr), edgeCommand(stdout), settingsCommand())
-	err := root.ExecuteContext(ctx)
-	if err == nil {
-		return exitOK
-	}
-	_, _ = fmt.Fprintln(stderr, "seamd:", err)
-	if coder.Of(err) == coder.SettingsInvalid {
-		return exitSettings
-	}
-	return exitFailed
+	root := &cobra.Command{Use: "seamd", Short: "seamd is an entry instance of primroseseam"}
+	root.AddCommand(runCommand(stderr), settingsCommand())
+	return launcher.Execute(ctx, root, args, stdout, stderr)
 }
 
 func runCommand(stderr io.Writer) *cobra.Command {
@@ -79,44 +53,12 @@
 	return cmd
 }
 
-// settingsVariable names the settings file of an edge instance if no flag does.
-const settingsVariable = "PRIMROSESEAM_SETTINGS"
-
-func edgeCommand(stdout io.Writer) *cobra.Command {
-	var path string
-	cmd := &cobra.Command{
-		Use:   "edge",
-		Short: "Serve on the users' platform until SIGTERM, then shut down gracefully",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := edger.LoadSettings(path)
-			if err != nil {
-				return err
-			}
-			return edger.New(settings, stdout, edger.WithSettingsFile(path)).Run(cmd.Context())
-		},
-	}
-	cmd.Flags().StringVar(&path, "settings", os.Getenv(settingsVariable), "settings file")
-	return cmd
-}
-
 func settingsCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "settings", Short: "Work with settings files"}
-	var edge bool
-	check := &cobra.Command{
-		Use:   "check FILE",
-		Short: "Check a settings file",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := checkSettings(args[0], edge); err != nil {
-				return err
-			}
-			cmd.Println("settings are valid")
-			return nil
-		},
-	}
-	check.Flags().BoolVar(&edge, "edge", false, "the file is that of an edge instance")
-	parent.AddCommand(check)
+	parent.AddCommand(launcher.CheckCommand(func(path string) error {
+		_, err := loader.Load(path)
+		return err
+	}))
 	return parent
 }
 
@@ -143,13 +85,3 @@
 	l.log.Warn("daemon: library says", zap.String("line", line))
 	return len(p), nil
 }
-
-// checkSettings checks the settings of an instance, or of an edge instance.
-func checkSettings(path string, edge bool) error {
-	if edge {
-		_, err := edger.LoadSettings(path)
-		return err
-	}
-	_, err := loader.Load(path)
-	return err
-}
--- a/seamd/daemon/callers.go
+++ b/seamd/daemon/callers.go
@@ -10,10 +10,10 @@
 	"strconv"
 	"time"
 
+	"primroseseam.org/seam/accepter"
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/decider"
-	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/forwarder"
 )
 
--- a/seamd/daemon/daemon.go
+++ b/seamd/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"primroseseam.org/seam/accepter"
 	"primroseseam.org/seam/authenticator"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
@@ -29,7 +30,6 @@
 	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
 	"primroseseam.org/seam/ticketer"
-	"primroseseam.org/seamd/accepter"
 	"primroseseam.org/seamd/forwarder"
 	"primroseseam.org/seamd/loader"
 )
--- a/seamd/daemon/metrics_test.go
+++ b/seamd/daemon/metrics_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	edge, err := filepath.Glob("../edger/*.go")
+	edge, err := filepath.Glob("../../seamedge/edger/*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/seamd/main.go
+++ b/seamd/main.go
@@ -16,7 +16,6 @@
 )
 
 func main() {
-	holdHangups()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
@@ -24,8 +23,3 @@
 	stop()
 	os.Exit(code)
 }
-
-// holdHangups keeps SIGHUP from ending the process before and after an instance
-// listens for it. One that comes before needs nothing: the settings are read
-// after this.
-func holdHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
--- a/seamd/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -14,11 +14,11 @@
 	"go.uber.org/zap"
 
 	"primroseseam.org/platform"
+	"primroseseam.org/seam/accepter"
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
-	"primroseseam.org/seamd/accepter"
-	"primroseseam.org/seamd/exchanger"
+	"primroseseam.org/seamedge/exchanger"
 )
 
 const (
@@ -282,8 +282,7 @@
 		return o
 	}
 	o.Status = a.Status
-	o.Misdirected = a.Status == http.StatusMisdirectedRequest
-	o.NotRun = o.Misdirected || a.Header.Get(platform.HeaderNotRun) != ""
+	o.NotRun = a.Status == http.StatusMisdirectedRequest || a.Header.Get(platform.HeaderNotRun) != ""
 	// A success without the endpoint's signature is none.
 	o.Answered = a.Status/100 != 2 || a.Header.Get(platform.HeaderSignature) != ""
 	return o
@@ -371,7 +370,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if !e.ready.Load() || e.stopping.Load() {
+	if !e.able.Load() || e.stopping.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/seamd/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -26,12 +26,12 @@
 	"go.uber.org/zap"
 
 	"primroseseam.org/platform"
+	"primroseseam.org/seam/accepter"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/dialer"
 	"primroseseam.org/seam/follower"
-	"primroseseam.org/seamd/accepter"
-	"primroseseam.org/seamd/exchanger"
-	"primroseseam.org/seamd/heartbeater"
+	"primroseseam.org/seamedge/exchanger"
+	"primroseseam.org/seamedge/heartbeater"
 )
 
 const (
@@ -74,14 +74,16 @@
 	servers  []server
 	short    shortage
 
-	mu       sync.Mutex
-	model    *conductor.Model
-	roster   *roster
-	serial   uint64
-	peers    *peerBook
-	ids      atomic.Uint64
-	serving  atomic.Int64
-	ready    atomic.Bool
+	mu      sync.Mutex
+	model   *conductor.Model
+	roster  *roster
+	serial  uint64
+	peers   *peerBook
+	ids     atomic.Uint64
+	serving atomic.Int64
+	// able means that the instance has had what it needs to serve, stopping that
+	// it was told to stop, and closing that it refuses what arrives now.
+	able     atomic.Bool
 	stopping atomic.Bool
 	closing  atomic.Bool
 }
--- a/seamd/edger/edger_test.go
+++ b/seamedge/edger/edger_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"primroseseam.org/seamd/edger"
+	"primroseseam.org/seamedge/edger"
 	"primroseseam.org/standin/objectkeeper"
 )
 
--- a/seamd/edger/follow.go
+++ b/seamedge/edger/follow.go
@@ -56,7 +56,7 @@
 	e.mu.Unlock()
 	e.log.Info("configuration: seen", zap.Uint64("version", config.Version()), zap.Uint64("before", before),
 		zap.Uint64("inForce", after), zap.Uint64("position", v.Position))
-	e.checkReady()
+	e.checkAble()
 	e.tellAll(v)
 }
 
@@ -70,7 +70,7 @@
 		e.log.Warn("endpoint: entry not used", zap.Error(err))
 	}
 	e.log.Info("endpoints: seen", zap.Int("count", count), zap.Strings("removed", v.Removed), zap.Uint64("position", v.Position))
-	e.checkReady()
+	e.checkAble()
 	e.tellAll(v)
 }
 
@@ -99,15 +99,12 @@
 	e.tellAll(v)
 }
 
-// checkReady makes the instance ready once it can serve, unless it stops.
-func (e *Edge) checkReady() {
-	if e.stopping.Load() {
-		return
-	}
+// checkAble notes when the instance has what it needs to serve.
+func (e *Edge) checkAble() {
 	e.mu.Lock()
 	able := e.model.Version() > 0 && len(e.roster.endpoints) > 0
 	e.mu.Unlock()
-	if able && e.ready.CompareAndSwap(false, true) {
+	if able && e.able.CompareAndSwap(false, true) {
 		e.log.Info("ready")
 	}
 }
--- a/seamd/edger/news.go
+++ b/seamedge/edger/news.go
@@ -10,7 +10,7 @@
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/follower"
 	"primroseseam.org/seam/waiter"
-	"primroseseam.org/seamd/heartbeater"
+	"primroseseam.org/seamedge/heartbeater"
 )
 
 const (
--- a/seamd/edger/news_test.go
+++ b/seamedge/edger/news_test.go
@@ -12,7 +12,7 @@
 	"primroseseam.org/platform"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/follower"
-	"primroseseam.org/seamd/heartbeater"
+	"primroseseam.org/seamedge/heartbeater"
 )
 
 // fakePeer answers calls for copies slowly and notes them.
--- a/seamd/edger/sockets.go
+++ b/seamedge/edger/sockets.go
@@ -9,7 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
-	"primroseseam.org/seamd/accepter"
+	"primroseseam.org/seam/accepter"
 )
 
 const (
--- a/seamd/edger/stop.go
+++ b/seamedge/edger/stop.go
@@ -31,7 +31,6 @@
 	start := time.Now()
 	grace := duration(e.settings.Bounds.Grace)
 	e.stopping.Store(true)
-	e.ready.Store(false)
 	e.update(conductor.StopRequested{})
 	e.log.Info("stop: requested", zap.Int64("requests", e.serving.Load()))
 	for range goodbyes {
--- a/seamd/exchanger/endless_test.go
+++ b/seamedge/exchanger/endless_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"primroseseam.org/seamd/exchanger"
+	"primroseseam.org/seamedge/exchanger"
 )
 
 // pour writes a beginning and then a piece again and again until the other side
--- a/seamd/exchanger/exchanger_test.go
+++ b/seamedge/exchanger/exchanger_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"primroseseam.org/seamd/exchanger"
+	"primroseseam.org/seamedge/exchanger"
 )
 
 const idHeader = "Request-Id"
--- a/seamd/heartbeater/heartbeater_test.go
+++ b/seamedge/heartbeater/heartbeater_test.go
@@ -10,7 +10,7 @@
 
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
-	"primroseseam.org/seamd/heartbeater"
+	"primroseseam.org/seamedge/heartbeater"
 )
 
 // beatOf returns a heartbeat of an instance that is busy at some endpoints and
@@ -18,7 +18,7 @@
 func beatOf(endpoints, teams int) conductor.Beat {
 	b := conductor.Beat{
 		ID: "front-zone-1", Started: 1785827165229, Serial: 7, Region: "region-1", Zone: "zone-1", Callers: "10.1.0.1:8000",
-		Peers: "10.1.0.1:7400", Fleet: 10, Config: 12,
+		Peers: "10.1.0.1:7400", Fleet: 10,
 		States: []conductor.KindState{{Kind: "config", Position: 9, Changed: 8, AgeMs: 300}},
 		Rests:  []placer.Rest{{Endpoint: 5, Returned: true, ForMs: 3000}},
 		Keeps:  []placer.Keep{{Service: 3, Tenths: 180}},
--- a/seamd/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -29,7 +29,6 @@
 	Leaving bool
 	Fleet   uint32
 	Blind   bool
-	Config  uint64
 	Whole   bool
 	News    bool
 	Loads   []placer.Load
@@ -44,7 +43,7 @@
 // encode encodes a heartbeat.
 func encode(b conductor.Beat) ([]byte, error) {
 	m := message{
-		Serial: b.Serial, Leaving: b.Leaving, Fleet: b.Fleet, Blind: b.Blind, Config: b.Config, Whole: b.Whole, News: b.News,
+		Serial: b.Serial, Leaving: b.Leaving, Fleet: b.Fleet, Blind: b.Blind, Whole: b.Whole, News: b.News,
 		Loads: b.Loads, Touches: b.Touches, Demand: b.Demand, Rests: b.Rests, Keeps: b.Keeps, States: b.States, Known: b.Known,
 	}
 	if b.Whole || b.News {
@@ -95,7 +94,7 @@
 	}
 	return conductor.Beat{
 		ID: who.ID, Started: who.Started, Region: who.Region, Zone: who.Zone, Callers: who.Callers, Peers: who.Peers,
-		Serial: m.Serial, Leaving: m.Leaving, Fleet: m.Fleet, Blind: m.Blind, Config: m.Config, Whole: m.Whole, News: m.News,
+		Serial: m.Serial, Leaving: m.Leaving, Fleet: m.Fleet, Blind: m.Blind, Whole: m.Whole, News: m.News,
 		Loads: m.Loads, Touches: m.Touches, Demand: m.Demand, Rests: m.Rests, Keeps: m.Keeps, States: m.States, Known: m.Known,
 	}, true
 }
