Keep one token bucket

The ledger's tests and the replayer had a bucket of their own, which did what rationer.Bucket does. That one now starts with a constructor instead of a call that could be left out, and says what it keeps. A clock that goes back adds no tokens (TestAClockThatGoesBackAddsNothing).

--- a/seam/allocator/figures_test.go
+++ b/seam/allocator/figures_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primroseseam.org/seam/faker"
+	"primroseseam.org/seam/rationer"
 )
 
 // outageLength is how long the store is down in the test of an outage.
@@ -80,15 +81,15 @@
 
 func TestDemandJumpsBetweenInstances(t *testing.T) {
 	checkRefusals(t, func(f *fleet) (*caller, tally) {
-		split := make([]*Bucket, len(f.nodes))
+		split := make([]rationer.Bucket, len(f.nodes))
 		for i := range split {
-			split[i] = NewBucket(12, 12, 12, f.world.Now())
+			split[i] = rationer.NewBucket(f.world.Now(), 12, 12, 12)
 		}
 		refusedBySplit := 0
 		c := newCaller(f, nil)
 		c.at = func(d time.Duration) *node {
 			i := int(d/(5*time.Second)) * 7 % 10
-			if !split[i].Take(f.world.Now(), 1) {
+			if !split[i].Take(f.world.Now()) {
 				refusedBySplit++
 			}
 			return f.nodes[i]
--- a/seam/conductor/rates.go
+++ b/seam/conductor/rates.go
@@ -152,9 +152,11 @@
 		m.teams[name] = t
 		m.byHash[t.hash] = t
 		team := m.config.Teams()[name]
-		t.fleet.Start(now, startPart*team.Burst)
-		t.part.Start(now, startPart*team.Burst*rationer.Part(m.fleet(), 0, 0))
-		t.setRate(now, team, m.fleet(), 0)
+		fleet := m.fleet()
+		left := startPart * team.Burst
+		t.fleet = rationer.NewBucket(now, team.Rate, team.Burst, left)
+		t.part = rationer.NewBucket(now, team.Rate, team.Burst, left*rationer.Part(fleet, 0, 0))
+		t.setRate(now, team, fleet, 0)
 	}
 	return t
 }
@@ -166,7 +168,8 @@
 	if !ok {
 		r = &retryState{}
 		extra := m.bounds.RetryExtra / float64(max(m.fleet().Known, minFleet))
-		r.bucket.SetRate(now, 0, max(extra*extraUsed, 1))
+		burst := max(extra*extraUsed, 1)
+		r.bucket = rationer.NewBucket(now, 0, burst, burst)
 		m.retries[service] = r
 	}
 	return r
--- a/seam/rationer/rationer.go
+++ b/seam/rationer/rationer.go
@@ -49,7 +49,8 @@
 	return part + (1-staticHalf)*byDemand
 }
 
-// Bucket is a token bucket.
+// Bucket is a token bucket. Over every window it gives at most its rate times the
+// window plus its burst. It is not safe for concurrent use.
 type Bucket struct {
 	rate   float64
 	burst  float64
@@ -59,15 +60,13 @@
 	at   time.Time
 }
 
-// Start gives a new bucket its first tokens.
-func (b *Bucket) Start(now time.Time, tokens float64) {
-	b.tokens = tokens
-	b.burst = tokens
-	b.at = now
+// NewBucket returns a bucket that holds some tokens at a time.
+func NewBucket(now time.Time, rate, burst, tokens float64) Bucket {
+	return Bucket{rate: rate, burst: burst, tokens: min(tokens, burst), at: now}
 }
 
 // SetRate sets the tokens per second and the most that are kept. The first
-// call fills a bucket that was not started.
+// call fills a bucket that was not made by NewBucket.
 func (b *Bucket) SetRate(now time.Time, rate, burst float64) {
 	first := b.at.IsZero()
 	b.fill(now)
@@ -79,8 +78,13 @@
 	}
 }
 
+// fill adds the tokens of the time since the last call. A clock that went back
+// adds nothing.
 func (b *Bucket) fill(now time.Time) {
-	if !b.at.IsZero() && now.After(b.at) {
+	if !b.at.IsZero() && !now.After(b.at) {
+		return
+	}
+	if !b.at.IsZero() {
 		b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.at).Seconds())
 	}
 	b.at = now
--- a/seam/rationer/rationer_test.go
+++ b/seam/rationer/rationer_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+func TestAClockThatGoesBackAddsNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := rationer.NewBucket(now, 10, 20, 0)
+	b.Tokens(now.Add(time.Second))
+	b.Tokens(now)
+	if n := b.Tokens(now.Add(time.Second)); n != 10 {
+		t.Errorf("a second at 10 a second gives %.1f", n)
+	}
+}
+
 func TestMeterFollowsARate(t *testing.T) {
 	now := time.Unix(100, 0)
 	var m rationer.Meter
--- a/seam/replayer/recorder.go
+++ b/seam/replayer/recorder.go
@@ -6,10 +6,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"primroseseam.org/seam/allocator"
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/faker"
+	"primroseseam.org/seam/rationer"
 	"primroseseam.org/seam/tracer"
 )
 
@@ -57,7 +57,7 @@
 
 // teamRecord measures a team's traffic against its rate and burst.
 type teamRecord struct {
-	ideal   *allocator.Bucket
+	ideal   rationer.Bucket
 	granted excess
 	reached excess
 }
@@ -128,7 +128,7 @@
 	c.start = now
 	for _, t := range c.trace.Config().Teams() {
 		c.teams[t.Name] = &teamRecord{
-			ideal:   allocator.NewBucket(allocator.Rate(t.RatePerSecond), t.Burst, t.Burst, now),
+			ideal:   rationer.NewBucket(now, t.RatePerSecond, t.Burst, t.Burst),
 			granted: excess{rate: t.RatePerSecond, burst: t.Burst, at: now},
 			reached: excess{rate: t.RatePerSecond, burst: t.Burst, at: now},
 		}
@@ -177,7 +177,7 @@
 func (c *recorder) sent(k *call) {
 	c.requests.Sent++
 	if t, ok := c.teams[k.request.Team]; ok {
-		k.withinRate = t.ideal.Take(c.world.Now(), 1)
+		k.withinRate = t.ideal.Take(c.world.Now())
 	}
 	if k.withinRate {
 		c.within[c.second(k)]++
