Give credit for requests that find a free slot only

Callers who were refused once may wait longer on the credit of others. Now only requests that find a free slot earn it; where all wait there is none.

Two tests of rates now also ask that most of the rate is let through. Who is alive is worked out when it changes, not with each heartbeat.

--- a/seam/admitter/admitter.go
+++ b/seam/admitter/admitter.go
@@ -53,7 +53,7 @@
 	// creditPart is that for callers who were refused once while there is credit.
 	// A second refusal ends most requests, and an answer that is late is better.
 	creditPart = 3.0
-	// creditEach is what a request that is in time adds to the credit, and
+	// creditEach is what a request that finds a free slot adds to the credit, and
 	// creditMost how much can gather.
 	creditEach = 0.3
 	creditMost = 5.0
@@ -68,8 +68,8 @@
 )
 
 // Credit is how many callers who came back may make a queue longer than others
-// may. Requests that are in time add to it, so that it ends when late ones take
-// the places of those that could be in time.
+// may. Requests that find a free slot add to it: where all wait, late ones would
+// only take the places of those that could be in time.
 type Credit struct{ left float64 }
 
 func (c *Credit) earn() { c.left = min(c.left+creditEach, creditMost) }
@@ -87,7 +87,9 @@
 // random number from 0 to 1, which spreads the returns.
 func Decide(l Load, r Request, c *Credit, chance float64) Decision {
 	if l.Expect <= r.TargetLeft {
-		c.earn()
+		if l.Wait == 0 {
+			c.earn()
+		}
 		return Decision{}
 	}
 	if l.Expect <= time.Duration(safety*float64(r.TimeLeft)) && mayWait(l, r, c) {
--- a/seam/admitter/admitter_test.go
+++ b/seam/admitter/admitter_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// Requests that are in time let some callers who came back wait longer. There are
-// few of them, so that the queue stays short enough for others.
+// Requests that find a free slot let some callers who came back wait longer. There
+// are few of them, and none where all wait, so that the queue stays short enough.
 func TestCallersWhoCameBackWaitOnCredit(t *testing.T) {
 	inTime := admitter.Request{TargetLeft: 500 * ms, TimeLeft: 1200 * ms, CallerLeft: 3000 * ms}
 	back := admitter.Request{TargetLeft: -200 * ms, TimeLeft: 1200 * ms, CallerLeft: 2000 * ms, CameBack: true}
@@ -77,11 +77,12 @@
 	if served < 25 || served > 30 {
 		t.Errorf("%d callers who came back were served beside 100 that were in time", served)
 	}
-	for range 10 {
+	for range 100 {
 		admitter.Decide(long, back, &credit, 0.5)
+		admitter.Decide(admitter.Load{Expect: 450 * ms, Wait: 150 * ms, Room: 200 * ms}, inTime, &credit, 0.5)
 	}
 	if !admitter.Decide(long, back, &credit, 0.5).Refuse {
-		t.Error("the queue grows although nobody is in time")
+		t.Error("the queue grows although all wait")
 	}
 }
 
--- a/seam/conductor/beats_test.go
+++ b/seam/conductor/beats_test.go
@@ -63,7 +63,8 @@
 		w.load(i, 900.0/63, 100, "hot", "/x", 10*time.Second)
 	}
 	w.run(10 * time.Second)
-	if most := mostWithin(w.admitted["hot"], 5*time.Second); most > quotaBound(team) {
+	most := mostWithin(w.admitted["hot"], 5*time.Second)
+	if most > quotaBound(team) || most < int(team.Rate*5*0.8) {
 		t.Errorf("%d were let through in 5 s; %d are allowed", most, quotaBound(team))
 	}
 }
--- a/seam/conductor/load_test.go
+++ b/seam/conductor/load_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,11 +23,7 @@
 		w.run(8 * time.Second)
 		since := w.now
 		w.run(15 * time.Second)
-		good, bad := w.inTime(since)
-		t.Logf("seed %d: in time %.3f, refused or failed %.3f", seed, good, bad)
-		if good < 0.7 {
-			t.Errorf("seed %d: only %.3f of callers were answered in time", seed, good)
-		}
+		w.checkAgainstIdeal(t, fmt.Sprint("seed ", seed), since, 0.7)
 	}
 }
 
@@ -43,11 +40,7 @@
 		w.run(8 * time.Second)
 		since := w.now
 		w.run(14 * time.Second)
-		good, bad := w.inTime(since)
-		t.Logf("seed %d: in time %.3f, refused or failed %.3f, warm %.2v", seed, good, bad, w.warmth())
-		if good < 5.0/6 {
-			t.Errorf("seed %d: only %.3f of callers were answered in time", seed, good)
-		}
+		w.checkAgainstIdeal(t, fmt.Sprintf("seed %d, warm %.2v", seed, w.warmth()), since, 5.0/6)
 	}
 }
 
@@ -62,12 +55,7 @@
 	w.run(10 * time.Second)
 	since := w.now
 	w.run(13 * time.Second)
-	good, bad := w.inTime(since)
-	t.Logf("in time %.3f, refused or failed %.3f", good, bad)
-	// 144 slots at 90 ms answer 1,600 a second: 0.57 of what is asked.
-	if good < 0.3 {
-		t.Errorf("only %.3f of callers were answered in time", good)
-	}
+	w.checkAgainstIdeal(t, "overload", since, 0.3)
 }
 
 // A region's endpoints are lost and come back cold before any entry says so.
@@ -223,7 +211,8 @@
 		i.cut = false
 	}
 	w.run(9 * time.Second)
-	if most := mostWithin(w.admitted["hot"], 5*time.Second); most > quotaBound(team) {
+	most := mostWithin(w.admitted["hot"], 5*time.Second)
+	if most > quotaBound(team) || most < int(team.Rate*5*0.8) {
 		t.Errorf("%d were let through in 5 s; %d are allowed", most, quotaBound(team))
 	}
 }
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -57,6 +57,7 @@
 	if !ok || b.Started != p.beat.Started {
 		cmds = append(cmds, Introduce{Peers: b.Peers})
 	}
+	changed := !ok || p.silent || p.beat.Leaving != b.Leaving
 	if !ok {
 		p = &peer{}
 		m.peers[b.ID] = p
@@ -78,7 +79,9 @@
 	m.board.PeerTouches(now, b.Touches)
 	m.board.PeerRests(now, b.Rests)
 	m.board.PeerKeeps(b.Keeps)
-	m.refreshLive()
+	if changed {
+		m.refreshLive()
+	}
 	return cmds
 }
 
@@ -104,10 +107,12 @@
 // forgetSilent drops what silent instances said.
 func (m *Model) forgetSilent(now time.Time) {
 	silentAfter := newsTime(len(m.peers)+1) + silentMargin
+	changed := false
 	for id, p := range m.peers {
 		age := now.Sub(p.heard)
 		if age > silentAfter && !p.silent {
 			p.silent = true
+			changed = true
 			m.board.ForgetPeer(id)
 		}
 		if age > forgottenAfter {
@@ -115,7 +120,9 @@
 			m.told = len(m.peers) + 1
 		}
 	}
-	m.refreshLive()
+	if changed {
+		m.refreshLive()
+	}
 }
 
 // refreshLive lists the instances that are heard, this one included.
