Check in the soak that nothing is sent for callers who left

Three in ten callers of the soak now leave within 0.4 s, and the rule `gone` asks that their requests reach no endpoint over half a second later, also from instances that were paused. Links that were disturbed are left out, since they hold up what was sent in time. What leavers get counts neither as cut by a planned stop nor against the recovery.

--- a/seamctl/soaker/caller.go
+++ b/seamctl/soaker/caller.go
@@ -22,6 +22,10 @@
 	hotPause    = 8 * time.Millisecond
 	// callerTime is how long a caller waits for an answer.
 	callerTime = 3 * time.Second
+	// leavePart is the part of requests whose caller leaves early, and leaveWithin
+	// the time in which it does.
+	leavePart   = 0.3
+	leaveWithin = 400 * time.Millisecond
 	// lookupFor is how long a caller uses a look-up answer.
 	lookupFor = 2 * time.Second
 	// objects is the number of objects that callers ask about.
@@ -125,10 +129,11 @@
 	path += object
 	body := "body-" + strconv.FormatUint(c.rng.Uint64(), 36)
 	a.request = http.MethodPost + " " + path + " " + body
-	ctx, cancel := context.WithTimeout(context.Background(), callerTime)
+	ctx, cancel := context.WithTimeout(context.Background(), c.patience())
 	defer cancel()
 	retryAfter := c.exchange(ctx, &a, path, object, body)
 	a.ended = time.Now()
+	a.left = ctx.Err() != nil
 	c.soak.ledger.attempted(a)
 	if a.status == 0 {
 		// The connection failed, so the caller looks for another instance.
@@ -138,6 +143,14 @@
 	time.Sleep(retryAfter)
 }
 
+// patience returns how long the caller waits for an answer.
+func (c *caller) patience() time.Duration {
+	if c.rng.Float64() < leavePart {
+		return below(c.rng, leaveWithin)
+	}
+	return callerTime
+}
+
 // exchange makes the request and returns how long the caller should stay away.
 func (c *caller) exchange(ctx context.Context, a *attempt, path, object, body string) time.Duration {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.instance.at(portCallers)+path, strings.NewReader(body))
--- a/seamctl/soaker/judge_test.go
+++ b/seamctl/soaker/judge_test.go
@@ -62,6 +62,10 @@
 			l.attempts[0].status = 0
 			l.planned = []span{{subject: i, from: at(0.5), to: at(3)}}
 		},
+		ruleGone: func(l *ledger, _ *instance, _ []*endpoint) {
+			l.attempts[0].left, l.attempts[0].status = true, 0
+			l.runs["first"][0].at = l.attempts[0].ended.Add(600 * time.Millisecond)
+		},
 		ruleRecovers: func(l *ledger, _ *instance, _ []*endpoint) {
 			l.attempts[1].status = http.StatusBadGateway
 		},
--- a/seamctl/soaker/ledger.go
+++ b/seamctl/soaker/ledger.go
@@ -24,6 +24,7 @@
 	ruleEvacuation              // evacuation
 	ruleRate                    // teamRate
 	rulePlannedStop             // plannedStop
+	ruleGone                    // gone
 	ruleRunsOn                  // runsOn
 	ruleRecovers                // recovers
 )
@@ -48,11 +49,16 @@
 	life     int
 	sent     time.Time
 	ended    time.Time
+	// left means that the caller left at the end, without an answer.
+	left bool
 	// status is 0 if no whole answer came.
 	status int
 	body   string
 }
 
+// leftEarly reports whether the caller left before its time was over.
+func (a attempt) leftEarly() bool { return a.left && a.ended.Sub(a.sent) < callerTime }
+
 // act is something that the operator did, and when the store acknowledged it.
 type act struct {
 	at    time.Time
@@ -173,10 +179,11 @@
 	acts[name][len(acts[name])-1].taken = time.Now()
 }
 
-// calm reports whether no fault touched an instance, or all, between two moments.
-func (l *ledger) calm(i *instance, from, to time.Time) bool {
+// calm reports whether no fault touched an instance or an endpoint, or all,
+// between two moments.
+func (l *ledger) calm(subject any, from, to time.Time) bool {
 	for _, f := range l.faults {
-		if f.touches(from, to) && (f.subject == nil || f.subject == i) {
+		if f.touches(from, to) && (f.subject == nil || f.subject == subject) {
 			return false
 		}
 	}
--- a/seamctl/soaker/rule_string.go
+++ b/seamctl/soaker/rule_string.go
@@ -20,13 +20,14 @@
 	_ = x[ruleEvacuation-9]
 	_ = x[ruleRate-10]
 	_ = x[rulePlannedStop-11]
-	_ = x[ruleRunsOn-12]
-	_ = x[ruleRecovers-13]
+	_ = x[ruleGone-12]
+	_ = x[ruleRunsOn-13]
+	_ = x[ruleRecovers-14]
 }
 
-const _rule_name = "atMostOncetrueRefusalwholeAnswerownTeamnoKeyPassedkeyDiesconfigInForceconfigNeverBackdrainevacuationteamRateplannedStoprunsOnrecovers"
+const _rule_name = "atMostOncetrueRefusalwholeAnswerownTeamnoKeyPassedkeyDiesconfigInForceconfigNeverBackdrainevacuationteamRateplannedStopgonerunsOnrecovers"
 
-var _rule_index = [...]uint8{0, 10, 21, 32, 39, 50, 57, 70, 85, 90, 100, 108, 119, 125, 133}
+var _rule_index = [...]uint8{0, 10, 21, 32, 39, 50, 57, 70, 85, 90, 100, 108, 119, 123, 129, 137}
 
 func (i rule) String() string {
 	idx := int(i) - 0
