Write log lines whole, at most 4 KiB at a time

Cause: all lines of a quarter of a second went out in one write. A pipe keeps a write whole up to 4 KiB; on the users' platform the rest was dropped though the write succeeded.

Now each write takes whole lines of at most 4 KiB.

--- a/seamedge/edger/logs.go
+++ b/seamedge/edger/logs.go
@@ -1,6 +1,7 @@
 package edger
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -17,6 +18,9 @@
 	// logReserve is the part of the buffer that is kept for lines above the
 	// level of an ordinary success.
 	logReserve = 64 << 10
+	// writeMost is the most bytes of one write, up to which pipes keep writes
+	// whole.
+	writeMost = 4096
 	// logFlush is how often lines are written.
 	logFlush = 250 * time.Millisecond
 )
@@ -160,13 +164,29 @@
 	if len(lines) == 0 {
 		return nil, lines
 	}
-	n, _ := l.output.Write(lines)
-	if n < len(lines) {
-		return lines[n:], spare
+	for rest := lines; len(rest) > 0; {
+		part := rest[:wholeLines(rest, writeMost)]
+		n, err := l.output.Write(part)
+		if err != nil || n < len(part) {
+			return rest[n:], spare
+		}
+		rest = rest[n:]
 	}
 	return nil, lines
 }
 
+// wholeLines returns the length of the whole lines at the start that fit into
+// most bytes, or most if not even one does.
+func wholeLines(lines []byte, most int) int {
+	if len(lines) <= most {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:most], '\n'); end >= 0 {
+		return end + 1
+	}
+	return most
+}
+
 // Ordinary reports whether one more line about a request that went well may be
 // written in this second.
 func (l *Logs) Ordinary(now time.Time) bool {
--- a/seamedge/edger/logs_test.go
+++ b/seamedge/edger/logs_test.go
@@ -38,3 +38,26 @@
 		t.Errorf("%d lines of 3 came after %v", n, 6*logFlush)
 	}
 }
+
+// pipe keeps up to 4 KiB of each write, and doesn't tell.
+type pipe struct{ bytes.Buffer }
+
+func (p *pipe) Write(b []byte) (int, error) {
+	_, _ = p.Buffer.Write(b[:min(len(b), 4<<10)])
+	return len(b), nil
+}
+
+func TestLinesAreNotLostInAPipe(t *testing.T) {
+	const lines = 300
+	out := &pipe{}
+	logs := NewLogs(out, lines)
+	for range lines {
+		logs.logger.Info("something", zap.String("text", "a line as long as many are that tell of a request and its answer"))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	logs.Run(ctx)
+	if n := bytes.Count(out.Bytes(), []byte("\"}\n")); n != lines {
+		t.Errorf("%d whole lines of %d came", n, lines)
+	}
+}
