--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -133,70 +131,6 @@
 	return false
 }
 
-func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("HTTP/1.1 Host: ")
-	for name, values := range r.Header {
-		for _, v := range values {
-			size += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return size
-}
-
-// hostOf returns the host without a port.
-func hostOf(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
-// callerLeft returns how long the caller will wait, or 0.
-func callerLeft(r *http.Request) time.Duration {
-	ms, err := strconv.ParseFloat(r.Header.Get(platform.HeaderDeadline), 64)
-	if err != nil || ms <= 0 || ms > float64(time.Hour.Milliseconds()) {
-		return 0
-	}
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
-// oneHop lists the headers that concern one connection only.
-var oneHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-}
-
-// ownHeaders lists the headers that this system sets, whatever a caller sent.
-var ownHeaders = map[string]bool{
-	platform.HeaderDeadline: true, platform.HeaderExpect: true, platform.HeaderTeam: true, platform.HeaderKey: true,
-}
-
-// forwardHeader returns what is passed on of a caller's header.
-func forwardHeader(in http.Header) http.Header {
-	out := passable(in)
-	for name := range ownHeaders {
-		out.Del(name)
-	}
-	out.Del("Expect")
-	return out
-}
-
-// passable returns a header without what concerns one connection only.
-func passable(in http.Header) http.Header {
-	out := make(http.Header, len(in)+3)
-	for name, values := range in {
-		if !oneHop[name] {
-			out[name] = values
-		}
-	}
-	for _, line := range in["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	return out
-}
-
 // carry carries out the loop's commands about a request until it has an answer,
 // and reports whether it has one. It has none if the caller left.
 func (e *Edge) carry(w http.ResponseWriter, x *exchange, cmds []conductor.Cmd) bool {
@@ -363,37 +297,3 @@
 		zap.Bool("reused", a.Reused), zap.Duration("took", took),
 		zap.Duration("closeAfter", a.CloseAfter), zap.NamedError("error", a.Err))
 }
-
-// serveReady tells the platform whether this instance takes requests.
-func (e *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != platform.PathReady {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	if !e.able.Load() || e.stopping.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// lookupTTL is how long callers should use an answer to a look-up. Short ones
-// cost calls, long ones keep callers at instances that are gone.
-const lookupTTL = 2 * time.Second
-
-// serveLookup tells a caller where to connect.
-func (e *Edge) serveLookup(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != platform.PathLookup {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	regionField, zoneField := platform.LookupQuery()
-	query := r.URL.Query()
-	e.mu.Lock()
-	addresses := e.model.Addresses(time.Now(), e.settings.Listen.Callers, query.Get(regionField), query.Get(zoneField))
-	e.mu.Unlock()
-	ttl := min(lookupTTL, duration(e.settings.Bounds.LookupTTL))
-	w.Header().Set("Content-Type", "application/json")
-	// A caller that is gone needs no answer.
-	_, _ = w.Write(platform.LookupAnswer(addresses, ttl))
-}
