Forget requests whose answer breaks off

What users would see: memory that grows with each answer that breaks off half way, as when a caller leaves while it reads, until the process ends.

Cause: such an answer ends its handler by a panic, so that the connection breaks, and the message that takes the request out of the loop's table came after. It is deferred now. The number of requests under way is a metric.

--- a/seam/conductor/beliefs.go
+++ b/seam/conductor/beliefs.go
@@ -9,8 +9,9 @@
 	// Heard is the number of instances that are heard, this one included, and
 	// Known how many there are taken to be.
 	Heard, Known int
-	// Endpoints is the number of endpoints known.
-	Endpoints int
+	// Endpoints is the number of endpoints known, Requests that of requests under
+	// way.
+	Endpoints, Requests int
 	// TeamsLeft holds, for each team with a rate, how many requests the fleet has
 	// left of it now; a debt is negative.
 	TeamsLeft map[string]float64
@@ -22,7 +23,7 @@
 func (m *Model) Beliefs(now time.Time) Beliefs {
 	fleet := m.fleet()
 	b := Beliefs{
-		Version: m.Version(), Heard: fleet.Heard, Known: fleet.Known, Endpoints: m.board.Count(),
+		Version: m.Version(), Heard: fleet.Heard, Known: fleet.Known, Endpoints: m.board.Count(), Requests: len(m.requests),
 		TeamsLeft: map[string]float64{}, RetriesLeft: map[string]float64{},
 	}
 	for name, t := range m.teams {
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -72,9 +72,10 @@
 		e.abandon(x, leftBeforeSend)
 	}
 	defer func() { closeTail(x.held) }()
-	answered := e.carry(w, x, e.update(msg))
-	e.update(conductor.RequestEnded{ID: x.id})
-	if !answered {
+	cmds := e.update(msg)
+	// An answer that breaks off ends the handler by a panic.
+	defer e.update(conductor.RequestEnded{ID: x.id})
+	if !e.carry(w, x, cmds) {
 		e.abandon(x, leftBeforeAnswer)
 	}
 }
--- a/seamedge/edger/left_test.go
+++ b/seamedge/edger/left_test.go
@@ -96,17 +96,26 @@
 			t.Fatalf("no answer: %v", err)
 		}
 	}
-	resp, err := http.Get("http://" + e.settings.Listen.Metrics + "/metrics")
+	if open := e.gauge(`seam_edge_connections_open{kind="callers"}`); open > room {
+		t.Errorf("%d connections of callers are open, %d allowed", open, room)
+	}
+}
+
+// gauge returns the value of a metric.
+func (r *running) gauge(name string) int {
+	r.t.Helper()
+	resp, err := http.Get("http://" + r.settings.Listen.Metrics + "/metrics")
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, _ := io.ReadAll(resp.Body)
-	_, after, _ := strings.Cut(string(text), `seam_edge_connections_open{kind="callers"} `)
-	var open int
-	if _, err := fmt.Sscan(after, &open); err != nil || open > room {
-		t.Errorf("%d connections of callers are open, %d allowed: %v", open, room, err)
+	_, after, _ := strings.Cut(string(text), name+" ")
+	var value int
+	if _, err := fmt.Sscan(after, &value); err != nil {
+		r.t.Fatalf("%s is not told: %v", name, err)
 	}
+	return value
 }
 
 // pourer returns an endpoint's answer without end, and a channel that tells when
@@ -165,6 +174,7 @@
 			case <-time.After(500 * time.Millisecond):
 				t.Error("the endpoint still sends")
 			}
+			e.until(time.Second, "no request to be open", func() bool { return e.gauge("seam_edge_requests_open") == 0 })
 		})
 	}
 }
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -103,6 +103,7 @@
 	metrics.WriteGaugeUint64(w, "seam_edge_config_version", b.Version)
 	metrics.WriteGaugeUint64(w, "seam_edge_instances_heard", uint64(b.Heard))
 	metrics.WriteGaugeUint64(w, "seam_edge_instances_known", uint64(b.Known))
+	metrics.WriteGaugeUint64(w, "seam_edge_requests_open", uint64(b.Requests))
 	metrics.WriteGaugeUint64(w, "seam_edge_endpoints_known", uint64(b.Endpoints))
 	for team, left := range b.TeamsLeft {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_team_left{team=%q}", team), left)
