--- a/seamedge/main_test.go
+++ b/seamedge/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
@@ -16,3 +17,12 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// ignoredAtStart is taken before any test listens for signals.
+var ignoredAtStart = signal.Ignored(syscall.SIGHUP)
+
+func TestHangupsBeforeTheRuntimeStartsAreIgnored(t *testing.T) {
+	if !ignoredAtStart {
+		t.Error("a hangup ends the process until main runs")
+	}
+}
