Notice callers who leave behind bytes that wait

What callers saw: nothing; endpoints worked on for callers who had sent an empty line or the next request behind the one under way and then left.

Cause: to notice a caller's close the server reads one byte while a request is under way. If there is one it stops reading until the request has ended, and with that goes blind for the close behind it. Only such connections are asked. A connection that is accepted while the listener closes is watched like the others too.

--- a/seam/accepter/accepter.go
+++ b/seam/accepter/accepter.go
@@ -47,6 +47,9 @@
 	most int
 	// idle holds the connections without a request, the longest idle first.
 	idle *list.List
+	// ahead holds the connections on which the server has read bytes behind a
+	// request that is under way, and reads no more until its end.
+	ahead map[*Conn]struct{}
 }
 
 var _ net.Listener = (*Listener)(nil)
@@ -60,7 +63,7 @@
 
 // New returns a listener around a TCP listener.
 func New(inner net.Listener, opts ...Option) *Listener {
-	l := &Listener{inner: inner, report: func(error) {}, idle: list.New()}
+	l := &Listener{inner: inner, report: func(error) {}, idle: list.New(), ahead: map[*Conn]struct{}{}}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -76,14 +79,15 @@
 			if err != nil {
 				// Nothing is left to close but the socket itself.
 				_ = l.inner.Close()
+				return nil, err
 			}
-			return conn, err
+			return l.wrap(conn), nil
 		}
 		l.report(err)
 		switch {
 		case err == nil:
 			l.makeRoom(l.mostOpen())
-			return wrap(conn), nil
+			return l.wrap(conn), nil
 		case !IsShort(err):
 			return nil, err
 		}
@@ -98,9 +102,9 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
 
-func wrap(conn net.Conn) net.Conn {
+func (l *Listener) wrap(conn net.Conn) net.Conn {
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		return newConn(tcp)
+		return newConn(l, tcp)
 	}
 	return conn
 }
@@ -132,6 +136,8 @@
 		l.idle.Remove(c.waiting)
 		c.waiting = nil
 	}
+	c.active = state == http.StateActive
+	delete(l.ahead, c)
 	switch state {
 	case http.StateNew:
 		c.counted = true
@@ -152,6 +158,28 @@
 	}
 }
 
+// readAhead notes that bytes came behind a request that is under way.
+func (l *Listener) readAhead(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.active {
+		l.ahead[c] = struct{}{}
+	}
+}
+
+// EndLeft ends the contexts of requests whose callers have closed their connection
+// behind bytes that wait until the request has ended. See [Watch].
+func (l *Listener) EndLeft() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.ahead {
+		if c.leave != nil && c.Left() {
+			c.leave()
+			delete(l.ahead, c)
+		}
+	}
+}
+
 // Connections returns how many connections are open and how many of these wait
 // for a request.
 func (l *Listener) Connections() (open, idle int) {
--- a/seam/accepter/conn.go
+++ b/seam/accepter/conn.go
@@ -13,22 +13,36 @@
 // Conn is a connection of a caller.
 type Conn struct {
 	*net.TCPConn
-	raw syscall.RawConn
+	listener *Listener
+	raw      syscall.RawConn
 	// counted means that the listener counts it among the open ones.
 	counted bool
 	// waiting is the place among the idle connections, or nil, and idleSince the
 	// start of that. All belong to the listener.
 	waiting   *list.Element
 	idleSince time.Time
+	// active means that a request is under way, whose context leave ends.
+	active bool
+	leave  context.CancelFunc
 }
 
-func newConn(tcp *net.TCPConn) *Conn {
+func newConn(l *Listener, tcp *net.TCPConn) *Conn {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		// Only a closed connection has none; its use fails soon.
 		raw = nil
 	}
-	return &Conn{TCPConn: tcp, raw: raw}
+	return &Conn{TCPConn: tcp, listener: l, raw: raw}
+}
+
+// Read implements net.Conn. While a request is under way the server reads one
+// byte, to notice the caller's close, and stops if there is one.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n == 1 && len(p) == 1 {
+		c.listener.readAhead(c)
+	}
+	return n, err
 }
 
 // Left reports whether the connection is closed on either side, also while bytes
@@ -54,6 +68,19 @@
 
 type connKey struct{}
 
+// Watch returns a copy of a request's context that ends also if the caller closes
+// its connection behind bytes that it sent after the request, as soon as
+// [Listener.EndLeft] is called. The function it returns must be called in the end.
+func Watch(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if c, _ := ctx.Value(connKey{}).(*Conn); c != nil {
+		c.listener.mu.Lock()
+		c.leave = cancel
+		c.listener.mu.Unlock()
+	}
+	return ctx, cancel
+}
+
 // Context is an [http.Server]'s ConnContext; [Left] needs it.
 func Context(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, accepted(conn))
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -35,6 +35,8 @@
 	id      uint64
 	name    string
 	request *http.Request
+	// ctx ends when the caller leaves.
+	ctx     context.Context
 	arrived time.Time
 	header  http.Header
 	body    []byte
@@ -51,8 +53,10 @@
 func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) {
 	e.serving.Add(1)
 	defer e.serving.Add(-1)
+	ctx, cancel := accepter.Watch(r.Context())
+	defer cancel()
 	x := &exchange{
-		id: e.ids.Add(1), name: r.Header.Get(platform.HeaderRequestID), request: r, arrived: time.Now(), length: r.ContentLength,
+		id: e.ids.Add(1), name: r.Header.Get(platform.HeaderRequestID), request: r, ctx: ctx, arrived: time.Now(), length: r.ContentLength,
 	}
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -68,7 +72,7 @@
 		msg.Object = placer.Hash32(affinity)
 	}
 	x.header = forwardHeader(r.Header)
-	if accepter.Left(r.Context()) {
+	if accepter.Left(ctx) {
 		e.abandon(x, leftBeforeSend)
 	}
 	defer func() { closeTail(x.held) }()
@@ -164,15 +168,14 @@
 	if cmd.Attempt > 1 {
 		e.metrics.retries.Inc()
 	}
-	ctx := x.request.Context()
-	answer := e.exchanger.Do(ctx, exchanger.Call{
+	answer := e.exchanger.Do(x.ctx, exchanger.Call{
 		Address: cmd.Address, Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host,
 		Header: x.header, Body: x.body, Rest: x.rest, Length: x.length, RequestID: x.name, IDHeader: platform.HeaderRequestID,
 		Once: !cmd.Repeatable, Deadline: cmd.Deadline,
 	})
 	outcome := e.judge(x, answer)
 	// An answer that can be delivered needs no look at the connection.
-	outcome.Left = ctx.Err() != nil || !outcome.Good() && accepter.Left(ctx)
+	outcome.Left = x.ctx.Err() != nil || !outcome.Good() && accepter.Left(x.ctx)
 	e.metrics.exchanged(outcome.Answered, time.Since(start).Seconds())
 	e.logAttempt(x, cmd, answer, outcome, time.Since(start))
 	if outcome.Left {
@@ -213,7 +216,7 @@
 		o.Unreachable = !a.Sent
 		o.Refused = errors.Is(a.Err, syscall.ECONNREFUSED)
 		o.NotRun = !a.Sent
-		o.TimedOut = context.Cause(x.request.Context()) == nil && !time.Now().Before(x.last.Deadline)
+		o.TimedOut = x.ctx.Err() == nil && !time.Now().Before(x.last.Deadline)
 		return o
 	}
 	o.Status = a.Status
--- a/seamedge/edger/left_test.go
+++ b/seamedge/edger/left_test.go
@@ -81,6 +81,38 @@
 	}
 }
 
+// Some callers send an empty line behind a request, or the next one already.
+func TestCallerWhoSentMoreEndsTheWorkToo(t *testing.T) {
+	for _, more := range []string{"\r\n", rawRequest("next")} {
+		r := newRig(t)
+		r.configure("key-1", "a")
+		started, ended := make(chan struct{}, 2), make(chan struct{}, 2)
+		served := r.endpoint("i-1", "a", func(_ http.ResponseWriter, q *http.Request) {
+			started <- struct{}{}
+			<-q.Context().Done()
+			ended <- struct{}{}
+		})
+		e := r.start("edge-1", &logSink{})
+		e.until(3*time.Second, "ready", e.ready)
+		conn := dialCaller(t, e)
+		write(t, conn, rawRequest("one"))
+		<-started
+		write(t, conn, more)
+		time.Sleep(20 * time.Millisecond)
+		if err := conn.CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-ended:
+		case <-time.After(500 * time.Millisecond):
+			t.Errorf("the endpoint works on after its caller sent %q and left", more)
+		}
+		if n := served.Load(); n != 1 {
+			t.Errorf("%d requests reached the endpoint", n)
+		}
+	}
+}
+
 func TestIdleCallersDoNotUseUpTheDescriptors(t *testing.T) {
 	const callers, room = 300, 224
 	r := newRig(t)
--- a/seamedge/edger/sockets.go
+++ b/seamedge/edger/sockets.go
@@ -68,6 +68,7 @@
 	shares := shareSockets(e.settings.Descriptors, elsewhere)
 	e.exchanger.Trim(shares.endpointsIdle)
 	for _, s := range e.servers {
+		s.listener.EndLeft()
 		s.listener.CloseIdle(longest)
 		if s.name == socketCallers {
 			s.listener.SetMost(shares.callers)
