--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -165,7 +165,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	e.shareSockets()
+	e.boundConnections()
 	e.log.Info("start", zap.String("zone", e.settings.Instance.Zone), zap.String("callers", e.settings.Listen.Callers),
 		zap.String("store", e.settings.Store), zap.Strings("peers", e.peers.addresses()))
 	for _, f := range e.follow() {
@@ -280,7 +280,7 @@
 			last = now
 			e.update(conductor.Ticked{})
 			e.releaseGone(now)
-			e.shareSockets()
+			e.boundConnections()
 			if now.Sub(pruned) > pruneEvery {
 				pruned = now
 				e.exchanger.Prune()
--- a/seamedge/edger/sockets.go
+++ b/seamedge/edger/sockets.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// shareSockets closes connections that are idle for too long, or that others
+// boundConnections closes connections that are idle for too long, or that others
 // need the room of.
-func (e *Edge) shareSockets() {
+func (e *Edge) boundConnections() {
 	e.mu.Lock()
 	longest := e.model.Limits().IdleTimeout
 	e.mu.Unlock()
