Let a route that is quicker than its service be judged by its own pace

Cause: how long runs take is learned for a service, from all its routes. Callers of a new route gave 0.87 s, the service's runs take 1.15 s and more, so each was refused, and nothing could ever be learned of the route.

Now each route has a pace, its time as a part of what was expected, compared with that of its service; one clearly quicker (below 0.7) is expected to take that part. A route of which nothing was learned for 5 s gets one try if a slot is free.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -53,6 +53,7 @@
 	byHash   map[uint32]*teamState
 	retries  map[string]*retryState
 	credits  map[string]*admitter.Credit
+	paces    map[string]*pace
 	peers    map[string]*peer
 	known    map[string]bool
 	// beats counts the heartbeats to each audience, touches are the news of warm
@@ -110,6 +111,7 @@
 		byHash:   map[uint32]*teamState{},
 		retries:  map[string]*retryState{},
 		credits:  map[string]*admitter.Credit{},
+		paces:    map[string]*pace{},
 		peers:    map[string]*peer{},
 		known:    map[string]bool{},
 		splits:   map[string]*split{},
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -142,8 +142,9 @@
 		after := admitter.RetryAfter(noConfigRetry, r.callerEnd.Sub(now), m.rng.Float64())
 		return refuse(r.id, http.StatusServiceUnavailable, coder.NoUpstream, after)
 	}
+	expect := m.paceOf(r.route.Name).expect(now, choice.Expect, choice.Wait, m.paceOf(servicePace+r.service))
 	decision := admitter.Decide(
-		admitter.Load{Expect: choice.Expect, Wait: choice.Wait, Room: choice.Room},
+		admitter.Load{Expect: expect, Wait: choice.Wait, Room: choice.Room},
 		admitter.Request{
 			TargetLeft: r.targetEnd.Sub(now), TimeLeft: r.deadline.Sub(now),
 			CallerLeft: r.callerEnd.Sub(now), CameBack: r.cameBack,
@@ -152,8 +153,8 @@
 		m.giveBack(r)
 		return []Cmd{Refuse{
 			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.DeadlineUnreachable, RetryAfter: decision.RetryAfter,
-			Detail: fmt.Sprintf("team=%s service=%s best=%s expect=%v wait=%v room=%v load=%d slots=%d warm=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
-				r.team, r.service, choice.ID, choice.Expect, choice.Wait, choice.Room, choice.Load, choice.Slots, choice.Warm,
+			Detail: fmt.Sprintf("team=%s service=%s best=%s expect=%v paced=%v wait=%v room=%v load=%d slots=%d warm=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
+				r.team, r.service, choice.ID, choice.Expect, expect, choice.Wait, choice.Room, choice.Load, choice.Slots, choice.Warm,
 				r.targetEnd.Sub(now), r.deadline.Sub(now), r.cameBack, m.config.Version()),
 		}}
 	}
@@ -204,6 +205,9 @@
 		Answered: o.Answered, Good: o.Status/100 == 2, NotRun: o.NotRun && !o.Unreachable, Unreachable: o.Unreachable,
 		Refused: o.Refused, Left: o.Left, Connect: o.Connect, Target: r.route.Target, Timeout: r.place.Timeout,
 	})
+	for _, name := range []string{r.route.Name, servicePace + r.service} {
+		m.paceOf(name).learn(now, now.Sub(r.sentAt), r.choice.Expect, r.choice.Wait, o)
+	}
 	if !o.NotRun {
 		r.mayHaveRun = true
 	}
--- a/seam/conductor/requests_test.go
+++ b/seam/conductor/requests_test.go
@@ -295,3 +295,34 @@
 		t.Errorf("an older heartbeat brought it back: %v", got)
 	}
 }
+
+// A new route of a service whose other route takes longer than its callers wait.
+func TestQuickRoutesAreNotRefusedForSlowOnes(t *testing.T) {
+	route := func(name, prefix string, target time.Duration) router.Route {
+		r := oneRoute(true)[0]
+		r.Name, r.Prefix, r.Target = name, prefix, target
+		return r
+	}
+	m := newModel([]router.Route{route("slow", "/", 1500*time.Millisecond), route("new", "/new/", time.Second)}, nil)
+	now := start
+	served := 0
+	ask := func(id uint64, path string, left, took time.Duration) {
+		cmd := m.Update(now, conductor.RequestArrived{ID: id, Host: "h", Path: path, CallerLeft: left, Read: now})[0]
+		if _, sent := cmd.(conductor.Send); sent {
+			m.Update(now.Add(took), conductor.AttemptEnded{ID: id, Outcome: conductor.Outcome{Answered: true, Status: http.StatusOK}})
+			m.Update(now.Add(took), conductor.RequestEnded{ID: id})
+			served++
+		}
+		now = now.Add(took + 100*time.Millisecond)
+	}
+	for id := range uint64(50) {
+		ask(id, "/x", 4*time.Second, 1400*time.Millisecond)
+	}
+	served = 0
+	for id := range uint64(20) {
+		ask(100+id, "/new/x", 900*time.Millisecond, 200*time.Millisecond)
+	}
+	if served < 18 {
+		t.Errorf("%d of 20 requests on the new route were sent to idle endpoints", served)
+	}
+}
