--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -53,7 +53,9 @@
 	byHash   map[uint32]*teamState
 	retries  map[string]*retryState
 	credits  map[string]*admitter.Credit
-	paces    map[string]*pace
+	// routes and services are the paces of each.
+	routes   paces
+	services paces
 	peers    map[string]*peer
 	known    map[string]bool
 	// beats counts the heartbeats to each audience, touches are the news of warm
@@ -111,7 +113,8 @@
 		byHash:   map[uint32]*teamState{},
 		retries:  map[string]*retryState{},
 		credits:  map[string]*admitter.Credit{},
-		paces:    map[string]*pace{},
+		routes:   paces{},
+		services: paces{},
 		peers:    map[string]*peer{},
 		known:    map[string]bool{},
 		splits:   map[string]*split{},
--- a/seam/conductor/pace.go
+++ b/seam/conductor/pace.go
@@ -22,15 +22,15 @@
 	at time.Time
 }
 
-// servicePace is put before a service's name to tell it from a route's.
-const servicePace = "service "
+// paces holds paces by the names of routes or of services.
+type paces map[string]*pace
 
-// paceOf returns the pace of a route, or of a service.
-func (m *Model) paceOf(name string) *pace {
-	p, ok := m.paces[name]
+// of returns the pace of a name, a new one if there is none.
+func (l paces) of(name string) *pace {
+	p, ok := l[name]
 	if !ok {
 		p = &pace{}
-		m.paces[name] = p
+		l[name] = p
 	}
 	return p
 }
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -142,7 +142,7 @@
 		after := admitter.RetryAfter(noConfigRetry, r.callerEnd.Sub(now), m.rng.Float64())
 		return refuse(r.id, http.StatusServiceUnavailable, coder.NoUpstream, after)
 	}
-	expect := m.paceOf(r.route.Name).expect(now, choice.Expect, choice.Wait, m.paceOf(servicePace+r.service))
+	expect := m.routes.of(r.route.Name).expect(now, choice.Expect, choice.Wait, m.services.of(r.service))
 	decision := admitter.Decide(
 		admitter.Load{Expect: expect, Wait: choice.Wait, Room: choice.Room},
 		admitter.Request{
@@ -205,9 +205,9 @@
 		Answered: o.Answered, Good: o.Status/100 == 2, NotRun: o.NotRun && !o.Unreachable, Unreachable: o.Unreachable,
 		Refused: o.Refused, Left: o.Left, Connect: o.Connect, Target: r.route.Target, Timeout: r.place.Timeout,
 	})
-	for _, name := range []string{r.route.Name, servicePace + r.service} {
-		m.paceOf(name).learn(now, now.Sub(r.sentAt), r.choice.Expect, r.choice.Wait, o)
-	}
+	took := now.Sub(r.sentAt)
+	m.routes.of(r.route.Name).learn(now, took, r.choice.Expect, r.choice.Wait, o)
+	m.services.of(r.service).learn(now, took, r.choice.Expect, r.choice.Wait, o)
 	if !o.NotRun {
 		r.mayHaveRun = true
 	}
