Let the first answer finish when its hedge ends too late

Callers saw status 200 and a part of a streamed answer (8,192 of 245,760 bytes in a trial). Cause: a hedge that finds another attempt answering ends with OK and uncommitted; the decider took that for the end of the request and cancelled the attempt that was writing. Ruled out: the forwarder's claim, which only ever has one writer. Now an uncommitted OK leaves the other attempts alone; the request ends with the one that writes. The same ending no longer makes a healthy peer suspected for 2 s.

Test: TestHedgeDoesNotCutShortTheFirstAnswer got a Cancel before, passes now.

--- a/seam/decider/attempts.go
+++ b/seam/decider/attempts.go
@@ -159,7 +159,7 @@
 	case msg.Refused && msg.Result == coder.Stopping:
 		p.shuttingDown = true
 		m.peers.epoch++
-	case msg.Refused || msg.Committed:
+	case msg.Refused || msg.Committed || msg.Result == coder.OK:
 		p.lastContact = now
 	case msg.Result != coder.CallerGone && msg.Result != coder.UpstreamTimeout:
 		m.suspect(now, p)
@@ -187,6 +187,8 @@
 //   - If the caller already has an answer or a refusal, no command follows.
 //   - If the attempt sent an answer, or part of an answer, to the caller, the request is
 //     finished and its other attempts are cancelled.
+//   - If the attempt was too late because another attempt is sending its answer to the
+//     caller, that other attempt goes on. The request is finished when it ends.
 //   - If the attempt failed and other attempts are still in flight, no command follows
 //     until these have ended.
 //   - If the attempt failed and no other attempt is in flight, the request is retried if
@@ -197,10 +199,16 @@
 		m.finish(r)
 		return nil
 	}
-	if e.result == coder.OK || e.committed {
+	if e.committed {
 		m.finish(r)
 		return r.cancelAttempts()
 	}
+	if e.result == coder.OK {
+		if len(r.inFlight) == 0 {
+			m.finish(r)
+		}
+		return nil
+	}
 	r.ran = max(r.ran, e.ran)
 	if len(r.inFlight) > 0 {
 		return nil
--- a/seam/decider/hedge_test.go
+++ b/seam/decider/hedge_test.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// The hedge ends while the first attempt is still streaming its answer to the caller. That
+// answer must not be cut short.
+func TestHedgeDoesNotCutShortTheFirstAnswer(t *testing.T) {
+	f := fleetWithLatencyHistory(t)
+	m, now := f.models[0], f.world.Now()
+	request := decider.RequestArrived{ID: 1 << 40, HasKey: true, Key: teamKey(0), Path: "/x", Repeatable: true}
+	first := onlyCommand[decider.Forward](t, m.Update(now, request))
+	now = now.Add(500 * time.Millisecond)
+	second := onlyCommand[decider.Forward](t, m.Update(now, decider.Ticked{}))
+	tooLate := decider.ForwardEnded{ID: first.ID, Endpoint: second.Endpoint, Ran: coder.HasRun}
+	if cmds := m.Update(now, tooLate); len(cmds) != 0 {
+		t.Fatalf("got %#v", cmds)
+	}
+	whole := decider.ForwardEnded{ID: first.ID, Endpoint: first.Endpoint, Ran: coder.HasRun, Committed: true}
+	if cmds := m.Update(now.Add(3*time.Second), whole); len(cmds) != 0 || m.Requests() != 0 {
+		t.Errorf("got %#v, %d requests left", cmds, m.Requests())
+	}
+}
+
 // TestRefusalReportsWhetherAnyAttemptMayHaveRun makes three attempts at a request. The
 // request may have run in the first attempt, but not in the other two. The refusal must
 // state that the request may have run.
