Keep a peer's identity when it sends only states of copies

Look-ups answered an empty address ("addresses":[""]) for a region. Cause: a heartbeat that carries only states of copies has no zone and no caller address, and its identity replaced the recorded one until the next full heartbeat. Ruled out: the model, which keeps what a heartbeat holds. Now only full heartbeats record an identity; one of a new lifetime drops the old one. Receivers mend it alone, so old senders are covered in a mixed fleet.

Test: TestCopyStatesKeepTheSendersIdentity got an empty zone and address before, passes now.

--- a/seamedge/heartbeater/heartbeater_test.go
+++ b/seamedge/heartbeater/heartbeater_test.go
@@ -101,6 +101,39 @@
 	}
 }
 
+// A heartbeat that holds only states of copies carries no zone and no caller address. It
+// must not replace the identity that later heartbeats are matched with, unless its sender
+// has restarted.
+func TestCopyStatesKeepTheSendersIdentity(t *testing.T) {
+	send, _, received, _ := newPair(t)
+	full := newHeartbeat(1, 1)
+	full.FullDemand = true
+	send(full)
+	<-received
+	copyStates := conductor.Heartbeat{
+		ID: full.ID, StartedAtMs: full.StartedAtMs, Region: full.Region, PeerAddress: full.PeerAddress, CopyStatesOnly: true,
+		CopyStates: []conductor.CopyState{{Kind: "config", Position: 10, Changed: 10}},
+	}
+	send(copyStates)
+	if out := <-received; !reflect.DeepEqual(copyStates, out) {
+		t.Errorf("got %+v", out)
+	}
+	partial := newHeartbeat(1, 1)
+	send(partial)
+	if out := <-received; out.Zone != full.Zone || out.CallerAddress != full.CallerAddress {
+		t.Errorf("zone %q, caller address %q", out.Zone, out.CallerAddress)
+	}
+	copyStates.StartedAtMs++
+	send(copyStates)
+	<-received
+	send(partial)
+	select {
+	case out := <-received:
+		t.Errorf("a heartbeat of the sender's earlier lifetime was accepted: %+v", out)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
 func TestMalformedDatagramsAreReported(t *testing.T) {
 	send, sendRaw, received, errs := newPair(t)
 	for _, malformed := range [][]byte{{0xc1}, []byte("junk"), {0x91, 0x01}} {
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -23,6 +23,11 @@
 	PeerAddress   string
 }
 
+// sameLifetime reports whether two identities are of the same lifetime of an instance.
+func (i identity) sameLifetime(other identity) bool {
+	return i.ID == other.ID && i.StartedAtMs == other.StartedAtMs
+}
+
 // message is the form in which a heartbeat is encoded. Its fields have the same meaning as
 // those of [conductor.Heartbeat]. A message is encoded as an array, so the order of its
 // fields is part of the wire format.
@@ -88,20 +93,33 @@
 // senders maps each source address to the last identity in a message from this address.
 type senders map[netip.AddrPort]identity
 
+// record records the identity of the sender at an address.
+func (s senders) record(from netip.AddrPort, sender identity) {
+	if _, known := s[from]; !known && len(s) >= maxSenders {
+		// The identities of live instances are recorded again at their next full
+		// heartbeats.
+		clear(s)
+	}
+	s[from] = sender
+}
+
 // toHeartbeat converts a message from an address to a heartbeat with the sender's identity.
-// An identity in the message is recorded for the address. If the message carries none, the
-// recorded identity is used. toHeartbeat returns false if none is recorded either.
+// The identity in a full heartbeat is recorded for the address. If a message carries none,
+// the recorded identity is used; toHeartbeat returns false if none is recorded. The
+// incomplete identity in a message with CopyStatesOnly is used for that message alone. If
+// it is of another lifetime than the recorded one, the recorded one no longer applies.
 func (s senders) toHeartbeat(m message, from netip.AddrPort) (conductor.Heartbeat, bool) {
-	if m.Sender != nil {
-		if len(s) >= maxSenders {
-			// The identities of live instances are recorded again at their next full
-			// heartbeats.
-			clear(s)
-		}
-		s[from] = *m.Sender
-	}
 	sender, ok := s[from]
-	if !ok {
+	switch {
+	case m.Sender != nil && m.CopyStatesOnly:
+		if ok && !sender.sameLifetime(*m.Sender) {
+			delete(s, from)
+		}
+		sender = *m.Sender
+	case m.Sender != nil:
+		sender = *m.Sender
+		s.record(from, sender)
+	case !ok:
 		return conductor.Heartbeat{}, false
 	}
 	return conductor.Heartbeat{
