Let the demo's checks for links and regions fail

shiftUnderCap and noRegionOverloaded found no request's region (1,374 unknown, 0 known) and so could not fail. Cause: the id that an upstream gets ends with the numbers of the request and of the attempt, and only one was cut off. Now both are; a run in which no origin is known counts as not checked.

--- a/seamctl/demonstrator/breaks.go
+++ b/seamctl/demonstrator/breaks.go
@@ -12,7 +12,7 @@
 // checker must report violations.
 var testedMechanisms = []daemon.Mechanism{
 	daemon.KeyStripping, daemon.KeyWithdrawal, daemon.AtMostOnce, daemon.RateLedger,
-	daemon.GracefulStop, daemon.UpstreamDrain, daemon.EchoCheck,
+	daemon.GracefulStop, daemon.UpstreamDrain, daemon.EchoCheck, daemon.RegionScope,
 }
 
 // ParseMechanism returns the mechanism with the given name, such as "keyStripping". It
--- a/seamctl/demonstrator/checker.go
+++ b/seamctl/demonstrator/checker.go
@@ -100,6 +100,8 @@
 
 	// The following fields count requests that upstreams received.
 
+	// requestsOfKnownOrigin counts the requests of which the sending instance is known.
+	requestsOfKnownOrigin int
 	// requestsWithKey counts the requests that contain an API key.
 	requestsWithKey int
 	// wrongTeamRequests counts the requests whose path doesn't contain the team that
@@ -225,6 +227,9 @@
 		return
 	}
 	c.arrivals = append(c.arrivals, a)
+	if a.from != "" {
+		c.requestsOfKnownOrigin++
+	}
 	if s.Ran {
 		c.runs[s.Path]++
 	} else {
@@ -248,17 +253,25 @@
 	c.checkDrains(e, s)
 }
 
-// newArrival returns the arrival that describes a request at an endpoint. Request ids
-// consist of the id of the sending instance, a hyphen and a suffix without hyphens.
+// newArrival returns the arrival that describes a request at an endpoint.
 func (c *checker) newArrival(e *endpoint, s responder.ObservedRequest) arrival {
 	a := arrival{at: s.At, team: s.Team, to: e.region, bytes: s.Bytes}
-	if separator := strings.LastIndexByte(s.RequestID, '-'); separator > 0 {
-		a.from = c.regions[s.RequestID[:separator]]
-	}
+	a.from = c.regions[sendingInstance(s.RequestID)]
 	a.crossRegion = a.from != "" && a.from != e.region
 	return a
 }
 
+// sendingInstance returns the id of the instance that sent a request to an upstream. The
+// request's id consists of the instance's id, the number of the caller's request and the
+// number of the attempt, joined by hyphens. The instance's id may contain hyphens too.
+func sendingInstance(requestID string) string {
+	for range 2 {
+		separator := max(strings.LastIndexByte(requestID, '-'), 0)
+		requestID = requestID[:separator]
+	}
+	return requestID
+}
+
 func (c *checker) recordRequestEnd(e *endpoint, s responder.ObservedRequest, a arrival) {
 	if s.Cancelled {
 		c.cancelledRequests++
--- a/seamctl/demonstrator/demonstrator_test.go
+++ b/seamctl/demonstrator/demonstrator_test.go
@@ -53,6 +53,7 @@
 		long      bool
 	}{
 		{"keyStripping", "none", time.Second, "noKeyUpstream", false},
+		{"regionScope", "none", 3 * time.Second, "noRegionOverloaded", false},
 		{"echoCheck", "answers", 6 * time.Second, "wholeAnswers", false},
 		{"keyWithdrawal", "keyWithdrawal", 8 * time.Second, "withdrawnKeyDies", false},
 		{"atMostOnce", "answers", 8 * time.Second, "atMostOnce", true},
--- a/seamctl/demonstrator/promises.go
+++ b/seamctl/demonstrator/promises.go
@@ -25,8 +25,8 @@
 func (c *checker) promises(shape Shape, faults []Fault) []Promise {
 	requests := len(c.arrivals)
 	list := []Promise{
-		{Name: "shiftUnderCap", Checked: requests, Violations: c.countOverCap(shape), required: true},
-		{Name: "noRegionOverloaded", Checked: requests, Violations: c.regionOverloads, required: true},
+		{Name: "shiftUnderCap", Checked: c.requestsOfKnownOrigin, Violations: c.countOverCap(shape), required: true},
+		{Name: "noRegionOverloaded", Checked: c.requestsOfKnownOrigin, Violations: c.regionOverloads, required: true},
 		{Name: "runsForItsTeam", Checked: requests, Violations: c.wrongTeamRequests, required: true},
 		{Name: "noKeyUpstream", Checked: requests, Violations: c.requestsWithKey, required: true},
 		{
--- a/seamd/daemon/mechanisms.go
+++ b/seamd/daemon/mechanisms.go
@@ -27,6 +27,8 @@
 	UpstreamDrain
 	// EchoCheck verifies that an answer carries the id of its request.
 	EchoCheck
+	// RegionScope sends requests only to upstreams of the instance's own region.
+	RegionScope
 )
 
 // WithoutMechanism disables a mechanism, which breaks a guarantee. It is only for tests
@@ -60,6 +62,8 @@
 			doc.Defaults.Teams[i].RatePerSecond *= float64(doc.Defaults.FleetSize)
 			doc.Defaults.Teams[i].Burst *= float64(doc.Defaults.FleetSize)
 		}
+	case RegionScope:
+		doc.Defaults.Services = d.withAllEndpointsLocal(doc.Defaults.Services)
 	case UpstreamDrain:
 		doc.Exceptions = withoutDrains(doc.Exceptions)
 	default:
@@ -72,6 +76,20 @@
 	return modified
 }
 
+// withAllEndpointsLocal returns the services with all endpoints placed in this instance's
+// region.
+func (d *Daemon) withAllEndpointsLocal(services []configurer.Service) []configurer.Service {
+	local := append([]configurer.Service(nil), services...)
+	for i := range local {
+		local[i].Endpoints = append([]configurer.Endpoint(nil), local[i].Endpoints...)
+		for k := range local[i].Endpoints {
+			e := &local[i].Endpoints[k]
+			e.Region, e.FailureDomain = d.settings.Instance.Region, d.settings.Instance.FailureDomain
+		}
+	}
+	return local
+}
+
 // withoutDrains returns the exceptions that don't set whether an endpoint is draining.
 func withoutDrains(exceptions []configurer.Exception) []configurer.Exception {
 	var rest []configurer.Exception
--- a/seamd/daemon/mechanisms_string.go
+++ b/seamd/daemon/mechanisms_string.go
@@ -15,11 +15,12 @@
 	_ = x[GracefulStop-5]
 	_ = x[UpstreamDrain-6]
 	_ = x[EchoCheck-7]
+	_ = x[RegionScope-8]
 }
 
-const _Mechanism_name = "KeyStrippingKeyWithdrawalAtMostOnceRateLedgerGracefulStopUpstreamDrainEchoCheck"
+const _Mechanism_name = "KeyStrippingKeyWithdrawalAtMostOnceRateLedgerGracefulStopUpstreamDrainEchoCheckRegionScope"
 
-var _Mechanism_index = [...]uint8{0, 12, 25, 35, 45, 57, 70, 79}
+var _Mechanism_index = [...]uint8{0, 12, 25, 35, 45, 57, 70, 79, 90}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 1
