Level the cost of owners, fleet counts and demand sums with the fleet

Causes: the owner of each endpoint was found by hashing every live instance for each candidate of each request, also for endpoints that weren't cold; the fleet was counted anew for each heartbeat; each tick summed the demand of each team over all peers. Ruled out by profile: decoding and the estimates, which are a tenth each.

Now ownership is computed once for each endpoint and set of live instances, and asked for cold endpoints only; the fleet is counted when it changes; the demand at others is a running total.

--- a/seam/conductor/bench_test.go
+++ b/seam/conductor/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkRequest measures one request through the whole decision path: route,
 // key, rate limit, choice of the endpoint, admission, and the end of its attempt.
 func BenchmarkRequest(b *testing.B) {
-	for _, size := range []struct{ endpoints, instances int }{{16, 10}, {168, 63}} {
+	for _, size := range []struct{ endpoints, instances int }{{16, 10}, {168, 63}, {281, 295}, {281, 440}, {3000, 440}} {
 		b.Run(fmt.Sprintf("%dendpoints%dinstances", size.endpoints, size.instances), func(b *testing.B) {
 			m := conductor.New(conductor.WithSelf("edge-1", "zone-0", map[string]string{"zone-0": "region-0"}),
 				conductor.WithBounds(testBounds))
@@ -59,16 +59,46 @@
 	return hb
 }
 
-// BenchmarkPeerUpdate measures processing a heartbeat among 63 instances.
+// BenchmarkPeerUpdate measures processing a heartbeat in fleets of several sizes.
 func BenchmarkPeerUpdate(b *testing.B) {
-	m := newModel(oneRoute(true), nil)
-	for i := range 62 {
-		m.Update(start, conductor.HeartbeatReceived{Heartbeat: peerHeartbeat(i, 1)})
+	for _, instances := range []int{10, 63, 295, 440} {
+		b.Run(fmt.Sprintf("%dinstances", instances), func(b *testing.B) {
+			m := newModel(oneRoute(true), nil)
+			for i := range instances - 1 {
+				m.Update(start, conductor.HeartbeatReceived{Heartbeat: peerHeartbeat(i, 1)})
+			}
+			sequenceNumber := uint64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				sequenceNumber++
+				hb := peerHeartbeat(int(sequenceNumber)%(instances-1), sequenceNumber)
+				m.Update(start.Add(time.Hour), conductor.HeartbeatReceived{Heartbeat: hb})
+			}
+		})
 	}
-	sequenceNumber := uint64(1)
-	b.ReportAllocs()
-	for b.Loop() {
-		sequenceNumber++
-		m.Update(start, conductor.HeartbeatReceived{Heartbeat: peerHeartbeat(int(sequenceNumber%62), sequenceNumber)})
+}
+
+// BenchmarkTick measures the periodic work of an instance with 190 teams in fleets of
+// several sizes.
+func BenchmarkTick(b *testing.B) {
+	for _, instances := range []int{10, 63, 295, 440} {
+		b.Run(fmt.Sprintf("%dinstances", instances), func(b *testing.B) {
+			var teams []router.Team
+			for i := range 190 {
+				teams = append(teams, router.Team{Name: fmt.Sprint(i), Keys: []string{fmt.Sprint("k", i)}, Rate: 10, Burst: 10})
+			}
+			m := newModel(oneRoute(true), nil)
+			m.Update(start, conductor.ConfigReceived{Config: router.NewConfig(9, oneRoute(true), []router.Service{{Name: "a"}}, teams, router.Limits{})})
+			for i := range instances - 1 {
+				m.Update(start, conductor.HeartbeatReceived{Heartbeat: peerHeartbeat(i, 1)})
+			}
+			for i := range teams {
+				m.Update(start, conductor.RequestArrived{ID: uint64(i), Host: "h", Path: "/x", Key: fmt.Sprint("k", i), ReadAt: start})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Update(start, conductor.Ticked{})
+			}
+		})
 	}
 }
--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -94,8 +94,13 @@
 	longestCallerTime map[string]time.Duration
 	stopRequestedAt   time.Time
 	// liveInstances lists the IDs of the instances that are neither silent nor leaving,
-	// this one included.
+	// this one included. ownership is this instance's ownership of endpoints among them.
 	liveInstances []string
+	ownership     *placer.Ownership
+	// knownInstances is the number of instances that are peers, that the store lists, or
+	// both, this one included. demand sums up the demand at the peers that aren't silent.
+	knownInstances int
+	demand         demandTotals
 }
 
 // Option configures a Model in New.
@@ -141,6 +146,8 @@
 		storeInstances:    map[string]bool{},
 		splits:            map[string]*split{},
 		longestCallerTime: map[string]time.Duration{},
+		knownInstances:    1,
+		demand:            demandTotals{},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -238,23 +245,14 @@
 }
 
 // ownsColdEndpoint reports whether this instance owns an endpoint: while the endpoint
-// is cold, normally only its owner sends requests to it. The owner is the first live
-// instance in an order that depends on the endpoint and is the same on all instances.
-func (m *Model) ownsColdEndpoint(endpoint uint32) bool {
-	return placer.Owner(m.liveInstances, endpoint) == m.id
-}
+// is cold, normally only its owner sends requests to it.
+func (m *Model) ownsColdEndpoint(endpoint uint32) bool { return m.ownership.Owns(endpoint) }
 
 // fleet returns the number of known instances and the number of live ones. After a
 // start, the number of known instances is at least assumedFleetSize. This ends when
 // the store or another instance has reported a number, or after assumedFleetPeriod.
 func (m *Model) fleet() rationer.Fleet {
-	knownInstances := len(m.peers) + 1
-	for id := range m.storeInstances {
-		if _, isPeer := m.peers[id]; !isPeer && id != m.id {
-			knownInstances++
-		}
-	}
-	knownInstances = max(knownInstances, m.reportedFleetSize)
+	knownInstances := max(m.knownInstances, m.reportedFleetSize)
 	if m.reportedFleetSize == 0 && m.lastUpdate.Sub(m.firstUpdate) < assumedFleetPeriod {
 		knownInstances = max(knownInstances, assumedFleetSize)
 	}
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"slices"
 	"time"
 
 	"primroseseam.org/seam/placer"
@@ -25,13 +24,13 @@
 )
 
 // peer is what this instance knows of another instance. demandByTeam and admittedByTeam
-// are keyed by the hash of the team's name. They hold the demand in requests per
-// second and the number of admitted requests, as last reported.
+// are keyed by the hash of the team's name. They hold the demand in tenths of a request
+// per second and the number of admitted requests, as last reported.
 type peer struct {
 	lastHeartbeat   Heartbeat
 	lastHeartbeatAt time.Time
 	silent          bool
-	demandByTeam    map[uint32]float64
+	demandByTeam    map[uint32]uint32
 	admittedByTeam  map[uint32]uint64
 	// knownFromStart means that this instance has followed the peer's current lifetime
 	// from its start: the first heartbeat received was one of the lifetime's first
@@ -47,9 +46,21 @@
 	for _, id := range ids {
 		m.storeInstances[id] = true
 	}
+	m.countKnownInstances()
 	m.reportedFleetSize = m.fleet().KnownInstances
 }
 
+// countKnownInstances counts knownInstances anew. It is called after each change of the
+// peers and of the store's list.
+func (m *Model) countKnownInstances() {
+	m.knownInstances = len(m.peers) + 1
+	for id := range m.storeInstances {
+		if _, isPeer := m.peers[id]; !isPeer && id != m.id {
+			m.knownInstances++
+		}
+	}
+}
+
 // heartbeatReceived applies a heartbeat, unless a newer heartbeat of the same sender
 // was received before. It returns a SendFullHeartbeat command if the sender was
 // unknown or has restarted.
@@ -70,9 +81,14 @@
 	if !ok {
 		p = &peer{}
 		m.peers[hb.ID] = p
+		m.countKnownInstances()
+	}
+	if p.silent {
+		m.demand.add(p.demandByTeam)
 	}
 	if hb.StartedAtMs != p.lastHeartbeat.StartedAtMs {
 		p.admittedByTeam = map[uint32]uint64{}
+		m.demand.subtract(p.demandByTeam)
 		p.demandByTeam = nil
 		p.knownFromStart = ok || hb.SequenceNumber <= newInstanceHeartbeats
 	}
@@ -100,10 +116,12 @@
 // this instance received its first heartbeat from the peer.
 func (m *Model) recordDemand(now time.Time, p *peer, hb Heartbeat) {
 	if hb.FullDemand || p.demandByTeam == nil {
-		p.demandByTeam = make(map[uint32]float64, len(hb.Demand))
+		m.demand.subtract(p.demandByTeam)
+		p.demandByTeam = make(map[uint32]uint32, len(hb.Demand))
 	}
 	for _, d := range hb.Demand {
-		p.demandByTeam[d.Team] = float64(d.TenthsPerSecond) / 10
+		m.demand[d.Team] += int64(d.TenthsPerSecond) - int64(p.demandByTeam[d.Team])
+		p.demandByTeam[d.Team] = d.TenthsPerSecond
 		previousCount, hasPrevious := p.admittedByTeam[d.Team]
 		p.admittedByTeam[d.Team] = d.Admitted
 		if !hasPrevious && !p.knownFromStart || d.Admitted <= previousCount {
@@ -125,10 +143,12 @@
 		if age > silentAfter && !p.silent {
 			p.silent = true
 			changed = true
+			m.demand.subtract(p.demandByTeam)
 			m.balancer.ForgetPeer(id)
 		}
 		if age > forgetAfter {
 			delete(m.peers, id)
+			m.countKnownInstances()
 			m.reportedFleetSize = len(m.peers) + 1
 		}
 	}
@@ -146,9 +166,30 @@
 			m.liveInstances = append(m.liveInstances, id)
 		}
 	}
-	slices.Sort(m.liveInstances)
+	m.ownership = placer.NewOwnership(m.id, m.liveInstances)
 }
 
+// demandTotals maps the hash of a team's name to the sum of its demand at several peers,
+// in tenths of a request per second.
+type demandTotals map[uint32]int64
+
+// add adds the demand at one peer.
+func (t demandTotals) add(byTeam map[uint32]uint32) {
+	for team, tenths := range byTeam {
+		t[team] += int64(tenths)
+	}
+}
+
+// subtract takes away the demand at one peer.
+func (t demandTotals) subtract(byTeam map[uint32]uint32) {
+	for team, tenths := range byTeam {
+		t[team] -= int64(tenths)
+	}
+}
+
+// perSecond returns a team's total in requests per second.
+func (t demandTotals) perSecond(team uint32) float64 { return float64(t[team]) / 10 }
+
 // Addresses returns the addresses that callers in a zone should connect to: the
 // instances in that zone; if there are none, the instances in the region; if there
 // are none, all instances. Instances that are leaving, or that have sent no heartbeat
--- a/seam/conductor/rates.go
+++ b/seam/conductor/rates.go
@@ -90,13 +90,7 @@
 		if !ok || team.Rate <= 0 {
 			continue
 		}
-		othersDemand := 0.0
-		for _, p := range m.peers {
-			if !p.silent {
-				othersDemand += p.demandByTeam[t.hash]
-			}
-		}
-		t.setRate(now, team, fleet, othersDemand)
+		t.setRate(now, team, fleet, m.demand.perSecond(t.hash))
 	}
 }
 
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -175,21 +175,17 @@
 
 func (e *endpoint) isUnreachable() bool { return !e.unreachableSince.IsZero() }
 
-// maySend reports whether this instance may send to the endpoint now. owner means
-// that this instance owns the endpoint, and rate is the number of requests per second
-// that a cold endpoint can handle.
+// maySendWhileCold reports whether this instance may send to the endpoint now, although
+// the endpoint counts as cold. owner means that this instance owns the endpoint, and rate
+// is the number of requests per second that a cold endpoint can handle.
 //
-// Every instance may send to an endpoint that isn't cold. Only the owner may send to a
-// cold endpoint, at a limited rate. There are two exceptions, in which an instance that
+// Only the owner may send to a cold endpoint, at a limited rate. There are two exceptions, in which an instance that
 // isn't the owner may make one attempt at a time. First, the endpoint is unreachable
 // from this instance, and no other instance currently reports it as unreachable.
 // Second, it has been unreachable from this instance for longer than ownerTimeout.
 // While an endpoint is ejected and unreachable from this instance, this instance sends
 // nothing to it.
-func (e *endpoint) maySend(now time.Time, owner bool, rate float64) bool {
-	if !e.isCold(now) {
-		return true
-	}
+func (e *endpoint) maySendWhileCold(now time.Time, owner bool, rate float64) bool {
 	if e.isUnreachable() && e.isEjected(now) {
 		return false
 	}
--- a/seam/placer/estimates.go
+++ b/seam/placer/estimates.go
@@ -284,20 +284,6 @@
 	}
 }
 
-// Owner returns the instance that owns an endpoint, chosen by rendezvous hashing: all
-// instances that pass the same set of instances get the same result, whatever the
-// order of the set.
-func Owner(instances []string, endpoint uint32) string {
-	best := ""
-	var highest uint32
-	for _, id := range instances {
-		if score := mix(Hash32(id), endpoint); best == "" || score > highest {
-			best, highest = id, score
-		}
-	}
-	return best
-}
-
 // WarmCapacity is the estimated number of objects that each endpoint of a service keeps
 // warm. Service is the hash of the service's name. Tenths is ten times the estimated
 // number.
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -16,7 +16,7 @@
 // An endpoint is cold for a warm-up period after it starts: it is slower, and
 // requests to it are rate limited. Each endpoint has an owner, one of the instances.
 // Normally only the owner sends requests to the endpoint while it is cold. See
-// [Owner].
+// [Ownership].
 //
 // An endpoint whose attempts fail repeatedly is ejected for a while: it is chosen
 // only if all others are ejected too.
@@ -306,7 +306,10 @@
 	if r.Restricted && !slices.Contains(r.Regions, e.region) {
 		return false
 	}
-	return !slices.Contains(r.Tried, e.spec.ID) && e.maySend(now, b.ownsCold(e.hash), b.service(r.Service).spec.ColdRate)
+	if slices.Contains(r.Tried, e.spec.ID) {
+		return false
+	}
+	return !e.isCold(now) || e.maySendWhileCold(now, b.ownsCold(e.hash), b.service(r.Service).spec.ColdRate)
 }
 
 // Pick returns the endpoint with the lowest cost for a request, with the estimates
--- a/seam/placer/placer_test.go
+++ b/seam/placer/placer_test.go
@@ -117,15 +117,21 @@
 	}
 }
 
-func TestOwnerIsAgreedOnAndSpread(t *testing.T) {
+func TestEachEndpointHasOneOwnerAndOwnersAreSpread(t *testing.T) {
 	instances := []string{"e-1", "e-2", "e-3", "e-4"}
+	reversed := []string{"e-4", "e-3", "e-2", "e-1"}
 	owned := map[string]int{}
 	for endpoint := range uint32(400) {
-		owner := placer.Owner(instances, endpoint*7919)
-		if placer.Owner([]string{"e-4", "e-2", "e-3", "e-1"}, endpoint*7919) != owner {
-			t.Fatal("the owner depends on the order of the instances")
+		owners := 0
+		for _, id := range instances {
+			if placer.NewOwnership(id, reversed).Owns(endpoint * 7919) {
+				owners++
+				owned[id]++
+			}
+		}
+		if owners != 1 {
+			t.Fatalf("endpoint %d has %d owners", endpoint, owners)
 		}
-		owned[owner]++
 	}
 	for _, id := range instances {
 		if owned[id] < 50 {
