Attribute refusals to a request only if they certainly answer it

Clients could be told 'not run' for a request that ran. Cause in seamedge: on a kept connection a failure without a request id was taken for the answer at hand, so an earlier 503 or 421, written once more, counted as 'not run'. Cause in seamd: the mark 'not run' was read before the id was compared. Ruled out: bytes left on an idle connection, which already close it.

Now a response without an id is the request's only on a connection that has carried no other; else it is skipped, counted and logged, and the answer that follows is used. seamd compares the id first.

Tests: TestLateCopiesOfRefusalsAreNotTakenForTheAnswer (2 of 3 cases) and TestCopyOfARefusalAloneLeavesTheOutcomeUnknown failed before; TestBrokenAnswersAreNotReportedAsComplete/crossedRefusal and refusalWithoutID said 'not run' and ran a non-idempotent request 3 times before.

--- a/seamd/daemon/answers_test.go
+++ b/seamd/daemon/answers_test.go
@@ -139,6 +139,12 @@
 		"crossed": func(*http.Request) string {
 			return "HTTP/1.1 200 OK\r\nSeam-Request-Id: other\r\nContent-Length: 2\r\n\r\nok"
 		},
+		"crossedRefusal": func(*http.Request) string {
+			return "HTTP/1.1 503 Service Unavailable\r\nSeam-Request-Id: other\r\nUpstream-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+		},
+		"refusalWithoutID": func(*http.Request) string {
+			return "HTTP/1.1 503 Service Unavailable\r\nUpstream-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+		},
 		"longCut": func(r *http.Request) string {
 			return "HTTP/1.1 200 OK\r\n" + id(r) + "Content-Length: 999999\r\n\r\n" + long
 		},
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -170,13 +170,15 @@
 		Status: resp.StatusCode, Unhealthy: isUnhealthyStatus(resp.StatusCode),
 	}
 	switch {
-	case resp.Header.Get(headerUpstreamNotRun) == "true":
-		result.Code, result.Ran, result.Shed = coder.UpstreamFailed, coder.NotRun, true
-		return result
+	// A refusal counts only if it answers this request. It may be a late copy of an earlier
+	// one.
 	case resp.Header.Get(HeaderRequestID) != out.ID && !f.skipEchoCheck:
 		f.endpoints.closeIdle(endpoint)
 		result.Code, result.Ran = coder.AnswerMismatched, coder.MayHaveRun
 		return result
+	case resp.Header.Get(headerUpstreamNotRun) == "true":
+		result.Code, result.Ran, result.Shed = coder.UpstreamFailed, coder.NotRun, true
+		return result
 	}
 	return writeResponse(ctx, claim, w, resp, result)
 }
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -206,6 +206,11 @@
 	if answer.DialTime > 0 {
 		e.metrics.endpointConnections.Inc()
 	}
+	if answer.SkippedResponses > 0 {
+		e.metrics.skippedResponses.Add(answer.SkippedResponses)
+		e.log.Warn("endpoint: skipped responses to other requests", zap.String("endpoint", cmd.Endpoint),
+			zap.String("request", req.requestID), zap.Int("count", answer.SkippedResponses))
+	}
 	e.metrics.expectedWait.Update(cmd.Choice.QueueTime.Seconds())
 	if cmd.Choice.Region != e.region() {
 		e.metrics.otherRegionBodyBytes.Add(len(req.body) + len(answer.Body))
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -19,6 +19,9 @@
 	heartbeatErrors     *metrics.Counter
 	retries             *metrics.Counter
 	endpointConnections *metrics.Counter
+	// skippedResponses counts responses of endpoints that couldn't be attributed to the
+	// request at hand and were skipped.
+	skippedResponses *metrics.Counter
 	// expectedWait is the time, in seconds, for which the model expects an attempt to
 	// wait in the queue of its endpoint.
 	expectedWait *metrics.Histogram
@@ -44,6 +47,7 @@
 		heartbeatErrors:      set.NewCounter("seam_edge_heartbeat_errors_total"),
 		retries:              set.NewCounter("seam_edge_retries_total"),
 		endpointConnections:  set.NewCounter("seam_edge_endpoint_connections_total"),
+		skippedResponses:     set.NewCounter("seam_edge_skipped_responses_total"),
 		expectedWait:         set.NewHistogram("seam_edge_expected_wait_seconds"),
 		tickLateness:         set.NewHistogram("seam_edge_tick_late_seconds"),
 		closeAfter:           set.NewHistogram("seam_edge_left_close_seconds"),
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -37,14 +37,15 @@
 const maxHeadBytes = 64 << 10
 
 // maxExtraResponses is the largest number of responses that are skipped before the response
-// to the request. Interim (1xx) responses and responses to earlier requests are skipped.
+// to the request. Interim (1xx) responses and responses that can't be attributed to the
+// request are skipped.
 const maxExtraResponses = 3
 
 // Errors of a call.
 var (
 	// ErrUnexpectedResponse means that the endpoint sent a response that can't be used:
 	// a 2xx response without a request ID, a response with a content-encoded body, a
-	// response to another request with a body of maxBuffered bytes or more, or more than
+	// response to be skipped with a body of maxBuffered bytes or more, or more than
 	// maxExtraResponses responses that had to be skipped.
 	ErrUnexpectedResponse = errors.New("unexpected response from endpoint")
 )
@@ -64,8 +65,9 @@
 	BodyRemainder io.Reader
 	BodyLength    int64
 	// RequestID is the ID of the request. IDHeader is the name of the response header in
-	// which the endpoint returns this ID. A 2xx response is rejected if it lacks this
-	// header.
+	// which the endpoint returns this ID. A response without this header is accepted only
+	// if it isn't a 2xx response and is the first one on a new connection: nothing else
+	// can have been sent there before.
 	RequestID string
 	IDHeader  string
 	// NonIdempotent means that the request must not run more than once. Such a request
@@ -96,6 +98,9 @@
 	// that an idle connection was used.
 	DialTime         time.Duration
 	ConnectionReused bool
+	// SkippedResponses is the number of responses that were skipped because they couldn't
+	// be attributed to the request. It is 0 if the call failed.
+	SkippedResponses int
 	// CloseAfter is the time from the end of the call's context to the closing of the
 	// connection. It is 0 unless the context ended while the connection was in use and
 	// the call failed.
@@ -202,6 +207,7 @@
 			_ = c.SetDeadline(time.Time{})
 			c.maxIdle = maxIdleTime(response.Header)
 			c.lastUsed = time.Now()
+			c.reused = true
 			x.pool.put(call.Address, c)
 			return
 		}
@@ -223,10 +229,11 @@
 }
 
 // readResponse reads responses from a connection until it has the response to the call. It
-// skips interim responses, and responses to earlier requests, which it recognizes by their
-// request ID. It returns the response both as a Result and as an http.Response.
+// skips interim responses and responses that can't be attributed to the call. It returns
+// the response both as a Result and as an http.Response.
 func (x *Exchanger) readResponse(c *conn, call Call) (Result, *http.Response, error) {
 	request := &http.Request{Method: call.Method}
+	skipped := 0
 	for extra := 0; extra <= maxExtraResponses; extra++ {
 		c.input.N = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, request)
@@ -242,12 +249,12 @@
 			return Result{}, nil, fmt.Errorf("read response body: %w", err)
 		}
 		id := response.Header.Get(call.IDHeader)
-		if id != "" && id != call.RequestID {
-			// The response belongs to an earlier request. It can be skipped only if its
-			// whole body has been read.
+		if isForeign(id, call, c.reused || skipped > 0) {
+			// The response can be skipped only if its whole body has been read.
 			if len(body) == maxBuffered {
 				return Result{}, nil, ErrUnexpectedResponse
 			}
+			skipped++
 			continue
 		}
 		if id == "" && response.StatusCode/100 == 2 || response.Header.Get("Content-Encoding") != "" {
@@ -256,7 +263,7 @@
 		if extra > 0 {
 			response.Close = true
 		}
-		result := Result{Status: response.StatusCode, Header: response.Header, Body: body, MaybeSent: true}
+		result := Result{Status: response.StatusCode, Header: response.Header, Body: body, MaybeSent: true, SkippedResponses: skipped}
 		if len(body) == maxBuffered {
 			result.BodyRemainder = response.Body
 		}
@@ -265,6 +272,17 @@
 	return Result{}, nil, ErrUnexpectedResponse
 }
 
+// isForeign reports whether a response with the given request ID, or "", can't be
+// attributed to the call. Endpoints return the ID of the request. A response without an ID
+// may be a late copy of one to an earlier request if the connection has carried other
+// responses.
+func isForeign(id string, call Call, carriedOthers bool) bool {
+	if id == "" {
+		return carriedOthers && call.RequestID != ""
+	}
+	return id != call.RequestID
+}
+
 // reusable reports whether a connection can be used for another request. This requires that
 // the last request was written completely, that the end of its response is known, that
 // the response isn't marked to close the connection, and that no bytes follow it.
--- a/seamedge/exchanger/exchanger_test.go
+++ b/seamedge/exchanger/exchanger_test.go
@@ -136,6 +136,65 @@
 	}
 }
 
+// An endpoint that writes an earlier refusal once more on a kept connection must not make
+// the request that follows count as not run. The copy may carry the earlier request's ID
+// or none.
+func TestLateCopiesOfRefusalsAreNotTakenForTheAnswer(t *testing.T) {
+	for name, copied := range map[string]string{
+		"without ID":      "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"with earlier ID": "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"421 without ID":  "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+	} {
+		e := listen(t, func(c net.Conn, _ *http.Request, n int) bool {
+			answer := okResponse(fmt.Sprint(n), "mine")
+			if n == 2 {
+				answer = copied + answer
+			}
+			_, _ = io.WriteString(c, answer)
+			return true
+		})
+		x := exchanger.New()
+		x.Do(t.Context(), newCall(e, "1"))
+		a := x.Do(t.Context(), newCall(e, "2"))
+		if a.Err != nil || a.Status != http.StatusOK || string(a.Body) != "mine" || !a.ConnectionReused || a.SkippedResponses != 1 {
+			t.Errorf("%s: got %+v, want the answer after one skipped response", name, a)
+		}
+		x.Do(t.Context(), newCall(e, "3"))
+		if n := e.connections.Load(); n != 2 {
+			t.Errorf("%s: %d connections, want a new one after the copy", name, n)
+		}
+	}
+}
+
+// If only the copy of an earlier refusal arrives, the request may have run.
+func TestCopyOfARefusalAloneLeavesTheOutcomeUnknown(t *testing.T) {
+	e := listen(t, func(c net.Conn, _ *http.Request, n int) bool {
+		if n == 1 {
+			_, _ = io.WriteString(c, okResponse("1", ""))
+			return true
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return false
+	})
+	x := exchanger.New()
+	x.Do(t.Context(), newCall(e, "1"))
+	if a := x.Do(t.Context(), newCall(e, "2")); a.Err == nil || !a.MaybeSent {
+		t.Errorf("got %+v, want an error and MaybeSent", a)
+	}
+}
+
+// Nothing can have been sent on a new connection before, so that a refusal without an ID
+// is one of the request.
+func TestRefusalWithoutIDOnANewConnectionIsAccepted(t *testing.T) {
+	e := listen(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return false
+	})
+	if a := exchanger.New().Do(t.Context(), newCall(e, "1")); a.Err != nil || a.Status != http.StatusServiceUnavailable {
+		t.Errorf("got %+v", a)
+	}
+}
+
 func TestOnlyOpenConnectionsWithoutExtraBytesAreReused(t *testing.T) {
 	var extra atomic.Value
 	extra.Store("")
--- a/seamedge/exchanger/pool.go
+++ b/seamedge/exchanger/pool.go
@@ -49,6 +49,8 @@
 	// when the last response on it was read, or when it was opened.
 	maxIdle  time.Duration
 	lastUsed time.Time
+	// reused means that a response to an earlier request was read on the connection.
+	reused bool
 	// dialTime is how long it took to open the connection.
 	dialTime time.Duration
 	// openConns is the Exchanger's count of open connections. The first call of Close
