--- a/standin/objectkeeper/objectkeeper.go
+++ b/standin/objectkeeper/objectkeeper.go
@@ -7,7 +7,8 @@
 // a kind after a given revision. Past changes can be dropped (compacted); a watch that needs
 // dropped changes gets status 410, so that its client must list the objects again.
 //
-// Tests can make the store fail with SetFault.
+// Tests can make the store fail with SetFault, and let it go back to an older copy of its
+// data with GoBack.
 //
 // # Usage
 //
@@ -19,6 +20,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -53,6 +55,9 @@
 // pageSize is the maximum number of objects on a page of a list.
 const pageSize = 50
 
+// HeaderEra is the name of the header that carries the store's era in all responses.
+const HeaderEra = "Store-Era"
+
 // maxWatchTime bounds how long a watch waits for changes.
 const maxWatchTime = 30 * time.Second
 
@@ -88,6 +93,8 @@
 	// compactedRevision is the revision up to which changes were dropped.
 	compactedRevision uint64
 	fault             Fault
+	// era grows each time the store goes back to an older copy of its data.
+	era uint64
 	// changeSignal is closed and replaced at each change. Waiting watches wait for that.
 	changeSignal chan struct{}
 	// calls is the number of requests so far.
@@ -96,7 +103,7 @@
 
 // New returns an empty store.
 func New() *FakeStore {
-	return &FakeStore{revision: 1, objects: map[string]map[string]object{}, changeSignal: make(chan struct{})}
+	return &FakeStore{revision: 1, era: 1, objects: map[string]map[string]object{}, changeSignal: make(chan struct{})}
 }
 
 // SetFault sets how the store fails from now on. FaultNone ends the current fault.
@@ -122,6 +129,46 @@
 	return s.calls
 }
 
+// Copy is a copy of the objects of a store and its revision.
+type Copy struct {
+	revision uint64
+	objects  map[string]map[string]object
+}
+
+// Copy returns a copy of the store's data for GoBack.
+func (s *FakeStore) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{revision: s.revision, objects: map[string]map[string]object{}}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// GoBack replaces the store's data by a copy, as after a loss of the data. The revisions go
+// back to that of the copy, the history is gone and a new era begins. Waiting watches are
+// cut off.
+func (s *FakeStore) GoBack(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.compactedRevision, s.changes = c.revision, c.revision, nil
+	s.objects = map[string]map[string]object{}
+	for kind, objects := range c.objects {
+		s.objects[kind] = maps.Clone(objects)
+	}
+	s.era++
+	close(s.changeSignal)
+	s.changeSignal = make(chan struct{})
+}
+
+// currentEra returns the store's era as the header carries it.
+func (s *FakeStore) currentEra() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strconv.FormatUint(s.era, 10)
+}
+
 // Put writes an object without a request, as if another client had written it.
 func (s *FakeStore) Put(kind, name string, spec json.RawMessage) {
 	s.mu.Lock()
@@ -182,6 +229,7 @@
 	s.calls++
 	fault := s.fault
 	s.mu.Unlock()
+	w.Header().Set(HeaderEra, s.currentEra())
 	switch fault {
 	case FaultUnavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -262,7 +310,11 @@
 	}
 	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWatchTime))
 	defer timer.Stop()
+	era := w.Header().Get(HeaderEra)
 	for {
+		if s.currentEra() != era {
+			panic(http.ErrAbortHandler)
+		}
 		events, position, compacted, changeSignal := s.changesAfter(kind, after)
 		if compacted && !delayEvents {
 			w.WriteHeader(http.StatusGone)
@@ -289,7 +341,8 @@
 }
 
 // changesAfter returns the changes to objects of a kind after a revision, the current
-// revision, whether any changes after the given revision were dropped, and a channel that
+// revision, whether any changes after the given revision were dropped or the store doesn't
+// have that revision, and a channel that
 // is closed at the next change.
 func (s *FakeStore) changesAfter(kind string, after uint64) ([]map[string]any, uint64, bool, <-chan struct{}) {
 	s.mu.Lock()
@@ -300,7 +353,7 @@
 			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
 		}
 	}
-	return events, s.revision, after < s.compactedRevision, s.changeSignal
+	return events, s.revision, after < s.compactedRevision || after > s.revision, s.changeSignal
 }
 
 // serveWrite creates an object (POST), deletes it (DELETE) or replaces it (other methods).
