Follow a store that comes back from an older copy, and take nothing back

Cause: copies were ordered by revision alone and dropped older positions, so a store that goes back was refused, or its reused revisions taken for known ones; its older content would have revived withdrawn keys, drains and endpoints that had left. A store without history was asked again without a pause.

Now a follower that enters a new era keeps, until it is written again and at most 15 s, the newer generation of each object, the objects that are missing (endpoints 2 s) and out of view what had been deleted; deletions in the new era count. Deltas across eras are whole, fetched over 1.2 s and from random instances; lists after a 410 back off; the instance registers itself again within 2 s. Positions are logged as era/revision; one line and a counter for each invalid entry.

--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -2,12 +2,16 @@
 // store. The edge daemon, seamedge, uses it.
 //
 // A follower lists all objects of its kind once and then watches for changes. A
-// position is a revision number of the store. Each response to a list or watch names
-// the position up to which the response is complete, and the next watch starts from
+// position is an era and a revision number of the store. Each response to a list or watch
+// names the position up to which the response is complete, and the next watch starts from
 // there. Positions only grow, so a response with an older position than the copy's is
 // dropped. If the store no longer has all changes after the copy's position, the
 // follower lists the objects again.
 //
+// A new era begins when the store comes back from an older copy of its data. What the store
+// then lacks is soon written again by those who wrote it before. Until then the follower's
+// view keeps what it knew better; see [Retention].
+//
 // Calls to the store are expensive, and the connection of a watch can go silent.
 // The instances of the load balancer therefore share the polling. To poll the store
 // means to list or watch. There is no leader:
@@ -151,7 +155,7 @@
 
 // removal records that an object was deleted at or before a position.
 type removal struct {
-	name     string
+	object   Object
 	position uint64
 }
 
@@ -166,6 +170,11 @@
 
 	mu   sync.Mutex
 	view View
+	// stored holds the objects as the store has them. view.Objects differs from it only
+	// by what is retained.
+	stored    map[string]Object
+	retention Retention
+	retained  retainedObjects
 	// hasCopy means that view holds a copy. lastChange is the position of the last
 	// change in that copy.
 	hasCopy    bool
@@ -211,7 +220,7 @@
 	f := &Follower{
 		store: store, kind: kind, wake: make(chan struct{}, 1), storeReachable: true,
 		notify: func(View) {}, report: func(string, error) {}, pollRank: func() int { return 0 },
-		view: View{Kind: kind, Objects: map[string]Object{}},
+		view: View{Kind: kind, Objects: map[string]Object{}}, stored: map[string]Object{}, retained: newRetainedObjects(),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -224,26 +233,30 @@
 func (f *Follower) Run(ctx context.Context) {
 	pollSucceeded := false
 	failures := 0
+	relists := 0
 	slowStoreCallsLeft := 0
 	for ctx.Err() == nil {
+		f.releaseExpired(time.Now())
 		if wait := f.untilNextPoll(time.Now()); wait > 0 {
 			f.sleep(ctx, wait)
 			continue
 		}
-		changed, err := f.poll(ctx, pollSucceeded, slowStoreCallsLeft > 0)
+		result, err := f.poll(ctx, pollSucceeded, slowStoreCallsLeft > 0)
 		switch {
 		case err == nil:
 			pollSucceeded = true
 			failures = 0
 			slowStoreCallsLeft = max(slowStoreCallsLeft-1, 0)
-			if changed {
+			relists = result.relistsAfter(relists)
+			if relists > 0 {
+				f.sleep(ctx, retryDelay(relists))
+			} else if result.changed {
 				f.sleep(ctx, pauseAfterChange)
 			}
-		case errors.Is(err, ErrHistoryGone):
-			pollSucceeded = false
 		case ctx.Err() != nil:
 			return
 		default:
+			pollSucceeded = pollSucceeded && !errors.Is(err, ErrHistoryGone)
 			failures++
 			slowStoreCallsLeft = slowStoreCalls
 			f.recordFailure(err)
@@ -252,6 +265,20 @@
 	}
 }
 
+// pollResult describes a successful poll. relisted means that the objects were listed
+// because the store no longer had the changes after the copy's position.
+type pollResult struct{ changed, relisted bool }
+
+// relistsAfter returns the number of polls in a row that had to list the objects, given
+// that number before this poll. The pause after such a poll grows with the number, so that
+// a store that keeps no history isn't asked without a pause.
+func (r pollResult) relistsAfter(before int) int {
+	if !r.relisted {
+		return 0
+	}
+	return before + 1
+}
+
 // untilNextPoll returns the time until this instance must poll the store. The result is
 // 0 or negative if a poll is due. A poll is always due at rank 0, and as long as there
 // is no copy.
@@ -268,16 +295,17 @@
 // poll makes one watch call, for the changes after the copy's position. If no earlier
 // poll of this instance succeeded and the copy's position is 0, it lists all objects
 // instead. It also lists all objects if the store no longer has all changes after the
-// copy's position. It reports whether the copy changed.
+// copy's position.
 //
 // Only the instance of rank 0 lets the store wait for a change. Any other instance
 // polls because the last known poll is too old, so it needs the response now. The watch
 // call fails if it takes longer than this wait plus watchGrace, unless allowSlow is
 // set.
-func (f *Follower) poll(ctx context.Context, pollSucceeded, allowSlow bool) (bool, error) {
+func (f *Follower) poll(ctx context.Context, pollSucceeded, allowSlow bool) (pollResult, error) {
 	from := f.State(time.Now()).Position
 	if !pollSucceeded && from == 0 {
-		return f.listObjects(ctx)
+		changed, err := f.listObjects(ctx)
+		return pollResult{changed: changed}, err
 	}
 	wait := watchWait
 	if f.pollRank() > 0 {
@@ -290,12 +318,13 @@
 	}
 	changes, position, err := f.store.Watch(ctx, f.kind, from, wait)
 	if errors.Is(err, ErrHistoryGone) {
-		return f.listObjects(ctx)
+		changed, err := f.listObjects(ctx)
+		return pollResult{changed: changed, relisted: true}, err
 	}
 	if err != nil {
-		return false, err
+		return pollResult{}, err
 	}
-	return f.applyChanges(changes, position), nil
+	return pollResult{changed: f.applyChanges(changes, position)}, nil
 }
 
 // listObjects lists all objects in the store and replaces the copy by the list, unless
@@ -335,22 +364,19 @@
 // whether the copy changed. The lock must be held.
 func (f *Follower) replaceObjects(objects []Object, position, lastChange uint64) bool {
 	next := make(map[string]Object, len(objects))
-	same := f.hasCopy && len(objects) == len(f.view.Objects)
+	same := f.hasCopy && len(objects) == len(f.stored)
 	for _, o := range objects {
 		next[o.Name] = o
-		same = same && f.view.Objects[o.Name].Revision == o.Revision
+		same = same && f.stored[o.Name].Revision == o.Revision
 	}
 	if same {
 		f.view.Position = position
 		return false
 	}
-	var removed []string
-	for name := range f.view.Objects {
-		if _, ok := next[name]; !ok {
-			removed = append(removed, name)
-		}
+	if f.hasCopy && EraOf(position) > EraOf(f.view.Position) {
+		f.enterEra(time.Now(), position)
 	}
-	f.publishView(next, removed, position, lastChange)
+	f.publishView(next, missingNames(f.stored, next), position, lastChange)
 	return true
 }
 
@@ -367,7 +393,7 @@
 		f.view.Position = position
 		return false
 	}
-	next := maps.Clone(f.view.Objects)
+	next := maps.Clone(f.stored)
 	var removed []string
 	for _, c := range changes {
 		if c.Deleted {
@@ -396,9 +422,20 @@
 	return min(last, end)
 }
 
-// publishView sets the objects, removals and position of the current view, records the
-// removals for deltas and calls notify. lastChange is the position of the last change.
-// The lock must be held.
+// missingNames returns the names in old that next lacks.
+func missingNames(old, next map[string]Object) []string {
+	var names []string
+	for name := range old {
+		if _, ok := next[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// publishView sets the stored objects, the removals and the position, records the removals
+// for deltas and calls notify. lastChange is the position of the last change. The lock must
+// be held.
 func (f *Follower) publishView(objects map[string]Object, removed []string, position, lastChange uint64) {
 	if !f.hasCopy {
 		// The removals before the first copy are unknown.
@@ -406,17 +443,16 @@
 	}
 	f.hasCopy = true
 	f.lastChange = max(f.lastChange, lastChange)
-	f.view.Objects = objects
-	f.view.Removed = removed
-	f.view.Position = position
 	for _, name := range removed {
-		f.removed = append(f.removed, removal{name: name, position: position})
+		f.removed = append(f.removed, removal{object: Object{Name: name, Spec: f.stored[name].Spec}, position: position})
 	}
 	if excess := len(f.removed) - maxRemovals; excess > 0 {
 		f.removalsLostUpTo = f.removed[excess-1].position
 		f.removed = f.removed[excess:]
 	}
-	f.notify(f.view)
+	f.stored = objects
+	f.view.Position = position
+	f.showObjects(time.Now(), removed)
 }
 
 // recordResponse records that the store responded to this instance just now. If this
--- a/seam/follower/follower_test.go
+++ b/seam/follower/follower_test.go
@@ -23,6 +23,7 @@
 	historyGone bool
 	lists       int
 	watches     int
+	era         uint64
 }
 
 func newMemoryStore() *memoryStore {
@@ -33,10 +34,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision++
-	o := follower.Object{Name: name, Revision: m.revision, Spec: json.RawMessage(value)}
+	o := follower.Object{Name: name, Revision: m.at(m.revision), Spec: json.RawMessage(value)}
 	m.objects[name] = o
 	m.events = append(m.events, follower.Change{Object: o})
-	m.changedAt = append(m.changedAt, m.revision)
+	m.changedAt = append(m.changedAt, m.at(m.revision))
 }
 
 func (m *memoryStore) remove(name string) {
@@ -45,7 +46,24 @@
 	m.revision++
 	delete(m.objects, name)
 	m.events = append(m.events, follower.Change{Object: follower.Object{Name: name}, Deleted: true})
-	m.changedAt = append(m.changedAt, m.revision)
+	m.changedAt = append(m.changedAt, m.at(m.revision))
+}
+
+// goBack replaces the objects by older ones at an older revision and begins a new era.
+func (m *memoryStore) goBack(revision uint64, objects map[string]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.revision, m.events, m.changedAt, m.objects = revision, nil, nil, map[string]follower.Object{}
+	for name, value := range objects {
+		m.objects[name] = follower.Object{Name: name, Revision: m.at(revision), Spec: json.RawMessage(value)}
+	}
+}
+
+// at returns the position of a revision in the current era.
+func (m *memoryStore) at(revision uint64) uint64 {
+	position, _ := follower.NewPosition(m.era, revision)
+	return position
 }
 
 func (m *memoryStore) setFaults(down, historyGone bool) {
@@ -81,7 +99,7 @@
 		list = append(list, o)
 	}
 	m.historyGone = false
-	return list, m.revision, nil
+	return list, m.at(m.revision), nil
 }
 
 func (m *memoryStore) Watch(ctx context.Context, _ string, position uint64, wait time.Duration) ([]follower.Change, uint64, error) {
@@ -91,7 +109,7 @@
 	m.mu.Unlock()
 	for {
 		m.mu.Lock()
-		down, historyGone, revision := m.down, m.historyGone, m.revision
+		down, historyGone, revision := m.down, m.historyGone || follower.EraOf(position) < m.era, m.at(m.revision)
 		var changes []follower.Change
 		for i, changedAt := range m.changedAt {
 			if changedAt > position {
--- a/seam/follower/position.go
+++ b/seam/follower/position.go
@@ -28,3 +28,8 @@
 // RevisionOf returns the store's revision at a position, which is meaningful only within
 // the position's era.
 func RevisionOf(position uint64) uint64 { return position & maxRevision }
+
+// FormatPosition returns a position as text: the era, a slash and the revision.
+func FormatPosition(position uint64) string {
+	return fmt.Sprintf("%d/%d", EraOf(position), RevisionOf(position))
+}
--- a/seam/follower/sharing.go
+++ b/seam/follower/sharing.go
@@ -76,7 +76,8 @@
 }
 
 // Delta returns the changes after the position from. The delta is a full list if from
-// is 0 or if some removals after from are no longer recorded. It returns false if this
+// is 0, if some removals after from are no longer recorded, or if from is of an earlier
+// era. It returns false if this
 // follower has no copy or no changes after from.
 func (f *Follower) Delta(from uint64) (Delta, bool) {
 	f.mu.Lock()
@@ -88,22 +89,23 @@
 		Kind: f.kind, From: from, Position: f.view.Position, Changed: f.lastChange,
 		Whole: from == 0 || from < f.removalsLostUpTo,
 	}
-	for _, o := range f.view.Objects {
+	for _, o := range f.stored {
 		if d.Whole || o.Revision > from {
 			d.Objects = append(d.Objects, o)
 		}
 	}
 	for _, r := range f.removed {
 		if !d.Whole && r.position > from {
-			d.Removed = append(d.Removed, r.name)
+			d.Removed = append(d.Removed, r.object.Name)
 		}
 	}
 	return d, true
 }
 
 // ApplyDelta applies a delta from another instance. It ignores a delta that is no newer
-// than the copy. A delta that isn't whole is also ignored if there is no copy, or if it
-// starts after the copy's position, because the changes in between are missing. It
+// than the copy. A delta that isn't whole is also ignored if there is no copy, if it is of
+// another era, or if it starts after the copy's position, because the changes in between
+// are missing. It
 // reports whether the copy changed.
 func (f *Follower) ApplyDelta(d Delta) bool {
 	f.mu.Lock()
@@ -115,10 +117,10 @@
 	if d.Whole {
 		return f.replaceObjects(d.Objects, d.Position, d.Changed)
 	}
-	if !f.hasCopy || d.From > f.view.Position {
+	if !f.hasCopy || d.From > f.view.Position || EraOf(d.Position) != EraOf(f.view.Position) {
 		return false
 	}
-	next := maps.Clone(f.view.Objects)
+	next := maps.Clone(f.stored)
 	var removed []string
 	for _, name := range d.Removed {
 		if _, ok := next[name]; ok {
--- a/seamedge/edger/copies.go
+++ b/seamedge/edger/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	// change then crosses between regions only once or twice. The delay covers two
 	// round trips of 110 ms and a call on a slow machine.
 	otherRegionFetchDelay = 350 * time.Millisecond
+	// newEraSpread is the time over which the instances fetch whole copies from each other
+	// after the store has come back from an older copy.
+	newEraSpread = 1200 * time.Millisecond
 	// sameRegionFetchTimeout and otherRegionFetchTimeout limit the duration of a call
 	// that fetches changes from another instance. They are short because the store is
 	// polled only after the call has failed, and an instance that has stopped must not
@@ -50,6 +54,17 @@
 	return conductor.OtherRegions
 }
 
+// preferredTo reports whether the fetch is better than another one of the same kind.
+func (f pendingFetch) preferredTo(other pendingFetch) bool {
+	switch {
+	case f.changePosition != other.changePosition:
+		return f.changePosition > other.changePosition
+	case f.sameRegion != other.sameRegion:
+		return f.sameRegion
+	}
+	return rand.IntN(2) == 0
+}
+
 // fetchQueue holds at most one queued fetch for each kind, the one for the newest change
 // that was reported. Each kind has its own worker and a channel that wakes this worker, so
 // that a slow fetch of one kind doesn't delay other kinds. A fetchQueue is safe for
@@ -69,12 +84,13 @@
 }
 
 // put queues a fetch and wakes the kind's worker. If a fetch of the kind is already queued,
-// only one of the two is kept: the one with the newer change. If both have the same
-// change, the new fetch is kept only if it is from this region and the old one is not.
+// only one of the two is kept: the one with the newer change or, if both have the same
+// change, the one from this region. If that is no difference either, chance decides, so
+// that not all instances fetch from the one that reported the change first.
 func (q *fetchQueue) put(next pendingFetch) {
 	q.mu.Lock()
 	old, ok := q.newestByKind[next.kind]
-	if !ok || next.changePosition > old.changePosition || next.changePosition == old.changePosition && next.sameRegion && !old.sameRegion {
+	if !ok || next.preferredTo(old) {
 		q.newestByKind[next.kind] = next
 	}
 	q.mu.Unlock()
@@ -122,8 +138,8 @@
 		if !ok || e.upToDate(pending) {
 			continue
 		}
-		if !pending.sameRegion && !e.fetchesFromOtherRegions() {
-			waiter.Pause(ctx, otherRegionFetchDelay)
+		if delay := e.fetchDelay(pending); delay > 0 {
+			waiter.Pause(ctx, delay)
 			if newer, ok := e.fetchQueue.take(kind); ok {
 				pending = newer
 			}
@@ -137,6 +153,18 @@
 	}
 }
 
+// fetchDelay returns how long to wait before a fetch.
+func (e *Edge) fetchDelay(pending pendingFetch) time.Duration {
+	v, ok := e.followers[pending.kind].View()
+	switch {
+	case ok && follower.EraOf(pending.changePosition) > follower.EraOf(v.Position):
+		return rand.N(newEraSpread)
+	case !pending.sameRegion && !e.fetchesFromOtherRegions():
+		return otherRegionFetchDelay
+	}
+	return 0
+}
+
 // upToDate reports whether this instance's copy already includes the change of a fetch.
 func (e *Edge) upToDate(pending pendingFetch) bool {
 	v, ok := e.followers[pending.kind].View()
@@ -169,7 +197,7 @@
 	}
 	for _, d := range answer.Deltas {
 		if f, ok := e.followers[d.Kind]; ok && f.ApplyDelta(d) {
-			e.log.Info("copy: changes applied", zap.String("peer", pending.peer), zap.String("kind", d.Kind), zap.Uint64("position", d.Position),
+			e.log.Info("copy: changes applied", zap.String("peer", pending.peer), zap.String("kind", d.Kind), zap.String("position", follower.FormatPosition(d.Position)),
 				zap.Bool("whole", d.Whole))
 			e.metrics.copies[pending.audience()].Inc()
 			if !pending.sameRegion {
--- a/seamedge/edger/copies_test.go
+++ b/seamedge/edger/copies_test.go
@@ -105,16 +105,20 @@
 	r.endpoint("e-1", "s", nil)
 	run := r.start("one", &logSink{})
 	run.waitFor(5*time.Second, "ready", run.ready)
-	endpoints := follower.Delta{Kind: platform.KindEndpoints, Position: 1000, Changed: 1000}
+	position, err := follower.NewPosition(1, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoints := follower.Delta{Kind: platform.KindEndpoints, Position: position, Changed: position}
 	peer := newFakePeer(t, endpoints)
 	sender := newHeartbeatSender(t, run.settings.Listen.Peers)
 	for i := range 24 {
-		sender.send(heartbeatAt(i, peer.address, platform.KindEndpoints, 1000))
+		sender.send(heartbeatAt(i, peer.address, platform.KindEndpoints, position))
 	}
 	// Wait until the fetch of the endpoints is under way.
 	time.Sleep(peerDelay / 2)
 	for i := range 24 {
-		sender.send(heartbeatAt(i, peer.address, platform.KindConfig, 1001))
+		sender.send(heartbeatAt(i, peer.address, platform.KindConfig, position+1))
 	}
 	run.waitFor(4*peerDelay, "configuration fetched", func() bool { return peer.calls(platform.KindConfig) > 0 })
 	if n := peer.calls(platform.KindEndpoints); n > 2 {
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -88,8 +88,12 @@
 	// announceSameRegion only to those of this instance's region.
 	announceAll        chan struct{}
 	announceSameRegion chan struct{}
-	servers            []server
-	shortage           descriptorShortage
+	// storeEra is the newest era of the store that this instance has seen, or -1 before the
+	// first one. registerAgain makes the instance register itself again.
+	storeEra      atomic.Int64
+	registerAgain chan struct{}
+	servers       []server
+	shortage      descriptorShortage
 
 	// mu guards model, endpointTable and sequenceNumber.
 	mu            sync.Mutex
@@ -144,9 +148,11 @@
 		fetchQueue:         newFetchQueue(followedKinds...),
 		announceAll:        make(chan struct{}, 1),
 		announceSameRegion: make(chan struct{}, 1),
+		registerAgain:      make(chan struct{}, 1),
 		endpointTable:      newEndpointTable(),
 		peers:              newPeerTable(settings.peerAddresses(), settings.Listen.Peers),
 	}
+	e.storeEra.Store(-1)
 	for _, opt := range opts {
 		opt(e)
 	}
--- a/seamedge/edger/edger_test.go
+++ b/seamedge/edger/edger_test.go
@@ -49,7 +49,9 @@
 	t       *testing.T
 	store   *objectkeeper.FakeStore
 	address string
-	version int
+	// addresses holds the address of each endpoint.
+	addresses map[string]string
+	version   int
 	// ports are the ports on which each instance listens. They are the same for all
 	// instances, since each instance has a loopback address of its own, as if it ran on
 	// a separate machine.
@@ -65,7 +67,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return &testEnv{t: t, store: k, address: strings.TrimPrefix(server.URL, "http://")}
+	return &testEnv{t: t, store: k, addresses: map[string]string{}, address: strings.TrimPrefix(server.URL, "http://")}
 }
 
 // configure writes a configuration with one team and one route to the store.
@@ -100,7 +102,8 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	r.putEndpoint(id, service, server.Listener.Addr().String(), "ready")
+	r.addresses[id] = server.Listener.Addr().String()
+	r.putEndpoint(id, service, r.addresses[id], "ready")
 	return &served
 }
 
--- a/seamedge/edger/endpoints.go
+++ b/seamedge/edger/endpoints.go
@@ -22,8 +22,8 @@
 	// missingUntil maps the ID of each missing endpoint to the time until which the
 	// endpoint may be used.
 	missingUntil map[string]time.Time
-	// reportedInvalid holds the names of the entries for which update has returned an
-	// error.
+	// reportedInvalid holds the names of the invalid entries of the last view. update has
+	// returned an error for each of them.
 	reportedInvalid map[string]bool
 }
 
@@ -32,14 +32,16 @@
 }
 
 // update applies a view of the endpoints' entries in the store. It returns an error for
-// each invalid entry, except entries for which an earlier call returned an error.
+// each invalid entry that wasn't invalid in the view before.
 func (t *endpointTable) update(v follower.View, now time.Time) (invalid []error) {
 	next := make(map[string]router.Endpoint, len(v.Objects))
+	reported := t.reportedInvalid
+	t.reportedInvalid = map[string]bool{}
 	for name, o := range v.Objects {
 		endpoint, err := platform.DecodeEndpoint(name, o.Spec)
 		if err != nil {
-			if !t.reportedInvalid[name] {
-				t.reportedInvalid[name] = true
+			t.reportedInvalid[name] = true
+			if !reported[name] {
 				invalid = append(invalid, err)
 			}
 			continue
--- a/seamedge/edger/follow.go
+++ b/seamedge/edger/follow.go
@@ -1,6 +1,7 @@
 package edger
 
 import (
+	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,31 @@
 // objects of these kinds.
 var followedKinds = []string{platform.KindConfig, platform.KindEndpoints, platform.KindEvacuations}
 
+// rewriteTime is how long the instance keeps what it knew better after the store has come
+// back from an older copy of its data. By then the operators and the endpoints have written
+// again what was lost.
+const rewriteTime = 15 * time.Second
+
+// retentions defines, for each kind, what is kept after the store has come back from an
+// older copy: the newest configuration, drains and departures of endpoints, and
+// evacuations. An endpoint that the store lacks stays only as long as after an outage.
+var retentions = map[string]follower.Retention{
+	platform.KindConfig: {
+		Generation: func(spec json.RawMessage) follower.Generation {
+			return follower.Generation{Count: platform.ConfigVersion(spec)}
+		},
+		Missing: rewriteTime, Outdated: rewriteTime,
+	},
+	platform.KindEndpoints: {
+		Generation: func(spec json.RawMessage) follower.Generation {
+			startedAtMs, sequence := platform.EndpointGeneration(spec)
+			return follower.Generation{Lifetime: startedAtMs, Count: sequence}
+		},
+		Missing: reappearGrace, Outdated: rewriteTime,
+	},
+	platform.KindEvacuations: {Missing: rewriteTime, Outdated: rewriteTime},
+}
+
 // newFollowers creates a follower for each kind in followedKinds. It returns them and
 // stores them in e.followers.
 func (e *Edge) newFollowers() []*follower.Follower {
@@ -24,7 +50,12 @@
 	}
 	var list []*follower.Follower
 	for kind, notify := range handlers {
-		f := follower.New(e.store, kind, follower.WithNotify(notify), follower.WithReport(e.handleStoreReport), follower.WithPollRank(e.storePollRank))
+		notifyOfEra := func(v follower.View) {
+			e.noteEra(v)
+			notify(v)
+		}
+		f := follower.New(e.store, kind, follower.WithNotify(notifyOfEra), follower.WithReport(e.handleStoreReport), follower.WithPollRank(e.storePollRank),
+			follower.WithRetention(retentions[kind]))
 		e.followers[kind] = f
 		list = append(list, f)
 	}
@@ -42,6 +73,21 @@
 	e.log.Info("store: reachable again", zap.String("kind", kind))
 }
 
+// noteEra records the store's era. If it is a new one, the store has come back from an older
+// copy of its data: noteEra then logs that and makes the instance register itself again.
+func (e *Edge) noteEra(v follower.View) {
+	era := int64(follower.EraOf(v.Position))
+	known := e.storeEra.Load()
+	if era <= known || !e.storeEra.CompareAndSwap(known, era) || known < 0 {
+		return
+	}
+	e.log.Warn("store: new era", zap.Int64("era", era), zap.Int64("before", known), zap.String("kind", v.Kind))
+	select {
+	case e.registerAgain <- struct{}{}:
+	default:
+	}
+}
+
 func (e *Edge) handleConfig(v follower.View) {
 	o, ok := v.Objects[platform.ConfigName]
 	if !ok {
@@ -58,7 +104,7 @@
 	after := e.model.ConfigVersion()
 	e.mu.Unlock()
 	e.log.Info("configuration: seen", zap.Uint64("version", config.Version()), zap.Uint64("before", before),
-		zap.Uint64("inForce", after), zap.Uint64("position", v.Position))
+		zap.Uint64("inForce", after), zap.String("position", follower.FormatPosition(v.Position)))
 	e.checkReady()
 	e.announceView(v)
 }
@@ -69,10 +115,11 @@
 	e.updateModelEndpoints()
 	count := len(e.endpointTable.endpoints)
 	e.mu.Unlock()
+	e.metrics.invalidEntries.Add(len(invalid))
 	for _, err := range invalid {
 		e.log.Warn("endpoint: invalid store entry ignored", zap.Error(err))
 	}
-	e.log.Info("endpoints: seen", zap.Int("count", count), zap.Strings("removed", v.Removed), zap.Uint64("position", v.Position))
+	e.log.Info("endpoints: seen", zap.Int("count", count), zap.Strings("removed", v.Removed), zap.String("position", follower.FormatPosition(v.Position)))
 	e.checkReady()
 	e.announceView(v)
 }
@@ -100,7 +147,7 @@
 		zones = append(zones, zone)
 	}
 	e.update(conductor.EvacuationsReceived{Zones: zones})
-	e.log.Info("evacuations: seen", zap.Strings("zones", zones), zap.Uint64("position", v.Position))
+	e.log.Info("evacuations: seen", zap.Strings("zones", zones), zap.String("position", follower.FormatPosition(v.Position)))
 	e.announceView(v)
 }
 
--- a/seamedge/edger/register.go
+++ b/seamedge/edger/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,32 +17,48 @@
 const (
 	// registerRetryDelay is the pause after a failed registration in the store.
 	registerRetryDelay = 2 * time.Second
+	// registerSpread is the time over which the instances register themselves again after
+	// the store has come back from an older copy.
+	registerSpread = 2 * time.Second
 	// listInterval is the pause between two calls that list the registered instances.
 	listInterval = 15 * time.Second
 )
 
-// register registers this instance in the store. If this fails, it retries until it
-// succeeds. After that it lists the registered instances periodically until ctx ends.
+// register registers this instance in the store and then lists the registered instances
+// periodically until ctx ends. When the store has come back from an older copy, it
+// registers the instance again, after a random part of registerSpread.
 func (e *Edge) register(ctx context.Context) {
+	e.writeRegistration(ctx)
+	for ctx.Err() == nil {
+		e.listInstances(ctx)
+		select {
+		case <-ctx.Done():
+		case <-e.registerAgain:
+			waiter.Pause(ctx, rand.N(registerSpread))
+			e.writeRegistration(ctx)
+		case <-time.After(listInterval):
+		}
+	}
+}
+
+// writeRegistration writes this instance's entry to the store. If this fails, it retries
+// until it succeeds, ctx ends or the instance stops.
+func (e *Edge) writeRegistration(ctx context.Context) {
 	self := platform.EncodeInstance(follower.Instance{
 		Region: e.region(), Zone: e.settings.Instance.Zone,
 		CallerAddress: e.settings.Listen.Callers, PeerAddress: e.settings.Listen.Peers, StartedAtMs: e.startedAtMs,
 	})
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !e.stopping.Load() {
 		err := e.store.Create(ctx, platform.KindInstances, e.settings.Instance.ID, self)
 		if errors.Is(err, follower.ErrConflict) {
 			err = e.store.Replace(ctx, platform.KindInstances, e.settings.Instance.ID, self)
 		}
 		if err == nil {
-			break
+			return
 		}
 		e.log.Warn("instance: registration failed; will retry", zap.Error(err))
 		waiter.Pause(ctx, registerRetryDelay)
 	}
-	for ctx.Err() == nil {
-		e.listInstances(ctx)
-		waiter.Pause(ctx, listInterval)
-	}
 }
 
 // listInstances lists the instances that are registered in the store. It adds their
--- a/standin/objectkeeper/objectkeeper.go
+++ b/standin/objectkeeper/objectkeeper.go
@@ -183,6 +183,14 @@
 	s.remove(kind, name)
 }
 
+// Has reports whether an object exists.
+func (s *FakeStore) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[kind][name]
+	return ok
+}
+
 // write creates or replaces an object and returns it. If the object already has this spec,
 // write changes nothing. The caller holds the lock.
 func (s *FakeStore) write(kind, name string, spec json.RawMessage) object {
