Send nothing to endpoints that announce their end or ask for a pause

An answer with Server-Leaving now ends all further requests to that endpoint from here, at once for requests, retries, cold owners and kept connections alike, and at the others with the next heartbeat; only a new lifetime undoes it, not an entry that is lost and listed again. A 503 with Retry-After pauses the endpoint here (fractions, dates; bounded to 5 min); if all pause, callers are refused at once with the end of the first pause. Others don't learn of pauses.

Tests: TestLeavingEndpointGetsNothingUntilItStartsAgain, TestDeparturesApplyToOneLifetime, TestPausedEndpointGetsNothingMeanwhile, TestPauseLeftCountsOnlyEndpointsThatMayReceive, TestPauseIsReadWithinBounds, TestEndpointsThatWantNoMoreRequestsGetNone, TestMessagesOfOtherBuildsAreUnderstood, TestExtensionFollowsTheMessage.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -234,13 +234,13 @@
 func (m *Model) RequestsInFlight() int { return len(m.requests) }
 
 // ticked expires silent peers, recomputes this instance's shares of the teams' rates,
-// and every pruneInterval deletes outdated records of warm objects.
+// and every pruneInterval deletes outdated records.
 func (m *Model) ticked(now time.Time) {
 	m.expireSilentPeers(now)
 	m.refreshRates(now)
 	if now.Sub(m.lastPrune) > pruneInterval {
 		m.lastPrune = now
-		m.balancer.PruneWarmObjects(now)
+		m.balancer.Prune(now)
 	}
 }
 
@@ -260,8 +260,8 @@
 }
 
 const (
-	// pruneInterval is the time between two calls of the balancer's PruneWarmObjects,
-	// which deletes the records of objects that no longer count as warm at an endpoint.
+	// pruneInterval is the time between two calls of the balancer's Prune, which deletes
+	// outdated records.
 	pruneInterval = 2 * time.Second
 	// assumedFleetSize is the number of instances that is assumed after a start. It is
 	// larger than today's largest deployment.
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -93,6 +93,10 @@
 	CallerDisconnected bool
 	// DialTime is how long opening a new connection took, or 0 if none was opened.
 	DialTime time.Duration
+	// Leaving means that the endpoint announced its end. Pause is how long the endpoint
+	// wants no requests of this instance, or 0.
+	Leaving bool
+	Pause   time.Duration
 }
 
 // Acceptable reports whether the attempt brought a response that is delivered without
@@ -185,6 +189,8 @@
 	// ReachabilityReports reports endpoints that the sender can't reach, or can reach
 	// again.
 	ReachabilityReports []placer.ReachabilityReport
+	// Departures lists endpoints that announced their end to the sender.
+	Departures []placer.Departure
 	// WarmCapacities reports how many objects the endpoints of each service keep warm.
 	WarmCapacities []placer.WarmCapacity
 	// CopyStates reports, for each kind of stored objects, how recent the sender's copy
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -103,6 +103,7 @@
 	m.balancer.SetPeerLoads(hb.ID, hb.Loads)
 	m.balancer.AddPeerWarmObjects(now, hb.WarmObjects)
 	m.balancer.ApplyPeerReachability(now, hb.ReachabilityReports)
+	m.balancer.ApplyDepartures(hb.Departures)
 	m.balancer.MergePeerWarmCapacities(hb.WarmCapacities)
 	if changed {
 		m.refreshLive()
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -152,7 +152,11 @@
 	choice, ok := m.balancer.Pick(now, r.placement)
 	if !ok {
 		m.refundToken(r)
-		retryAfter := admitter.RetryAfter(unavailableRetryAfter, r.callerDeadline.Sub(now), m.rng.Float64())
+		wait, paused := m.balancer.PauseLeft(now, r.placement)
+		if !paused {
+			wait = unavailableRetryAfter
+		}
+		retryAfter := admitter.RetryAfter(wait, r.callerDeadline.Sub(now), m.rng.Float64())
 		return refuse(r.id, http.StatusServiceUnavailable, coder.NoUpstream, retryAfter)
 	}
 	estimate := m.routeLatency.get(r.route.Name).estimate(now, choice.ExpectedLatency, choice.QueueTime, m.serviceLatency.get(r.service))
@@ -221,6 +225,10 @@
 		return nil
 	}
 	o := msg.Outcome
+	if o.Leaving {
+		m.balancer.RecordLeaving(r.choice.ID)
+	}
+	m.balancer.RecordPause(now, r.choice.ID, o.Pause)
 	m.balancer.RecordOutcome(now, r.choice.ID, placer.Outcome{
 		SentAt: r.sentAt, Object: r.placement.Object, Choice: r.choice,
 		Answered: o.Answered, SuccessStatus: o.Status/100 == 2, NotRun: o.NotRun && !o.Unreachable, Unreachable: o.Unreachable,
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -121,6 +121,10 @@
 	// instance reports to the others that the endpoint can be reached again and is cold.
 	coldUntil         time.Time
 	announceColdUntil time.Time
+	// withdrawal is what the endpoint asked for in its answers. announceLeaving means that
+	// it announced its end to this instance, which reports that to the others.
+	withdrawal      withdrawal
+	announceLeaving bool
 	// untried means that the endpoint is new, this instance has sent it no request, and
 	// no other instance has reported a warm object there.
 	untried bool
--- a/seam/placer/estimates.go
+++ b/seam/placer/estimates.go
@@ -325,8 +325,10 @@
 	}
 }
 
-// PruneWarmObjects deletes the records of objects that no longer count as warm.
-func (b *Balancer) PruneWarmObjects(now time.Time) {
+// Prune deletes the records of objects that no longer count as warm, and outdated records of
+// endpoints that are no longer listed.
+func (b *Balancer) Prune(now time.Time) {
+	b.pruneUnlisted(now)
 	for _, e := range b.byID {
 		for object, h := range e.recentObjects {
 			if now.Sub(h.last) >= warmTTL {
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -134,6 +134,8 @@
 	// endpointsListed is set after the first list of endpoints. An endpoint that first
 	// appears in a later list is assumed to have just started.
 	endpointsListed bool
+	// unlisted holds the withdrawals of endpoints that are no longer listed, by ID.
+	unlisted map[string]unlistedWithdrawal
 	// ownsCold reports whether this instance owns the endpoint with the given hash.
 	ownsCold func(endpoint uint32) bool
 	// hasConnection reports whether this instance has an idle connection to an address,
@@ -183,6 +185,7 @@
 	return &Balancer{
 		zone: zone, region: zones[zone], zones: zones,
 		byID: map[string]*endpoint{}, byHash: map[uint32]*endpoint{},
+		unlisted: map[string]unlistedWithdrawal{},
 		services: map[string]*service{}, evacuatedZones: map[string]bool{},
 		roundTrip: map[string]time.Duration{}, peerAttempts: map[string]map[uint32]int{},
 		ownsCold:      func(uint32) bool { return true },
@@ -240,6 +243,7 @@
 	}
 	for id, e := range b.byID {
 		if !listed[id] {
+			b.unlist(now, e)
 			delete(b.byID, id)
 			delete(b.byHash, e.hash)
 		}
@@ -264,6 +268,7 @@
 			e.untried = true
 			e.coldUntil = now.Add(s.spec.Warmup)
 		}
+		b.relist(e)
 		b.byID[spec.ID] = e
 		b.byHash[e.hash] = e
 	}
@@ -290,17 +295,10 @@
 	b.evacuatedZones = nextZones
 }
 
-// Usable reports whether an endpoint is in the list, isn't draining and isn't in an
-// evacuated zone.
-func (b *Balancer) Usable(id string) bool {
-	e, ok := b.byID[id]
-	return ok && !e.spec.Draining && !b.evacuatedZones[e.spec.Zone]
-}
-
 // mayReceive reports whether a request may be sent to an endpoint at all. The cost is
 // not considered.
 func (b *Balancer) mayReceive(now time.Time, r Request, e *endpoint) bool {
-	if e.spec.Draining || b.evacuatedZones[e.spec.Zone] {
+	if e.spec.Draining || e.withdrawal.active(now) || b.evacuatedZones[e.spec.Zone] {
 		return false
 	}
 	if r.Restricted && !slices.Contains(r.Regions, e.region) {
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -206,6 +206,10 @@
 	if answer.DialTime > 0 {
 		e.metrics.endpointConnections.Inc()
 	}
+	if outcome.Leaving || outcome.Pause > 0 {
+		e.log.Info("endpoint: wants no more requests", zap.String("endpoint", cmd.Endpoint), zap.Bool("leaving", outcome.Leaving),
+			zap.Duration("pause", outcome.Pause), zap.String("request", req.requestID))
+	}
 	if answer.SkippedResponses > 0 {
 		e.metrics.skippedResponses.Add(answer.SkippedResponses)
 		e.log.Warn("endpoint: skipped responses to other requests", zap.String("endpoint", cmd.Endpoint),
@@ -248,6 +252,8 @@
 		return outcome
 	}
 	outcome.Status = answer.Status
+	outcome.Leaving = platform.IsLeaving(answer.Header)
+	outcome.Pause = platform.PauseOf(answer.Status, answer.Header, time.Now())
 	outcome.NotRun = answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(platform.HeaderNotRun) != ""
 	// A 2xx answer without the endpoint's signature is not accepted.
 	outcome.Answered = answer.Status/100 != 2 || answer.Header.Get(platform.HeaderSignature) != ""
--- a/seamedge/edger/era_test.go
+++ b/seamedge/edger/era_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -89,3 +90,45 @@
 		return served.Load() > 0
 	})
 }
+
+// One of two endpoints announces its end in an answer, the other asks for a pause. Neither
+// may get another request, and callers are refused at once with the end of the pause.
+func TestEndpointsThatWantNoMoreRequestsGetNone(t *testing.T) {
+	r := newTestEnv(t)
+	r.configure("key", "s")
+	var announce atomic.Bool
+	leaving := r.endpoint("leaves", "s", func(w http.ResponseWriter, _ *http.Request) {
+		if announce.Load() {
+			w.Header().Set("Server-Leaving", "1")
+		}
+	})
+	pausing := r.endpoint("pauses", "s", func(w http.ResponseWriter, _ *http.Request) {
+		if announce.Load() {
+			w.Header().Set("Retry-After", "2.5")
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	run := r.start("one", &logSink{})
+	run.waitFor(5*time.Second, "ready", run.ready)
+	announce.Store(true)
+	run.waitFor(5*time.Second, "an announcement of both", func() bool {
+		run.post("/x/", "key", "a")
+		return leaving.Load() > 0 && pausing.Load() > 0
+	})
+	before := leaving.Load() + pausing.Load()
+	for range 30 {
+		a := run.post("/x/", "key", "a")
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+			t.Errorf("status %d, Retry-After %q", a.status, a.header.Get("Retry-After"))
+		}
+	}
+	if n := leaving.Load() + pausing.Load() - before; n > 0 {
+		t.Errorf("%d requests reached endpoints that want none", n)
+	}
+	announce.Store(false)
+	run.waitFor(5*time.Second, "requests after the pause", func() bool { return run.post("/x/", "key", "a").status == http.StatusOK })
+	if n := leaving.Load() + pausing.Load() - before; n == 0 {
+		t.Error("no request arrived after the pause")
+	}
+}
--- a/seamedge/heartbeater/heartbeater.go
+++ b/seamedge/heartbeater/heartbeater.go
@@ -73,12 +73,12 @@
 			}
 			continue
 		}
-		m, err := decode(buffer[:n])
+		m, x, err := decode(buffer[:n])
 		if err != nil {
 			h.report(err)
 			continue
 		}
-		if hb, ok := h.senders.toHeartbeat(m, from); ok {
+		if hb, ok := h.senders.toHeartbeat(m, x, from); ok {
 			h.receive(hb)
 		}
 	}
--- a/seamedge/heartbeater/heartbeater_test.go
+++ b/seamedge/heartbeater/heartbeater_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
 	"primroseseam.org/seamedge/heartbeater"
@@ -23,6 +25,7 @@
 		ReachabilityReports: []placer.ReachabilityReport{{Endpoint: 5, Recovered: true, RemainingMs: 3000}},
 		WarmCapacities:      []placer.WarmCapacity{{Service: 3, Tenths: 180}},
 		KnownAddresses:      []string{"10.1.0.2:7400"},
+		Departures:          []placer.Departure{{Endpoint: 9, StartedAtMs: 17}},
 	}
 	for i := range endpoints {
 		hb.Loads = append(hb.Loads, placer.Load{Endpoint: placer.Hash32(fmt.Sprint(i)), Count: 2})
@@ -134,6 +137,69 @@
 	}
 }
 
+// During a rolling replacement, older builds send messages without an extension, and newer
+// ones add to it what is unknown here.
+func TestMessagesOfOtherBuildsAreUnderstood(t *testing.T) {
+	_, sendRaw, received, errs := newPair(t)
+	sender := []any{"front-1", 5, "region-1", "zone-1", "10.1.0.1:8000", "10.1.0.1:7400"}
+	older, err := msgpack.Marshal([]any{
+		sender, 7, false, 10, false, true, false, []any{}, []any{}, []any{}, []any{}, []any{}, []any{[]any{"config", 9, 8, 1}}, []any{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	added, err := msgpack.Marshal(map[string]any{"d": []any{map[string]any{"Endpoint": 9, "StartedAtMs": 17, "Later": 1}}, "later": []any{1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, datagram := range map[string][]byte{"older": older, "newer": append(append([]byte{}, older...), added...)} {
+		sendRaw(datagram)
+		select {
+		case hb := <-received:
+			wantDepartures := 0
+			if name == "newer" {
+				wantDepartures = 1
+			}
+			if hb.ID != "front-1" || len(hb.CopyStates) != 1 || hb.CopyStates[0].Position != 9 || len(hb.Departures) != wantDepartures {
+				t.Errorf("%s: got %+v", name, hb)
+			}
+		case err := <-errs:
+			t.Errorf("%s: %v", name, err)
+		case <-time.After(time.Second):
+			t.Errorf("%s: nothing was received", name)
+		}
+	}
+}
+
+// Builds before the extension read a message that is followed by one.
+func TestExtensionFollowsTheMessage(t *testing.T) {
+	var fields []any
+	received := make(chan error, 1)
+	socket, err := net.ListenPacket("udp4", "127.0.0.4:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	go func() {
+		buffer := make([]byte, 8<<10)
+		n, _, err := socket.ReadFrom(buffer)
+		if err == nil {
+			err = msgpack.Unmarshal(buffer[:n], &fields)
+		}
+		received <- err
+	}()
+	sender, err := heartbeater.Listen("127.0.0.5:0", func(conductor.Heartbeat) {}, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := sender.Send(newHeartbeat(1, 1), []netip.AddrPort{netip.MustParseAddrPort(socket.LocalAddr().String())}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-received; err != nil || len(fields) != 14 {
+		t.Errorf("%d fields, %v; older builds expect 14", len(fields), err)
+	}
+}
+
 func TestMalformedDatagramsAreReported(t *testing.T) {
 	send, sendRaw, received, errs := newPair(t)
 	for _, malformed := range [][]byte{{0xc1}, []byte("junk"), {0x91, 0x01}} {
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -49,7 +49,19 @@
 	KnownAddresses      []string
 }
 
-// encode encodes a heartbeat as a message in MessagePack.
+// extension holds what was added to heartbeats later. It follows the message in the
+// datagram if it isn't empty. Instances of older builds reject a message with more fields,
+// but ignore what follows it. An extension is encoded as a map, so that unknown fields of
+// newer builds are ignored.
+type extension struct {
+	Departures []placer.Departure `msgpack:"d,omitempty"`
+}
+
+// empty reports whether the extension holds nothing.
+func (x extension) empty() bool { return len(x.Departures) == 0 }
+
+// encode encodes a heartbeat as a message in MessagePack, followed by an extension if there
+// is need for one.
 func encode(hb conductor.Heartbeat) ([]byte, error) {
 	m := message{
 		SequenceNumber: hb.SequenceNumber, Leaving: hb.Leaving, FleetSize: hb.FleetSize, StoreUnreachable: hb.StoreUnreachable,
@@ -70,19 +82,33 @@
 	if err := encoder.Encode(m); err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
+	if x := (extension{Departures: hb.Departures}); !x.empty() {
+		encoder.UseArrayEncodedStructs(false)
+		if err := encoder.Encode(x); err != nil {
+			return nil, fmt.Errorf("encode heartbeat extension: %w", err)
+		}
+	}
 	return buffer.Bytes(), nil
 }
 
-// decode decodes a message. It returns an error if the message has a sender without an ID.
-func decode(data []byte) (message, error) {
+// decode decodes a datagram. It returns an error if the message has a sender without an ID.
+func decode(data []byte) (message, extension, error) {
 	var m message
-	if err := msgpack.Unmarshal(data, &m); err != nil {
-		return message{}, fmt.Errorf("decode heartbeat: %w", err)
+	var x extension
+	reader := bytes.NewReader(data)
+	decoder := msgpack.NewDecoder(reader)
+	if err := decoder.Decode(&m); err != nil {
+		return message{}, extension{}, fmt.Errorf("decode heartbeat: %w", err)
 	}
 	if m.Sender != nil && m.Sender.ID == "" {
-		return message{}, fmt.Errorf("decode heartbeat: sender has no instance ID")
+		return message{}, extension{}, fmt.Errorf("decode heartbeat: sender has no instance ID")
+	}
+	if reader.Len() > 0 {
+		if err := decoder.Decode(&x); err != nil {
+			return message{}, extension{}, fmt.Errorf("decode heartbeat extension: %w", err)
+		}
 	}
-	return m, nil
+	return m, x, nil
 }
 
 // maxSenders limits the number of recorded senders. When it is reached, all records are
@@ -108,7 +134,7 @@
 // the recorded identity is used; toHeartbeat returns false if none is recorded. The
 // incomplete identity in a message with CopyStatesOnly is used for that message alone. If
 // it is of another lifetime than the recorded one, the recorded one no longer applies.
-func (s senders) toHeartbeat(m message, from netip.AddrPort) (conductor.Heartbeat, bool) {
+func (s senders) toHeartbeat(m message, x extension, from netip.AddrPort) (conductor.Heartbeat, bool) {
 	sender, ok := s[from]
 	switch {
 	case m.Sender != nil && m.CopyStatesOnly:
@@ -128,6 +154,6 @@
 		SequenceNumber: m.SequenceNumber, Leaving: m.Leaving, FleetSize: m.FleetSize, StoreUnreachable: m.StoreUnreachable,
 		FullDemand: m.FullDemand, CopyStatesOnly: m.CopyStatesOnly, Loads: m.Loads, WarmObjects: m.WarmObjects, Demand: m.Demand,
 		ReachabilityReports: m.ReachabilityReports, WarmCapacities: m.WarmCapacities, CopyStates: m.CopyStates,
-		KnownAddresses: m.KnownAddresses,
+		KnownAddresses: m.KnownAddresses, Departures: x.Departures,
 	}, true
 }
