--- /dev/null
+++ b/seamedge/heartbeater/fuzz_test.go
@@ -0,0 +1,42 @@
+package heartbeater
+
+import (
+	"bytes"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/placer"
+)
+
+// FuzzDecode checks that datagrams that are cut, changed or of another origin are decoded or
+// refused, in bounded memory, and never recorded without an instance ID.
+func FuzzDecode(f *testing.F) {
+	hb := conductor.Heartbeat{
+		ID: "front-1", StartedAtMs: 5, Region: "r", Zone: "z", CallerAddress: "10.1.0.1:1", PeerAddress: "10.1.0.1:2", FullDemand: true,
+		Loads: []placer.Load{{Endpoint: 1, Count: 2}}, Demand: []conductor.Demand{{Team: 3, TenthsPerSecond: 4, Admitted: 5}},
+		CopyStates: []conductor.CopyState{{Kind: "config", Position: 1 << 45, Changed: 7}}, KnownAddresses: []string{"10.1.0.3:2"},
+		Departures: []placer.Departure{{Endpoint: 1, StartedAtMs: 2}},
+	}
+	whole, err := encode(hb)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add(append(append([]byte{}, whole...), 0xc1))
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte(strings.Repeat("\x91", 4000)))
+	f.Add(bytes.Repeat([]byte{0xdf, 0xff, 0xff, 0xff, 0xff}, 100))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, x, err := decode(data)
+		if err != nil {
+			return
+		}
+		s := senders{}
+		if hb, ok := s.toHeartbeat(m, x, netip.AddrPort{}); ok && hb.ID == "" {
+			t.Error("a heartbeat without a sender was accepted")
+		}
+	})
+}
