Send heartbeats to other regions in slices, and share who is alive

Cause: the interval to other regions grew with the fleet, 7.4 s at 295 instances, sent to all at once; look-ups drop an instance after 3 s and the silent margin was 0.4 s over the mean. Across regions live instances dropped out of look-ups and counted as silent between two heartbeats, each time the owners of cold endpoints changed, and one loss forgot them.

Weighed on paper: regional instances that sum up for others (fewer bytes, but the ones chosen must be alive and send N datagrams a period from 0.16 cores; their death costs a period), gossip with a digest (age of several hops), and what is taken: as many datagrams as before, but in each 0.4 s to another part, and a receiver reports who it heard to its region (5 bytes each, once a 0.3 s for the region). Age of membership is then below two seconds at any size; the age of loads and demand across regions stays a round (0.4 s x fleet / 16).

Owners of cold endpoints are now of the endpoint's region, which knows first who of it is alive. Addresses outlive four rounds. Fleets up to 16 send as before. In a rolling replacement older builds ignore the sightings; new ones may take older ones of other regions for silent between their heartbeats.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -93,10 +93,18 @@
 	// time is taken to be retrying.
 	longestCallerTime map[string]time.Duration
 	stopRequestedAt   time.Time
-	// liveInstances lists the IDs of the instances that are neither silent nor leaving,
-	// this one included. ownership is this instance's ownership of endpoints among them.
-	liveInstances []string
-	ownership     *placer.Ownership
+	// live lists the IDs of the instances of each region that are neither silent nor
+	// leaving, this one included, and liveCount counts them. regionSize counts those of
+	// this instance's region. ownership is this instance's ownership of the endpoints of
+	// each region, computed when it is needed.
+	live       map[string][]string
+	liveCount  int
+	regionSize int
+	ownership  map[string]*placer.Ownership
+	// peersByHash holds the peers by the hash of their IDs. sighted lists the peers of
+	// other regions that have sent a heartbeat since the last report to this region.
+	peersByHash map[uint32]*peer
+	sighted     []*peer
 	// knownInstances is the number of instances that are peers, that the store lists, or
 	// both, this one included. demand sums up the demand at the peers that aren't silent.
 	knownInstances int
@@ -148,6 +156,7 @@
 		longestCallerTime: map[string]time.Duration{},
 		knownInstances:    1,
 		demand:            demandTotals{},
+		peersByHash:       map[uint32]*peer{},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -244,10 +253,6 @@
 	}
 }
 
-// ownsColdEndpoint reports whether this instance owns an endpoint: while the endpoint
-// is cold, normally only its owner sends requests to it.
-func (m *Model) ownsColdEndpoint(endpoint uint32) bool { return m.ownership.Owns(endpoint) }
-
 // fleet returns the number of known instances and the number of live ones. After a
 // start, the number of known instances is at least assumedFleetSize. This ends when
 // the store or another instance has reported a number, or after assumedFleetPeriod.
@@ -256,7 +261,7 @@
 	if m.reportedFleetSize == 0 && m.lastUpdate.Sub(m.firstUpdate) < assumedFleetPeriod {
 		knownInstances = max(knownInstances, assumedFleetSize)
 	}
-	return rationer.Fleet{KnownInstances: knownInstances, LiveInstances: len(m.liveInstances)}
+	return rationer.Fleet{KnownInstances: knownInstances, LiveInstances: m.liveCount}
 }
 
 const (
--- a/seam/conductor/demand_test.go
+++ b/seam/conductor/demand_test.go
@@ -50,15 +50,15 @@
 func TestOwnershipFollowsTheLiveInstances(t *testing.T) {
 	m := New(WithSelf("self", "zone-1", map[string]string{"zone-1": "region-1"}))
 	now := time.Unix(1000, 0)
-	hb := Heartbeat{ID: "other", StartedAtMs: 1, SequenceNumber: 1}
+	hb := Heartbeat{ID: "other", Region: "region-1", StartedAtMs: 1, SequenceNumber: 1}
 	m.Update(now, HeartbeatReceived{Heartbeat: hb})
 	endpoint := uint32(0)
-	for m.ownsColdEndpoint(endpoint) {
+	for m.ownsColdEndpoint("region-1", endpoint) {
 		endpoint = placer.Hash32(fmt.Sprint(endpoint))
 	}
 	hb.SequenceNumber, hb.Leaving = 2, true
 	m.Update(now, HeartbeatReceived{Heartbeat: hb})
-	if !m.ownsColdEndpoint(endpoint) {
+	if !m.ownsColdEndpoint("region-1", endpoint) {
 		t.Error("the endpoint of an instance that leaves has no owner")
 	}
 }
--- a/seam/conductor/heartbeats.go
+++ b/seam/conductor/heartbeats.go
@@ -17,33 +17,44 @@
 	otherRegionsInterval = 400 * time.Millisecond
 	// If a region has more than sameRegionThreshold instances, the interval within the
 	// region grows in proportion to their number. If the fleet has more than
-	// fleetThreshold instances, the interval to other regions grows in proportion to
-	// their number. This bounds the bytes per second that an instance sends.
+	// fleetThreshold instances, a heartbeat to other regions is sent in slices: in each
+	// interval to another part of the instances. Both bound the bytes per second that an
+	// instance sends.
 	sameRegionThreshold = 32
 	fleetThreshold      = 16
 	// propagationMargin covers a heartbeat's network delay and jitter.
 	propagationMargin = 150 * time.Millisecond
+	// maxIntervalRatio is the longest time between two heartbeats to an audience, as a
+	// multiple of the mean time. The times are random, so that instances don't send in
+	// step.
+	maxIntervalRatio = 1.5
 )
 
-// HeartbeatInterval returns the mean time between two heartbeats to an audience,
-// given the number of instances in the region and in the fleet.
-func HeartbeatInterval(to Audience, inRegion, inFleet int) time.Duration {
-	if to == SameRegion {
-		return scaleInterval(sameRegionInterval, inRegion, sameRegionThreshold)
+// HeartbeatInterval returns the mean time between two heartbeats within the region, or
+// between two slices of a heartbeat to other regions, given the number of instances in the
+// region.
+func HeartbeatInterval(to Audience, inRegion int) time.Duration {
+	if to == OtherRegions {
+		return otherRegionsInterval
 	}
-	return scaleInterval(otherRegionsInterval, inFleet, fleetThreshold)
+	return sameRegionInterval * time.Duration(max(inRegion, sameRegionThreshold)) / sameRegionThreshold
 }
 
-// scaleInterval returns d multiplied by count/threshold, or d if count is below
-// threshold.
-func scaleInterval(d time.Duration, count, threshold int) time.Duration {
-	return d * time.Duration(max(count, threshold)) / time.Duration(threshold)
+// Slices returns the number of slices in which a heartbeat is sent to other regions.
+func Slices(inFleet int) int { return max((inFleet+fleetThreshold-1)/fleetThreshold, 1) }
+
+// InSlice reports whether the receiver belongs to the given slice of the sender's
+// heartbeats. The slices of different senders differ, so that some instance of each region
+// receives a heartbeat of each sender in each interval. Slices are numbered on from one
+// heartbeat to the next.
+func InSlice(sender, receiver string, slice uint64, slices int) bool {
+	return uint64(placer.Hash32(sender+" "+receiver))%uint64(slices) == slice%uint64(slices)
 }
 
 // propagationTime returns the time assumed until a change at one instance has reached
 // all others by heartbeats, in a fleet of the given number of instances.
 func propagationTime(instances int) time.Duration {
-	return HeartbeatInterval(OtherRegions, 0, instances) + propagationMargin
+	return otherRegionsInterval*time.Duration(max(instances, fleetThreshold))/fleetThreshold + propagationMargin
 }
 
 // Audience is the group of instances that a heartbeat is sent to.
@@ -87,6 +98,9 @@
 	hb := m.baseHeartbeat(now)
 	hb.FullDemand = m.heartbeatCounts[to]%fullInterval == 0 || m.heartbeatCounts[to] < initialFull || leaving
 	hb.WarmObjects = m.takeWarmObjects(to)
+	if to == SameRegion {
+		hb.Sightings = m.takeSightings(now)
+	}
 	m.heartbeatCounts[to]++
 	for _, t := range m.teams {
 		if d, ok := t.reportTo(now, to, hb.FullDemand); ok {
@@ -108,6 +122,24 @@
 	return hb
 }
 
+// RefreshHeartbeat updates a heartbeat to other regions before another slice of it is sent:
+// the fields that hold the current state, the demand of the teams that it lists, and the
+// teams of which requests were admitted since it was made. The warm objects stay.
+func (m *Model) RefreshHeartbeat(now time.Time, hb Heartbeat) Heartbeat {
+	next := m.baseHeartbeat(now)
+	next.FullDemand, next.WarmObjects = hb.FullDemand, hb.WarmObjects
+	listed := make(map[uint32]bool, len(hb.Demand))
+	for _, d := range hb.Demand {
+		listed[d.Team] = true
+	}
+	for _, t := range m.teams {
+		if listed[t.hash] || t.admittedCount != t.lastReported[OtherRegions].admittedCount {
+			next.Demand = append(next.Demand, t.currentDemand(now))
+		}
+	}
+	return next
+}
+
 // baseHeartbeat returns the fields that all heartbeats have in common.
 func (m *Model) baseHeartbeat(now time.Time) Heartbeat {
 	return Heartbeat{
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -10,14 +10,16 @@
 	// newInstanceHeartbeats is a threshold: a sender is taken to have just started if the
 	// sequence number of its heartbeat is at most this.
 	newInstanceHeartbeats = 20
-	// An instance whose last heartbeat is older than the propagation time plus
-	// silentMargin counts as silent: its loads and demand no longer apply. The margin
-	// allows for one lost heartbeat.
+	// An instance counts as silent if its last sign of life is older than the longest time
+	// until the next one is due, plus propagationMargin and silentMargin: its loads and
+	// demand no longer apply. silentMargin allows for a heartbeat that got lost. minSilence
+	// is the shortest time after which an instance counts as silent.
 	silentMargin = 400 * time.Millisecond
-	// lookupTimeout is the time after an instance's last heartbeat from which on lookups
+	minSilence   = otherRegionsInterval + propagationMargin + silentMargin
+	// lookupTimeout is the time after an instance's last sign of life from which on lookups
 	// no longer return its address.
 	lookupTimeout = 3 * time.Second
-	// forgetAfter is how long after its last heartbeat an instance still counts as known.
+	// forgetAfter is how long after its last sign of life an instance still counts as known.
 	// A silent instance may be running but partitioned, and then still uses its static
 	// share of each team's rate.
 	forgetAfter = 60 * time.Second
@@ -29,9 +31,15 @@
 type peer struct {
 	lastHeartbeat   Heartbeat
 	lastHeartbeatAt time.Time
-	silent          bool
-	demandByTeam    map[uint32]uint32
-	admittedByTeam  map[uint32]uint64
+	// hash is the hash of the peer's ID. seenAt is when the peer last sent a heartbeat to
+	// this instance or, by a reported sighting, to another one of the region. reportedAt is
+	// when a sighting of the peer was last reported within the region.
+	hash           uint32
+	seenAt         time.Time
+	reportedAt     time.Time
+	silent         bool
+	demandByTeam   map[uint32]uint32
+	admittedByTeam map[uint32]uint64
 	// knownFromStart means that this instance has followed the peer's current lifetime
 	// from its start: the first heartbeat received was one of the lifetime's first
 	// newInstanceHeartbeats, or an earlier lifetime of the peer was known. All admissions
@@ -79,12 +87,10 @@
 	}
 	changed := !ok || p.silent || p.lastHeartbeat.Leaving != hb.Leaving
 	if !ok {
-		p = &peer{}
-		m.peers[hb.ID] = p
-		m.countKnownInstances()
+		p = m.addPeer(hb.ID)
 	}
 	if p.silent {
-		m.demand.add(p.demandByTeam)
+		m.revive(p)
 	}
 	if hb.StartedAtMs != p.lastHeartbeat.StartedAtMs {
 		p.admittedByTeam = map[uint32]uint64{}
@@ -98,7 +104,9 @@
 	}
 	p.lastHeartbeat = hb
 	p.lastHeartbeatAt = now
-	p.silent = false
+	p.seenAt = now
+	m.recordSighting(p)
+	m.applySightings(now, hb.Sightings)
 	m.recordDemand(now, p, hb)
 	m.balancer.SetPeerLoads(hb.ID, hb.Loads)
 	m.balancer.AddPeerWarmObjects(now, hb.WarmObjects)
@@ -135,22 +143,19 @@
 }
 
 // expireSilentPeers discards the loads of instances that have become silent.
-// Instances that have sent no heartbeat for forgetAfter are forgotten altogether.
+// Instances that have given no sign of life for forgetAfter are forgotten altogether.
 func (m *Model) expireSilentPeers(now time.Time) {
-	silentAfter := propagationTime(len(m.peers)+1) + silentMargin
 	changed := false
 	for id, p := range m.peers {
-		age := now.Sub(p.lastHeartbeatAt)
-		if age > silentAfter && !p.silent {
+		age := now.Sub(p.seenAt)
+		if !p.silent && age > m.silentAfter(p) {
 			p.silent = true
 			changed = true
 			m.demand.subtract(p.demandByTeam)
 			m.balancer.ForgetPeer(id)
 		}
 		if age > forgetAfter {
-			delete(m.peers, id)
-			m.countKnownInstances()
-			m.reportedFleetSize = len(m.peers) + 1
+			m.forgetPeer(id, p)
 		}
 	}
 	if changed {
@@ -158,16 +163,41 @@
 	}
 }
 
-// refreshLive recomputes the list of live instances, this one included.
+// refreshLive recomputes the lists of live instances, this one included.
 func (m *Model) refreshLive() {
-	m.liveInstances = m.liveInstances[:0]
-	m.liveInstances = append(m.liveInstances, m.id)
+	m.liveCount, m.regionSize = 1, 1
+	m.live = map[string][]string{m.region: {m.id}}
 	for id, p := range m.peers {
-		if !p.silent && !p.lastHeartbeat.Leaving {
-			m.liveInstances = append(m.liveInstances, id)
+		if p.silent || p.lastHeartbeat.Leaving {
+			continue
+		}
+		m.liveCount++
+		m.live[p.lastHeartbeat.Region] = append(m.live[p.lastHeartbeat.Region], id)
+	}
+	m.regionSize = len(m.live[m.region])
+	m.ownership = map[string]*placer.Ownership{}
+}
+
+// ownsColdEndpoint reports whether this instance owns an endpoint: while the endpoint
+// is cold, normally only its owner sends requests to it. The owner is one of the live
+// instances of the endpoint's region, which learn of each other's failures soonest. If
+// there are none, it is one of all.
+func (m *Model) ownsColdEndpoint(region string, endpoint uint32) bool {
+	if region != m.region && len(m.live[region]) > 0 {
+		return false
+	}
+	o, ok := m.ownership[region]
+	if !ok {
+		candidates := m.live[region]
+		if len(candidates) == 0 {
+			for _, ids := range m.live {
+				candidates = append(candidates, ids...)
+			}
 		}
+		o = placer.NewOwnership(m.id, candidates)
+		m.ownership[region] = o
 	}
-	m.ownership = placer.NewOwnership(m.id, m.liveInstances)
+	return o.Owns(endpoint)
 }
 
 // demandTotals maps the hash of a team's name to the sum of its demand at several peers,
@@ -193,7 +223,7 @@
 
 // Addresses returns the addresses that callers in a zone should connect to: the
 // instances in that zone; if there are none, the instances in the region; if there
-// are none, all instances. Instances that are leaving, or that have sent no heartbeat
+// are none, all instances. Instances that are leaving, or that have given no sign of life
 // for lookupTimeout, are left out. self is the address of this instance. It is returned
 // alone if all instances are left out.
 func (m *Model) Addresses(now time.Time, self string, region, zone string) []string {
@@ -211,7 +241,7 @@
 		add(self, m.region, m.zone)
 	}
 	for _, p := range m.peers {
-		if !p.lastHeartbeat.Leaving && now.Sub(p.lastHeartbeatAt) < lookupTimeout {
+		if !p.lastHeartbeat.Leaving && now.Sub(p.seenAt) < lookupTimeout {
 			add(p.lastHeartbeat.CallerAddress, p.lastHeartbeat.Region, p.lastHeartbeat.Zone)
 		}
 	}
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -19,18 +19,19 @@
 // network delays.
 type simulation struct {
 	// heartbeatLoss is the fraction of the heartbeats that are lost on the way.
-	heartbeatLoss float64
-	t             *testing.T
-	rng           *rand.Rand
-	now           time.Time
-	events        events
-	sequence      int
-	zones         map[string]string
-	config        *router.Config
-	instances     []*instance
-	endpoints     map[string]*fakeEndpoint
-	requests      uint64
-	answers       []answer
+	heartbeatLoss  float64
+	heartbeatsSent int
+	t              *testing.T
+	rng            *rand.Rand
+	now            time.Time
+	events         events
+	sequence       int
+	zones          map[string]string
+	config         *router.Config
+	instances      []*instance
+	endpoints      map[string]*fakeEndpoint
+	requests       uint64
+	answers        []answer
 	// admitted holds when the requests of each team reached an endpoint.
 	admitted map[string][]time.Time
 	arrivals []arrival
@@ -52,6 +53,10 @@
 	sequenceNumber  uint64
 	startedAtMs     int64
 	idleConnections connections
+	// slice numbers the slices of heartbeats to other regions. heartbeats holds the current
+	// heartbeat to each audience.
+	slice      uint64
+	heartbeats [2]conductor.Heartbeat
 	// A partitioned instance neither receives nor sends heartbeats.
 	partitioned bool
 }
@@ -173,6 +178,7 @@
 func (sim *simulation) restart(i *instance) {
 	i.startedAtMs++
 	i.sequenceNumber = 0
+	i.slice = 0
 	i.idleConnections = connections{}
 	hasConnection := func(address string, nonIdempotent bool) bool {
 		return i.idleConnections.has(sim.now, address, nonIdempotent)
@@ -203,18 +209,37 @@
 			inRegion++
 		}
 	}
-	interval := conductor.HeartbeatInterval(to, inRegion, len(sim.instances))
+	interval := conductor.HeartbeatInterval(to, inRegion)
 	sim.after(interval/2+sim.randomBelow(interval), func() { sim.sendAndScheduleHeartbeat(i, to) })
 }
 
-// sendHeartbeat sends a heartbeat to the instances of an audience.
+// sendHeartbeat sends a heartbeat within the region, or the next slice of one to other
+// regions.
 func (sim *simulation) sendHeartbeat(i *instance, to conductor.Audience) {
-	hb := i.model.Heartbeat(sim.now, to)
-	hb.StartedAtMs = i.startedAtMs
-	hb.SequenceNumber = i.sequenceNumber
+	slices, slice := 1, uint64(0)
+	if to == conductor.OtherRegions {
+		slices, slice = conductor.Slices(len(sim.instances)), i.slice
+		i.slice++
+	}
+	if slice%uint64(slices) == 0 {
+		i.heartbeats[to] = i.model.Heartbeat(sim.now, to)
+		i.heartbeats[to].StartedAtMs = i.startedAtMs
+		i.heartbeats[to].SequenceNumber = i.sequenceNumber
+		i.heartbeats[to].CallerAddress = i.id
+	} else {
+		startedAtMs, sequenceNumber := i.heartbeats[to].StartedAtMs, i.heartbeats[to].SequenceNumber
+		i.heartbeats[to] = i.model.RefreshHeartbeat(sim.now, i.heartbeats[to])
+		i.heartbeats[to].StartedAtMs, i.heartbeats[to].SequenceNumber = startedAtMs, sequenceNumber
+		i.heartbeats[to].CallerAddress = i.id
+	}
+	hb := i.heartbeats[to]
 	for _, other := range sim.instances {
 		otherRegion := sim.zones[other.zone] != sim.zones[i.zone]
-		if other == i || i.partitioned || otherRegion != (to == conductor.OtherRegions) || sim.rng.Float64() < sim.heartbeatLoss {
+		if other == i || i.partitioned || otherRegion != (to == conductor.OtherRegions) || !conductor.InSlice(i.id, other.id, slice, slices) {
+			continue
+		}
+		sim.heartbeatsSent++
+		if sim.rng.Float64() < sim.heartbeatLoss {
 			continue
 		}
 		sim.after(sim.oneWayDelay(otherRegion), func() {
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -136,8 +136,9 @@
 	endpointsListed bool
 	// unlisted holds the withdrawals of endpoints that are no longer listed, by ID.
 	unlisted map[string]unlistedWithdrawal
-	// ownsCold reports whether this instance owns the endpoint with the given hash.
-	ownsCold func(endpoint uint32) bool
+	// ownsCold reports whether this instance owns the endpoint with the given hash in the
+	// given region.
+	ownsCold func(region string, endpoint uint32) bool
 	// hasConnection reports whether this instance has an idle connection to an address,
 	// and a request may use that connection.
 	hasConnection func(address string, nonIdempotent bool) bool
@@ -188,14 +189,15 @@
 		unlisted: map[string]unlistedWithdrawal{},
 		services: map[string]*service{}, evacuatedZones: map[string]bool{},
 		roundTrip: map[string]time.Duration{}, peerAttempts: map[string]map[uint32]int{},
-		ownsCold:      func(uint32) bool { return true },
+		ownsCold:      func(string, uint32) bool { return true },
 		hasConnection: func(string, bool) bool { return true },
 	}
 }
 
 // SetColdOwner sets the function that reports whether this instance owns the endpoint
-// with the given hash. If SetColdOwner is not called, this instance owns all endpoints.
-func (b *Balancer) SetColdOwner(owns func(endpoint uint32) bool) { b.ownsCold = owns }
+// with the given hash in the given region. If SetColdOwner is not called, this instance
+// owns all endpoints.
+func (b *Balancer) SetColdOwner(owns func(region string, endpoint uint32) bool) { b.ownsCold = owns }
 
 // SetHasConnection sets the function that reports whether this instance has an idle
 // connection to an address, and a request may use that connection. If SetHasConnection
@@ -307,7 +309,7 @@
 	if slices.Contains(r.Tried, e.spec.ID) {
 		return false
 	}
-	return !e.isCold(now) || e.maySendWhileCold(now, b.ownsCold(e.hash), b.service(r.Service).spec.ColdRate)
+	return !e.isCold(now) || e.maySendWhileCold(now, b.ownsCold(e.region, e.hash), b.service(r.Service).spec.ColdRate)
 }
 
 // Pick returns the endpoint with the lowest cost for a request, with the estimates
@@ -398,7 +400,7 @@
 	if e.isEjected(now) {
 		cost += ejectedCost
 	}
-	if e.untried && !e.isCold(now) && b.ownsCold(e.hash) {
+	if e.untried && !e.isCold(now) && b.ownsCold(e.region, e.hash) {
 		cost -= untriedBonus
 	}
 	return c, cost
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -95,6 +95,9 @@
 	servers       []server
 	shortage      descriptorShortage
 
+	// slicing is used by runHeartbeats only.
+	slicing slicing
+
 	// mu guards model, endpointTable and sequenceNumber.
 	mu            sync.Mutex
 	model         *conductor.Model
--- a/seamedge/edger/heartbeats.go
+++ b/seamedge/edger/heartbeats.go
@@ -37,9 +37,20 @@
 	fromSettings bool
 }
 
-// peerAddressTTL is how long heartbeats are still sent to an address after the last
-// heartbeat from there. After that time, the address is removed from the peer table.
-const peerAddressTTL = 20 * time.Second
+const (
+	// Heartbeats are still sent to an address for a time after the last heartbeat from
+	// there: minPeerAddressTTL or, if that is longer, ttlHeartbeats times the time between
+	// two heartbeats from another region. Then the address is removed from the peer table.
+	minPeerAddressTTL = 20 * time.Second
+	ttlHeartbeats     = 4
+)
+
+// ttl returns how long an address stays in the table without a heartbeat from there. The
+// lock must be held.
+func (t *peerTable) ttl() time.Duration {
+	betweenHeartbeats := conductor.HeartbeatInterval(conductor.OtherRegions, 0) * time.Duration(conductor.Slices(len(t.byAddress)+1))
+	return max(minPeerAddressTTL, ttlHeartbeats*betweenHeartbeats)
+}
 
 func newPeerTable(seeds []string, self string) *peerTable {
 	t := &peerTable{self: self, byAddress: map[string]*peerEntry{}}
@@ -86,8 +97,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []netip.AddrPort
+	ttl := t.ttl()
 	for address, p := range t.byAddress {
-		if now.Sub(p.lastHeartbeatAt) > peerAddressTTL && !p.fromSettings {
+		if now.Sub(p.lastHeartbeatAt) > ttl && !p.fromSettings {
 			delete(t.byAddress, address)
 			continue
 		}
@@ -124,12 +136,13 @@
 	return list
 }
 
-// recentAddresses returns the addresses from which a heartbeat has arrived in the time
-// within before now. It also returns addresses that were added in that time and from which
-// no heartbeat has arrived yet.
-func (t *peerTable) recentAddresses(now time.Time, within time.Duration) []string {
+// recentAddresses returns the addresses from which a heartbeat has arrived so recently that
+// they don't expire yet. It also returns addresses that were added as recently and from
+// which no heartbeat has arrived yet.
+func (t *peerTable) recentAddresses(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	within := t.ttl()
 	var list []string
 	for address, p := range t.byAddress {
 		if now.Sub(p.lastHeartbeatAt) < within {
@@ -177,24 +190,30 @@
 			e.sendHeartbeat(conductor.SameRegion)
 			timers[conductor.SameRegion].Reset(e.heartbeatDelay(conductor.SameRegion))
 		case <-timers[conductor.OtherRegions].C:
-			e.sendHeartbeat(conductor.OtherRegions)
+			e.sendSlice()
 			timers[conductor.OtherRegions].Reset(e.heartbeatDelay(conductor.OtherRegions))
 		}
 	}
 }
 
-// heartbeatDelay returns the time until the next periodic heartbeat to an audience. The
-// interval depends on the number of instances. The delay is chosen at random between 0.5
+// heartbeatDelay returns the time until the next periodic heartbeat to an audience, or slice
+// of one. The interval depends on the number of instances. The delay is chosen at random between 0.5
 // and 1.5 times the interval, so that the instances don't send in step.
 func (e *Edge) heartbeatDelay(to conductor.Audience) time.Duration {
-	inRegion, all := e.peers.countInstances(e.region())
-	interval := conductor.HeartbeatInterval(to, inRegion+1, all+1)
+	inRegion, _ := e.peers.countInstances(e.region())
+	interval := conductor.HeartbeatInterval(to, inRegion+1)
 	return interval/2 + rand.N(interval)
 }
 
-// sendHeartbeat sends an audience a periodic heartbeat, which holds this instance's state.
+// sendHeartbeat sends all instances of an audience a periodic heartbeat, which holds this
+// instance's state.
 func (e *Edge) sendHeartbeat(to conductor.Audience) {
 	now := time.Now()
+	e.send(e.newHeartbeat(now, to), e.peers.targetAddresses(now, e.region(), to), to)
+}
+
+// newHeartbeat returns the next periodic heartbeat to an audience.
+func (e *Edge) newHeartbeat(now time.Time, to conductor.Audience) conductor.Heartbeat {
 	e.mu.Lock()
 	hb := e.model.Heartbeat(now, to)
 	e.sequenceNumber++
@@ -202,11 +221,49 @@
 	e.mu.Unlock()
 	e.addInstanceFields(&hb, now)
 	if hb.FullDemand {
-		knownAddresses := e.peers.recentAddresses(now, peerAddressTTL)
+		knownAddresses := e.peers.recentAddresses(now)
 		rand.Shuffle(len(knownAddresses), func(i, j int) { knownAddresses[i], knownAddresses[j] = knownAddresses[j], knownAddresses[i] })
 		hb.KnownAddresses = knownAddresses[:min(len(knownAddresses), maxKnownAddresses)]
 	}
-	e.sendToAudience(hb, to)
+	return hb
+}
+
+// slicing is the state of the heartbeats to other regions, which are sent in slices.
+type slicing struct {
+	// next is the number of the next slice. heartbeat is the heartbeat that is being sent.
+	next      uint64
+	heartbeat conductor.Heartbeat
+}
+
+// sendSlice sends a slice of the current heartbeat to other regions, or the first one of the
+// next heartbeat. Only runHeartbeats calls it.
+func (e *Edge) sendSlice() {
+	now := time.Now()
+	_, all := e.peers.countInstances(e.region())
+	slices := conductor.Slices(all + 1)
+	if e.slicing.next%uint64(slices) == 0 || e.slicing.heartbeat.ID == "" {
+		e.slicing.heartbeat = e.newHeartbeat(now, conductor.OtherRegions)
+	} else {
+		e.slicing.heartbeat = e.refreshHeartbeat(now, e.slicing.heartbeat)
+	}
+	var targets []netip.AddrPort
+	for _, t := range e.peers.targetAddresses(now, e.region(), conductor.OtherRegions) {
+		if conductor.InSlice(e.settings.Listen.Peers, t.String(), e.slicing.next, slices) {
+			targets = append(targets, t)
+		}
+	}
+	e.slicing.next++
+	e.send(e.slicing.heartbeat, targets, conductor.OtherRegions)
+}
+
+// refreshHeartbeat returns a heartbeat with the current state of this instance.
+func (e *Edge) refreshHeartbeat(now time.Time, hb conductor.Heartbeat) conductor.Heartbeat {
+	e.mu.Lock()
+	next := e.model.RefreshHeartbeat(now, hb)
+	e.mu.Unlock()
+	next.SequenceNumber, next.KnownAddresses = hb.SequenceNumber, hb.KnownAddresses
+	e.addInstanceFields(&next, now)
+	return next
 }
 
 // sendFullHeartbeat sends a full heartbeat to an instance that was unknown or has
@@ -242,7 +299,12 @@
 
 // sendToAudience sends a heartbeat to all instances of an audience in the peer table.
 func (e *Edge) sendToAudience(hb conductor.Heartbeat, to conductor.Audience) {
-	sent, err := e.heartbeats.Send(hb, e.peers.targetAddresses(time.Now(), hb.Region, to))
+	e.send(hb, e.peers.targetAddresses(time.Now(), hb.Region, to), to)
+}
+
+// send sends a heartbeat to instances of an audience.
+func (e *Edge) send(hb conductor.Heartbeat, targets []netip.AddrPort, to conductor.Audience) {
+	sent, err := e.heartbeats.Send(hb, targets)
 	e.metrics.heartbeatBytes[to].Add(sent)
 	if err != nil {
 		e.metrics.heartbeatErrors.Inc()
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 
@@ -55,10 +56,34 @@
 // newer builds are ignored.
 type extension struct {
 	Departures []placer.Departure `msgpack:"d,omitempty"`
+	// Sightings holds sightingBytes for each sighting: the instance and the age.
+	Sightings []byte `msgpack:"s,omitempty"`
+}
+
+// sightingBytes is the encoded size of a sighting in bytes. There are many of them in each
+// heartbeat of a large fleet.
+const sightingBytes = 5
+
+// encodeSightings encodes sightings in a fixed number of bytes each.
+func encodeSightings(sightings []conductor.Sighting) []byte {
+	data := make([]byte, 0, sightingBytes*len(sightings))
+	for _, s := range sightings {
+		data = append(binary.BigEndian.AppendUint32(data, s.Instance), s.AgeTenths)
+	}
+	return data
+}
+
+// decodeSightings decodes sightings. Bytes at the end that aren't a whole one are ignored.
+func decodeSightings(data []byte) []conductor.Sighting {
+	var sightings []conductor.Sighting
+	for ; len(data) >= sightingBytes; data = data[sightingBytes:] {
+		sightings = append(sightings, conductor.Sighting{Instance: binary.BigEndian.Uint32(data), AgeTenths: data[sightingBytes-1]})
+	}
+	return sightings
 }
 
 // empty reports whether the extension holds nothing.
-func (x extension) empty() bool { return len(x.Departures) == 0 }
+func (x extension) empty() bool { return len(x.Departures) == 0 && len(x.Sightings) == 0 }
 
 // encode encodes a heartbeat as a message in MessagePack, followed by an extension if there
 // is need for one.
@@ -82,7 +107,7 @@
 	if err := encoder.Encode(m); err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
-	if x := (extension{Departures: hb.Departures}); !x.empty() {
+	if x := (extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings)}); !x.empty() {
 		encoder.UseArrayEncodedStructs(false)
 		if err := encoder.Encode(x); err != nil {
 			return nil, fmt.Errorf("encode heartbeat extension: %w", err)
@@ -154,6 +179,6 @@
 		SequenceNumber: m.SequenceNumber, Leaving: m.Leaving, FleetSize: m.FleetSize, StoreUnreachable: m.StoreUnreachable,
 		FullDemand: m.FullDemand, CopyStatesOnly: m.CopyStatesOnly, Loads: m.Loads, WarmObjects: m.WarmObjects, Demand: m.Demand,
 		ReachabilityReports: m.ReachabilityReports, WarmCapacities: m.WarmCapacities, CopyStates: m.CopyStates,
-		KnownAddresses: m.KnownAddresses, Departures: x.Departures,
+		KnownAddresses: m.KnownAddresses, Departures: x.Departures, Sightings: decodeSightings(x.Sightings),
 	}, true
 }
