--- a/seamctl/soaker/endpoint.go
+++ b/seamctl/soaker/endpoint.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"primroseseam.org/platform"
@@ -27,8 +29,19 @@
 	// extraWork.
 	minWork = 5 * time.Millisecond
 	maxWork = 120 * time.Millisecond
+	// requestedPause is the pause that an endpoint asks for with a refusal.
+	requestedPause = 1500 * time.Millisecond
 )
 
+// requestCount is the context key of the number of requests on a connection.
+type requestCount struct{}
+
+// isFirst reports whether a request is the first one on its connection, and counts it.
+func isFirst(r *http.Request) bool {
+	n, ok := r.Context().Value(requestCount{}).(*atomic.Int32)
+	return ok && n.Add(1) == 1
+}
+
 // server is an HTTP server on a port of 127.0.0.1.
 type server struct {
 	address string
@@ -40,7 +53,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
 	}
-	s := &server{address: listener.Addr().String(), http: &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}}
+	s := &server{address: listener.Addr().String(), http: &http.Server{
+		Handler: handler, ReadHeaderTimeout: time.Second,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, requestCount{}, new(atomic.Int32))
+		},
+	}}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
@@ -64,6 +82,10 @@
 	// dropsResponses makes the endpoint run each request and then close the connection
 	// without a response.
 	dropsResponses bool
+	// repeatsRefusals makes the endpoint write a refusal before each response.
+	repeatsRefusals bool
+	// pausing makes the endpoint refuse each request and ask for a pause.
+	pausing bool
 }
 
 // startEndpoint starts the nth endpoint and its proxy, and writes its entry to the store.
@@ -105,6 +127,49 @@
 	e.dropsResponses = on
 }
 
+func (e *endpoint) setRepeatRefusals(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.repeatsRefusals = on
+}
+
+func (e *endpoint) setPausing(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pausing = on
+}
+
+// refusesForPause records the arrival of a request. While the endpoint asks for pauses, it
+// refuses the request, records the pause that it asks for, and returns true.
+func (e *endpoint) refusesForPause(w http.ResponseWriter, id string) bool {
+	e.mu.Lock()
+	pausing := e.pausing
+	e.mu.Unlock()
+	now := time.Now()
+	e.soak.history.recordArrival(arrival{id: id, endpoint: e, at: now, paused: pausing})
+	if !pausing {
+		return false
+	}
+	w.Header().Set(platform.HeaderNotRun, "1")
+	w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(requestedPause.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// writeRepeatedRefusal writes a refusal without a request ID and then the response with the
+// given body to the connection of a request.
+func writeRepeatedRefusal(w http.ResponseWriter, id, body string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	// A write error means that the instance has closed the connection.
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n"+
+		"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\nContent-Length: %d\r\n\r\n%s",
+		platform.HeaderNotRun, platform.HeaderRequestID, id, platform.HeaderSignature, id, len(body), body)
+}
+
 // ServeHTTP implements http.Handler. It rejects a request that was meant for another
 // endpoint (421) or that exceeds the endpoint's capacity (503), and marks the response as
 // that of a request that didn't run. It records and runs every other request.
@@ -116,11 +181,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	first := isFirst(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		// The body is incomplete, so the request isn't run.
 		return
 	}
+	if e.refusesForPause(w, id) {
+		return
+	}
 	if !e.acquireSlot() {
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -132,12 +201,16 @@
 		content: r.Method + " " + r.RequestURI + " " + string(body),
 	})
 	e.mu.Lock()
-	extraWork, dropsResponses := e.extraWork, e.dropsResponses
+	extraWork, dropsResponses, repeatsRefusals := e.extraWork, e.dropsResponses, e.repeatsRefusals
 	e.mu.Unlock()
 	time.Sleep(minWork + rand.N(maxWork-minWork) + extraWork)
 	if dropsResponses {
 		panic(http.ErrAbortHandler)
 	}
+	if repeatsRefusals && !first {
+		writeRepeatedRefusal(w, id, id+" "+string(body))
+		return
+	}
 	w.Header().Set(platform.HeaderSignature, "s-"+id)
 	_, _ = fmt.Fprintf(w, "%s %s", id, body)
 }
--- a/seamctl/soaker/faults.go
+++ b/seamctl/soaker/faults.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
 
+	"primroseseam.org/platform"
 	"primroseseam.org/seam/waiter"
 	"primroseseam.org/standin/disruptor"
 	"primroseseam.org/standin/objectkeeper"
@@ -43,9 +45,9 @@
 	defer cancel()
 	series := [][]fault{{moveRoutes, withdrawKey, reload}, {drain, evacuate, plannedStop}}
 	bySeedBit := [][]fault{
-		{resetEndpoint, cutEndpoint, delayEndpoint, slowEndpoint, dropResponses},
+		{resetEndpoint, cutEndpoint, delayEndpoint, slowEndpoint, dropResponses, repeatRefusals, requestPause},
 		{pauseInstance, crash},
-		{resetStore, cutStore, delayStore, breakStore, compactHistory},
+		{resetStore, cutStore, delayStore, breakStore, compactHistory, goBack, writeOddEntry},
 	}
 	for n, faults := range bySeedBit {
 		if s.seed>>n&1 == 1 {
@@ -174,6 +176,19 @@
 	s.timedFault(ctx, rng, e, "responses are dropped at "+e.id, func() { e.setDropResponses(true) }, func() { e.setDropResponses(false) })
 }
 
+// repeatRefusals makes an endpoint write a refusal, without a request ID, before each of its
+// responses on a connection that was used before.
+func repeatRefusals(ctx context.Context, s *Soak, rng *rand.Rand) {
+	e := s.usedEndpoint(rng)
+	s.timedFault(ctx, rng, e, "refusals are repeated at "+e.id, func() { e.setRepeatRefusals(true) }, func() { e.setRepeatRefusals(false) })
+}
+
+// requestPause makes an endpoint refuse all requests and ask each instance for a pause.
+func requestPause(ctx context.Context, s *Soak, rng *rand.Rand) {
+	e := s.usedEndpoint(rng)
+	s.timedFault(ctx, rng, e, e.id+" asks for pauses", func() { e.setPausing(true) }, func() { e.setPausing(false) })
+}
+
 func resetEndpoint(_ context.Context, s *Soak, rng *rand.Rand) {
 	e := s.usedEndpoint(rng)
 	s.instantFault(e, "reset connections to "+e.id, e.proxy.Reset)
@@ -240,3 +255,31 @@
 	s.logf("store compacts its history")
 	s.fakeStore.CompactHistory()
 }
+
+// goBack lets the store go back to a copy that is some time old. A little later the operator
+// and the endpoints write again what was lost.
+func goBack(ctx context.Context, s *Soak, rng *rand.Rand) {
+	older := s.fakeStore.Copy()
+	waiter.Pause(ctx, faultDuration(rng))
+	var lost objectkeeper.Copy
+	s.timedFault(ctx, rng, nil, "store goes back to an older copy", func() { lost = s.fakeStore.GoBack(older) }, func() {
+		for _, kind := range []string{platform.KindConfig, platform.KindEndpoints, platform.KindEvacuations} {
+			s.fakeStore.WriteAgain(lost, kind)
+		}
+	})
+}
+
+// oddEntries are entries that name no endpoint to use. The stand-in of the store can't send
+// deeply nested ones or those that aren't JSON.
+var oddEntries = []string{
+	`"\u0000"`, `[[[[[[[[[]]]]]]]]]`, `{"address":"10.0.0.1:99999","info":{"service":"service-0","zone":"zone-0","slots":4},"status":{"state":"ready","sequence":1}}`,
+	`{"address":"127.0.0.1:9","info":{"service":"service-0","zone":"zone-0","slots":1e300},"status":{"state":"ready","sequence":1}}`,
+	`{"address":"127.0.0.1:9","born":-1e300,"info":{"service":"service-0","zone":"zone-0","slots":4},"status":{"state":"ready","sequence":1}}`,
+}
+
+// writeOddEntry writes an odd entry among those of the endpoints.
+func writeOddEntry(_ context.Context, s *Soak, rng *rand.Rand) {
+	entry := pick(rng, oddEntries)
+	s.logf("odd entry %s", entry)
+	s.fakeStore.Put(platform.KindEndpoints, fmt.Sprintf("odd-%d", rng.IntN(4)), json.RawMessage(entry))
+}
--- a/seamctl/soaker/judge.go
+++ b/seamctl/soaker/judge.go
@@ -29,6 +29,10 @@
 	rateWindow    = 5 * time.Second
 	rateTolerance = 1.1
 	rateSlack     = 20
+	// An instance may send an endpoint maxPausedArrivals requests between pauseSlack after
+	// the endpoint asked it for a pause and the end of the pause.
+	pauseSlack        = 500 * time.Millisecond
+	maxPausedArrivals = 2
 	// recoveredRatio is the least share of requests that must be served, of those that are
 	// sent later than recoveredAfter after the end of the last fault.
 	recoveredRatio = 0.95
@@ -56,6 +60,7 @@
 			h.checkExecution(e, senders[id])
 		}
 	}
+	h.checkPauses(senders)
 	h.checkNoRollback()
 	h.checkRate()
 	h.checkRecovery()
@@ -89,6 +94,39 @@
 	h.checkCancelled(r, executions)
 }
 
+// checkPauses checks that instances keep to the pauses that endpoints asked them for. It
+// leaves out instances with a recent fault and those that were stopped as planned: a
+// restarted instance knows of no pause.
+func (h *history) checkPauses(senders map[string]*instance) {
+	for _, asked := range h.arrivals {
+		sender := senders[asked.id]
+		end := asked.at.Add(requestedPause)
+		if !asked.paused || sender == nil || !h.undisturbed(sender, asked.at, end) || h.stoppedAround(sender, asked.at, end) {
+			continue
+		}
+		count := 0
+		for _, a := range h.arrivals {
+			if a.endpoint == asked.endpoint && senders[a.id] == sender && a.at.After(asked.at.Add(pauseSlack)) && a.at.Before(end) {
+				count++
+			}
+		}
+		if count > maxPausedArrivals {
+			h.addViolation(rulePause, "%d requests from %s reached %s in a pause", count, sender.id, asked.endpoint.id)
+		}
+	}
+}
+
+// stoppedAround reports whether an instance was stopped as planned at some time between
+// from and to.
+func (h *history) stoppedAround(i *instance, from, to time.Time) bool {
+	for _, p := range h.plannedStops {
+		if p.subject == i && p.overlaps(from, to.Add(restartAfter)) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkCancelled checks that a request doesn't reach an endpoint after its caller has
 // cancelled it. A late arrival is no violation if the endpoint had a recent fault, since
 // the endpoint's proxy may have delayed the request. It is a violation even if the instance
--- a/seamctl/soaker/ledger.go
+++ b/seamctl/soaker/ledger.go
@@ -42,6 +42,9 @@
 	// An instance that gets SIGTERM exits at most a second after the end of its grace
 	// period, and cuts off no request that has reached an endpoint.
 	rulePlannedStop // plannedStop
+	// An endpoint that asked an instance for a pause gets at most maxPausedArrivals requests
+	// from that instance in the pause.
+	rulePause // pause
 	// No request reaches an endpoint after its caller has cancelled it.
 	ruleGone // gone
 	// The process of an instance starts, and runs until the test stops it.
@@ -64,6 +67,16 @@
 	content string
 }
 
+// arrival is a request that arrived at an endpoint, whether or not the endpoint ran it. It is
+// recorded only where the endpoint may ask for pauses. paused means that the endpoint refused
+// it and asked its sender for requestedPause.
+type arrival struct {
+	id       string
+	endpoint *endpoint
+	at       time.Time
+	paused   bool
+}
+
 // callerRequest is a request as its caller sent it, and its result.
 type callerRequest struct {
 	id string
@@ -109,6 +122,7 @@
 	// executions has the executions of each request, by the id of the request.
 	executions map[string][]execution
 	requests   []callerRequest
+	arrivals   []arrival
 	// drains has the drains of each endpoint, by the id of the endpoint.
 	drains map[string][]operatorAction
 	// evacuations has the evacuations of each zone, by the name of the zone.
@@ -172,6 +186,12 @@
 	h.executions[e.id] = append(h.executions[e.id], e)
 }
 
+func (h *history) recordArrival(a arrival) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.arrivals = append(h.arrivals, a)
+}
+
 func (h *history) recordRequest(r callerRequest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/seamctl/soaker/rule_string.go
+++ b/seamctl/soaker/rule_string.go
@@ -20,14 +20,15 @@
 	_ = x[ruleEvacuation-9]
 	_ = x[ruleRate-10]
 	_ = x[rulePlannedStop-11]
-	_ = x[ruleGone-12]
-	_ = x[ruleRunsOn-13]
-	_ = x[ruleRecovers-14]
+	_ = x[rulePause-12]
+	_ = x[ruleGone-13]
+	_ = x[ruleRunsOn-14]
+	_ = x[ruleRecovers-15]
 }
 
-const _rule_name = "atMostOncetrueRefusalwholeAnswerownTeamnoKeyPassedkeyDiesconfigInForceconfigNeverBackdrainevacuationteamRateplannedStopgonerunsOnrecovers"
+const _rule_name = "atMostOncetrueRefusalwholeAnswerownTeamnoKeyPassedkeyDiesconfigInForceconfigNeverBackdrainevacuationteamRateplannedStoppausegonerunsOnrecovers"
 
-var _rule_index = [...]uint8{0, 10, 21, 32, 39, 50, 57, 70, 85, 90, 100, 108, 119, 123, 129, 137}
+var _rule_index = [...]uint8{0, 10, 21, 32, 39, 50, 57, 70, 85, 90, 100, 108, 119, 124, 128, 134, 142}
 
 func (i rule) String() string {
 	idx := int(i) - 0
--- a/standin/objectkeeper/entries.go
+++ b/standin/objectkeeper/entries.go
@@ -26,10 +26,18 @@
 	s.Put("servers", e.ID, encode(map[string]any{
 		"address": e.Address, "born": 1,
 		"info":   map[string]any{"service": e.Service, "version": "v1", "zone": e.Zone, "slots": e.Slots},
-		"status": map[string]any{"state": state, "sequence": 1, "cold-remaining-s": 0},
+		"status": map[string]any{"state": state, "sequence": s.nextSequence(), "cold-remaining-s": 0},
 	}))
 }
 
+// nextSequence returns the next number of an endpoint's report.
+func (s *FakeStore) nextSequence() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	return s.sequence
+}
+
 // Route is a route of a configuration: requests for a host and a path prefix go to a
 // service.
 type Route struct {
--- a/standin/objectkeeper/objectkeeper.go
+++ b/standin/objectkeeper/objectkeeper.go
@@ -95,6 +95,8 @@
 	fault             Fault
 	// era grows each time the store goes back to an older copy of its data.
 	era uint64
+	// sequence is the number of the last report of an endpoint.
+	sequence uint64
 	// changeSignal is closed and replaced at each change. Waiting watches wait for that.
 	changeSignal chan struct{}
 	// calls is the number of requests so far.
@@ -146,10 +148,11 @@
 	return c
 }
 
-// GoBack replaces the store's data by a copy, as after a loss of the data. The revisions go
-// back to that of the copy, the history is gone and a new era begins. Waiting watches are
-// cut off.
-func (s *FakeStore) GoBack(c Copy) {
+// GoBack replaces the store's data by a copy, as after a loss of the data, and returns the
+// data that it had. The revisions go back to that of the copy, the history is gone and a new
+// era begins. Waiting watches are cut off.
+func (s *FakeStore) GoBack(c Copy) Copy {
+	lost := s.Copy()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision, s.compactedRevision, s.changes = c.revision, c.revision, nil
@@ -160,6 +163,28 @@
 	s.era++
 	close(s.changeSignal)
 	s.changeSignal = make(chan struct{})
+	return lost
+}
+
+// WriteAgain makes the objects of a kind the same as in the lost data, as if their writers
+// wrote them again. Objects that were written or deleted since the store went back stay.
+func (s *FakeStore) WriteAgain(lost Copy, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	touched := map[string]bool{}
+	for _, c := range s.changes {
+		touched[c.object.Metadata.Name] = touched[c.object.Metadata.Name] || c.kind == kind
+	}
+	for name := range s.objects[kind] {
+		if _, ok := lost.objects[kind][name]; !ok && !touched[name] {
+			s.remove(kind, name)
+		}
+	}
+	for name, o := range lost.objects[kind] {
+		if !touched[name] {
+			s.write(kind, name, o.Spec)
+		}
+	}
 }
 
 // currentEra returns the store's era as the header carries it.
