Refuse request bodies that break off in seamd

A chunked body whose connection broke off was passed on as a whole one, so an upstream could run a part of a request. Cause: io.ReadFull returns the same error for a cut body as for one shorter than the buffer. Ruled out: seamedge, which reads until the end and refuses it.

--- a/seamd/forwarder/body.go
+++ b/seamd/forwarder/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 )
@@ -29,18 +28,19 @@
 		// Reading one byte more than the length reaches the end of the body.
 		size = min(size, length+1)
 	}
-	buffered := make([]byte, size)
-	n, err := io.ReadFull(body, buffered)
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		if length >= 0 && int64(n) != length {
-			return RequestBody{}, fmt.Errorf("request body has %d bytes, but its declared length is %d", n, length)
-		}
-		return RequestBody{buffered: buffered[:n], length: int64(n)}, nil
+	// io.ReadFull doesn't fit here: it returns the same error for a body that ends early as
+	// for a complete one that is shorter than the buffer.
+	buffered, err := io.ReadAll(io.LimitReader(body, size))
+	switch n := int64(len(buffered)); {
 	case err != nil:
 		return RequestBody{}, fmt.Errorf("read request body: %w", err)
+	case n == size:
+		return RequestBody{buffered: buffered, unbuffered: body, length: length}, nil
+	case length >= 0 && n != length:
+		return RequestBody{}, fmt.Errorf("request body has %d bytes, but its declared length is %d", n, length)
+	default:
+		return RequestBody{buffered: buffered, length: n}, nil
 	}
-	return RequestBody{buffered: buffered, unbuffered: body, length: length}, nil
 }
 
 // Repeatable reports whether the body can be sent more than once.
