Return an error for responses that are too long in the caller package

A response over 64 MiB was cut and returned as whole (67,108,864 bytes of more in the test). Cause: the limit was applied without looking whether it was hit. Test: TestTooLongResponseIsAnError, failed before.

--- a/seam/caller/caller.go
+++ b/seam/caller/caller.go
@@ -48,8 +48,8 @@
 	// meanRetryDelay is the mean of the random delay before a retry. The delay is
 	// between 0.5 and 1.5 times meanRetryDelay, unless a refusal gives a longer delay.
 	meanRetryDelay = 20 * time.Millisecond
-	// maxResponseBytes is the maximum number of bytes that the client reads of a
-	// response body. The rest of a longer body is cut off.
+	// maxResponseBytes is the maximum size of a response body. A longer body is an
+	// error, since a part of it must not be taken for the whole.
 	maxResponseBytes = 64 << 20
 )
 
--- a/seam/caller/caller_test.go
+++ b/seam/caller/caller_test.go
@@ -133,6 +133,21 @@
 	return coder.CodeOf(err)
 }
 
+// A part of a response that is too long must not be returned as the whole one.
+func TestTooLongResponseIsAnError(t *testing.T) {
+	part := make([]byte, 1<<20)
+	f := newFakeInstances(t, 1, func(_ int, w http.ResponseWriter) {
+		for range 65 {
+			_, _ = w.Write(part)
+		}
+	})
+	client := caller.New([]string{f.servers[0].URL}, caller.WithKey("k"))
+	response, err := client.Do(t.Context(), caller.Request{Method: http.MethodPost, Path: "/a"})
+	if codeOf(err) != coder.OutcomeUnknown {
+		t.Errorf("%d bytes, %v; want OutcomeUnknown", len(response.Body), err)
+	}
+}
+
 // Five requests must cause a single lookup. The first request is refused and must be
 // retried only after the delay in its refusal. If that delay ends after the deadline of
 // the request, the client must return the refusal without a retry.
--- a/seam/caller/exchange.go
+++ b/seam/caller/exchange.go
@@ -139,7 +139,10 @@
 		return Response{}, noResponseError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = fmt.Errorf("response body is longer than %d bytes", maxResponseBytes)
+	}
 	if err != nil {
 		return Response{}, noResponseError(err)
 	}
