Keep instances of uneven regions live in each other's count

Found while reading: in a region with few instances most slices have no receiver, so it counted the others as silent between them (22 of 72 live in the test); and the expected interval followed the live instances of a region while senders follow the known ones. Now silence covers the slices until one has a receiver, and the known instances set the interval.

Test: TestUnevenFleetStaysLiveWhenHalfOfItDies, failed before (22 of 72).

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -94,9 +94,10 @@
 	longestCallerTime map[string]time.Duration
 	stopRequestedAt   time.Time
 	// live lists the IDs of the instances of each region that are neither silent nor
-	// leaving, this one included, and liveCount counts them. regionSize counts those of
-	// this instance's region. ownership is this instance's ownership of the endpoints of
-	// each region, computed when it is needed.
+	// leaving, this one included, and liveCount counts them. regionSize counts all known
+	// instances of this instance's region, since the live ones choose their intervals by
+	// that number. ownership is this instance's ownership of the endpoints of each region,
+	// computed when it is needed.
 	live       map[string][]string
 	liveCount  int
 	regionSize int
--- a/seam/conductor/liveness.go
+++ b/seam/conductor/liveness.go
@@ -77,19 +77,28 @@
 }
 
 // silentAfter returns the time after the last sign of life of a peer after which the peer
-// counts as silent. For instances of other regions in a fleet with slices it covers a slice
-// and the report of a sighting.
+// counts as silent. For instances of other regions in a fleet with slices it covers the
+// slices until one with receivers in this region, and the report of a sighting.
 func (m *Model) silentAfter(p *peer) time.Duration {
 	longest := time.Duration(maxIntervalRatio * float64(HeartbeatInterval(SameRegion, m.regionSize)))
 	if p.lastHeartbeat.Region != m.region {
-		if Slices(m.fleet().KnownInstances) == 1 {
+		slices := Slices(m.fleet().KnownInstances)
+		if slices == 1 {
 			return minSilence
 		}
-		longest += time.Duration(maxIntervalRatio * float64(otherRegionsInterval))
+		gap := min((receiversPerSlice*slices+m.liveInRegion()-1)/m.liveInRegion(), slices)
+		longest += time.Duration(maxIntervalRatio*float64(otherRegionsInterval)) * time.Duration(gap)
 	}
 	return max(longest+propagationMargin+silentMargin, minSilence)
 }
 
+// receiversPerSlice is the mean number of live receivers in a region from which on every
+// slice is taken to reach one of them.
+const receiversPerSlice = 4
+
+// liveInRegion returns the number of live instances of this region, this one included.
+func (m *Model) liveInRegion() int { return max(len(m.live[m.region]), 1) }
+
 // forgetPeer removes an instance.
 func (m *Model) forgetPeer(id string, p *peer) {
 	delete(m.peers, id)
--- a/seam/conductor/membership_test.go
+++ b/seam/conductor/membership_test.go
@@ -108,3 +108,23 @@
 		t.Errorf("after its return an instance counts %d of %d as live", live, size)
 	}
 }
+
+// Half of a fleet with one large and two tiny regions dies. Those that are left keep counting
+// each other as live, although the heartbeats in a region come no faster when it shrinks, and
+// most slices have no receiver in a tiny region.
+func TestUnevenFleetStaysLiveWhenHalfOfItDies(t *testing.T) {
+	sim := newSimulation(t, 5, [3]int{140, 2, 2}, [3]int{2, 2, 2}, 3, 10, nil)
+	sim.heartbeatLoss = 0.005
+	sim.run(20 * time.Second)
+	left := 0
+	for n, i := range sim.instances {
+		i.partitioned = n%2 == 0
+		if !i.partitioned {
+			left++
+		}
+	}
+	sim.run(5 * time.Second)
+	if live := sim.fewestLive(5 * time.Second); live > left || live < left*95/100 {
+		t.Errorf("an instance counts %d of %d as live", live, left)
+	}
+}
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -156,6 +156,7 @@
 		}
 		if age > forgetAfter {
 			m.forgetPeer(id, p)
+			changed = true
 		}
 	}
 	if changed {
@@ -168,13 +169,15 @@
 	m.liveCount, m.regionSize = 1, 1
 	m.live = map[string][]string{m.region: {m.id}}
 	for id, p := range m.peers {
+		if p.lastHeartbeat.Region == m.region {
+			m.regionSize++
+		}
 		if p.silent || p.lastHeartbeat.Leaving {
 			continue
 		}
 		m.liveCount++
 		m.live[p.lastHeartbeat.Region] = append(m.live[p.lastHeartbeat.Region], id)
 	}
-	m.regionSize = len(m.live[m.region])
 	m.ownership = map[string]*placer.Ownership{}
 }
 
--- a/seamedge/edger/heartbeats.go
+++ b/seamedge/edger/heartbeats.go
@@ -197,8 +197,8 @@
 }
 
 // heartbeatDelay returns the time until the next periodic heartbeat to an audience, or slice
-// of one. The interval depends on the number of instances. The delay is chosen at random between 0.5
-// and 1.5 times the interval, so that the instances don't send in step.
+// of one. The interval depends on the number of instances. The delay is chosen at random
+// between 0.5 and 1.5 times the interval, so that the instances don't send in step.
 func (e *Edge) heartbeatDelay(to conductor.Audience) time.Duration {
 	inRegion, _ := e.peers.countInstances(e.region())
 	interval := conductor.HeartbeatInterval(to, inRegion+1)
