Send heartbeats within large regions in slices too

What is left grows with the heartbeats: 186 a second are sent by each of 300 instances, 160 of them within its region. Ruled out by profile: decisions, 50 us a request at 7 requests a second.

Now a region of more than 32 instances gets a heartbeat in slices of 0.2 s, so many that fewer are sent the larger the region is: each instance then has a smaller part of all attempts, so an older report of it matters less. Sightings cover the region as well, repeated in up to four slices. Demand and warm objects are brought up to date for each slice. Up to 32 a region nothing changes.

--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -95,8 +95,9 @@
 	servers       []server
 	shortage      descriptorShortage
 
-	// slicing is used by runHeartbeats only.
-	slicing slicing
+	// slicing holds the state of the heartbeats to each audience. Only runHeartbeats uses
+	// it.
+	slicing [2]slicing
 
 	// mu guards model, endpointTable and sequenceNumber.
 	mu            sync.Mutex
