Keep positions of later eras from builds that know none

Found while reading: a build from before eras that is told a position of era 1 or later would watch the store from there, get 410, and drop every list as older, without a pause, for as long as a rolling replacement lasts. Now such positions go into the extension, which older builds ignore; they poll by themselves meanwhile.

Test: TestExtensionFollowsTheMessage (older builds see the states of era 0 only), TestHeartbeatsAreDecodedAsSent.

--- a/seamedge/heartbeater/heartbeater_test.go
+++ b/seamedge/heartbeater/heartbeater_test.go
@@ -76,6 +76,7 @@
 	send, _, received, _ := newPair(t)
 	in := newHeartbeat(20, 8)
 	in.FullDemand = true
+	in.CopyStates = append(in.CopyStates, conductor.CopyState{Kind: "servers", Position: 1 << 45, Changed: 1<<45 - 1, AgeMs: 7})
 	send(in)
 	if out := <-received; !reflect.DeepEqual(in, out) {
 		t.Errorf("got %+v", out)
@@ -172,7 +173,8 @@
 	}
 }
 
-// Builds before the extension read a message that is followed by one.
+// Builds before the extension read a message that is followed by one. They must not get
+// positions of a later era than 0.
 func TestExtensionFollowsTheMessage(t *testing.T) {
 	var fields []any
 	received := make(chan error, 1)
@@ -193,11 +195,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := sender.Send(newHeartbeat(1, 1), []netip.AddrPort{netip.MustParseAddrPort(socket.LocalAddr().String())}); err != nil {
+	hb := newHeartbeat(1, 1)
+	hb.CopyStates = append(hb.CopyStates, conductor.CopyState{Kind: "servers", Position: 1 << 45, Changed: 1 << 45})
+	if _, err := sender.Send(hb, []netip.AddrPort{netip.MustParseAddrPort(socket.LocalAddr().String())}); err != nil {
 		t.Fatal(err)
 	}
 	if err := <-received; err != nil || len(fields) != 14 {
-		t.Errorf("%d fields, %v; older builds expect 14", len(fields), err)
+		t.Fatalf("%d fields, %v; older builds expect 14", len(fields), err)
+	}
+	if states, ok := fields[12].([]any); !ok || len(states) != 1 {
+		t.Errorf("older builds get the copy states %v, want the one of era 0", fields[12])
 	}
 }
 
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/follower"
 	"primroseseam.org/seam/placer"
 )
 
@@ -58,6 +59,41 @@
 	Departures []placer.Departure `msgpack:"d,omitempty"`
 	// Sightings holds sightingBytes for each sighting: the instance and the age.
 	Sightings []byte `msgpack:"s,omitempty"`
+	// CopyStates holds the states whose positions are of a later era than 0. Builds from
+	// before the extension know no eras: they would ask the store for such a position, and
+	// then drop every list of the store as older.
+	CopyStates []copyState `msgpack:"c,omitempty"`
+}
+
+// copyState is the encoded form of a [conductor.CopyState], an array.
+type copyState struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
+	Kind     string
+	Position uint64
+	Changed  uint64
+	AgeMs    uint32
+}
+
+// splitCopyStates returns the states that older builds understand and the others in encoded
+// form.
+func splitCopyStates(states []conductor.CopyState) (common []conductor.CopyState, later []copyState) {
+	for _, s := range states {
+		if follower.EraOf(s.Position) == 0 {
+			common = append(common, s)
+			continue
+		}
+		later = append(later, copyState{Kind: s.Kind, Position: s.Position, Changed: s.Changed, AgeMs: s.AgeMs})
+	}
+	return common, later
+}
+
+// joinCopyStates reverses splitCopyStates.
+func joinCopyStates(common []conductor.CopyState, later []copyState) []conductor.CopyState {
+	for _, s := range later {
+		common = append(common, conductor.CopyState{Kind: s.Kind, Position: s.Position, Changed: s.Changed, AgeMs: s.AgeMs})
+	}
+	return common
 }
 
 // sightingBytes is the encoded size of a sighting in bytes. There are many of them in each
@@ -83,15 +119,18 @@
 }
 
 // empty reports whether the extension holds nothing.
-func (x extension) empty() bool { return len(x.Departures) == 0 && len(x.Sightings) == 0 }
+func (x extension) empty() bool {
+	return len(x.Departures) == 0 && len(x.Sightings) == 0 && len(x.CopyStates) == 0
+}
 
 // encode encodes a heartbeat as a message in MessagePack, followed by an extension if there
 // is need for one.
 func encode(hb conductor.Heartbeat) ([]byte, error) {
+	common, later := splitCopyStates(hb.CopyStates)
 	m := message{
 		SequenceNumber: hb.SequenceNumber, Leaving: hb.Leaving, FleetSize: hb.FleetSize, StoreUnreachable: hb.StoreUnreachable,
 		FullDemand: hb.FullDemand, CopyStatesOnly: hb.CopyStatesOnly, Loads: hb.Loads, WarmObjects: hb.WarmObjects, Demand: hb.Demand,
-		ReachabilityReports: hb.ReachabilityReports, WarmCapacities: hb.WarmCapacities, CopyStates: hb.CopyStates,
+		ReachabilityReports: hb.ReachabilityReports, WarmCapacities: hb.WarmCapacities, CopyStates: common,
 		KnownAddresses: hb.KnownAddresses,
 	}
 	if hb.FullDemand || hb.CopyStatesOnly {
@@ -107,7 +146,7 @@
 	if err := encoder.Encode(m); err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
-	if x := (extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings)}); !x.empty() {
+	if x := (extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings), CopyStates: later}); !x.empty() {
 		encoder.UseArrayEncodedStructs(false)
 		if err := encoder.Encode(x); err != nil {
 			return nil, fmt.Errorf("encode heartbeat extension: %w", err)
@@ -178,7 +217,7 @@
 		CallerAddress: sender.CallerAddress, PeerAddress: sender.PeerAddress,
 		SequenceNumber: m.SequenceNumber, Leaving: m.Leaving, FleetSize: m.FleetSize, StoreUnreachable: m.StoreUnreachable,
 		FullDemand: m.FullDemand, CopyStatesOnly: m.CopyStatesOnly, Loads: m.Loads, WarmObjects: m.WarmObjects, Demand: m.Demand,
-		ReachabilityReports: m.ReachabilityReports, WarmCapacities: m.WarmCapacities, CopyStates: m.CopyStates,
+		ReachabilityReports: m.ReachabilityReports, WarmCapacities: m.WarmCapacities, CopyStates: joinCopyStates(m.CopyStates, x.CopyStates),
 		KnownAddresses: m.KnownAddresses, Departures: x.Departures, Sightings: decodeSightings(x.Sightings),
 	}, true
 }
