--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -93,8 +93,8 @@
 	CallerDisconnected bool
 	// DialTime is how long opening a new connection took, or 0 if none was opened.
 	DialTime time.Duration
-	// Leaving means that the endpoint announced its end. Pause is how long the endpoint
-	// wants no requests of this instance, or 0.
+	// Leaving means that the endpoint announced its end. Pause is the time for which the
+	// endpoint asked this instance to send no requests, or 0.
 	Leaving bool
 	Pause   time.Duration
 }
--- a/seam/placer/ownership.go
+++ b/seam/placer/ownership.go
@@ -1,6 +1,6 @@
 package placer
 
-// Ownership tells which endpoints an instance owns. The owner of an endpoint is chosen
+// Ownership determines which endpoints an instance owns. The owner of an endpoint is chosen
 // among the instances by rendezvous hashing: all instances that know of the same instances
 // choose the same owner. An answer is computed once for each endpoint and then kept, since
 // it is needed for each request and takes time in proportion to the number of instances.
--- a/seam/placer/withdrawal.go
+++ b/seam/placer/withdrawal.go
@@ -89,7 +89,7 @@
 
 // Departure reports to other instances that an endpoint announced its end. Endpoint is the
 // hash of the endpoint's ID. StartedAtMs holds the lower bits of its start time, in Unix
-// milliseconds, and tells its lifetimes apart.
+// milliseconds, and distinguishes its lifetimes.
 type Departure struct {
 	Endpoint    uint32
 	StartedAtMs uint32
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -207,7 +207,7 @@
 		e.metrics.endpointConnections.Inc()
 	}
 	if outcome.Leaving || outcome.Pause > 0 {
-		e.log.Info("endpoint: wants no more requests", zap.String("endpoint", cmd.Endpoint), zap.Bool("leaving", outcome.Leaving),
+		e.log.Info("endpoint: no further requests", zap.String("endpoint", cmd.Endpoint), zap.Bool("leaving", outcome.Leaving),
 			zap.Duration("pause", outcome.Pause), zap.String("request", req.requestID))
 	}
 	if answer.SkippedResponses > 0 {
--- a/seamedge/edger/era_test.go
+++ b/seamedge/edger/era_test.go
@@ -93,7 +93,7 @@
 
 // One of two endpoints announces its end in an answer, the other asks for a pause. Neither
 // may get another request, and callers are refused at once with the end of the pause.
-func TestEndpointsThatWantNoMoreRequestsGetNone(t *testing.T) {
+func TestEndpointsThatDeclineRequestsGetNone(t *testing.T) {
 	r := newTestEnv(t)
 	r.configure("key", "s")
 	var announce atomic.Bool
@@ -124,7 +124,7 @@
 		}
 	}
 	if n := leaving.Load() + pausing.Load() - before; n > 0 {
-		t.Errorf("%d requests reached endpoints that want none", n)
+		t.Errorf("%d requests reached endpoints that declined them", n)
 	}
 	announce.Store(false)
 	run.waitFor(5*time.Second, "requests after the pause", func() bool { return run.post("/x/", "key", "a").status == http.StatusOK })
