Don't count pauses as grace time in the soak's planned stops

Traced by its log: the soak paused edge-2 at 52.24 s for 2.94 s and sent SIGTERM at 52.52 s; 4 s of grace that begin at 55.18 s end after the bound of 57.52 s. The check was wrong: a paused process can't stop.

--- a/seamctl/soaker/faults.go
+++ b/seamctl/soaker/faults.go
@@ -99,13 +99,15 @@
 }
 
 // plannedStop stops an instance with SIGTERM and starts it again. It is a violation if the
-// instance hasn't exited one second after the end of its grace period.
+// instance hasn't exited one second after the end of its grace period. Time for which the
+// instance was paused doesn't count, since it can't run then.
 func plannedStop(ctx context.Context, s *Soak, rng *rand.Rand) {
 	i := pick(rng, s.instances)
 	s.logf("%s is stopped with SIGTERM", i.id)
 	endStop := s.history.recordPlannedStop(i)
+	stoppedAt := time.Now()
 	i.signal(syscall.SIGTERM)
-	if !i.exitsWithin((graceSeconds + 1) * time.Second) {
+	if !i.exitsWithin((graceSeconds+1)*time.Second) && !i.exitsWithin(s.history.faultTimeAfter(i, stoppedAt, time.Now())) {
 		s.history.recordViolation(rulePlannedStop, "%s still runs after its grace period", i.id)
 		i.kill()
 	}
--- a/seamctl/soaker/ledger.go
+++ b/seamctl/soaker/ledger.go
@@ -260,6 +260,24 @@
 	return true
 }
 
+// faultTimeAfter returns how long an instance has had faults between start and now. The
+// caller doesn't hold h.mu.
+func (h *history) faultTimeAfter(i *instance, start, now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	total := time.Duration(0)
+	for _, f := range h.faults {
+		if f.subject == i && f.overlaps(start, now) {
+			from := f.from
+			if from.Before(start) {
+				from = start
+			}
+			total += f.to.Sub(from)
+		}
+	}
+	return total
+}
+
 // noFaults reports whether no instance or endpoint has a fault at any time between from and
 // to. The caller holds h.mu.
 func (h *history) noFaults(from, to time.Time) bool {
