--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -79,7 +79,7 @@
 	metrics      *edgeMetrics
 	exchanger    *exchanger.Exchanger
 	heartbeats   *heartbeater.Heartbeater
-	store        follower.Store
+	store        *platform.Store
 	followers    map[string]*follower.Follower
 	copyClient   *http.Client
 	fetchQueue   *fetchQueue
--- a/seamedge/edger/register.go
+++ b/seamedge/edger/register.go
@@ -29,8 +29,8 @@
 // registers the instance again, after a random part of registerSpread.
 func (e *Edge) register(ctx context.Context) {
 	e.writeRegistration(ctx)
+	e.listInstances(ctx, e.listRegistered)
 	for ctx.Err() == nil {
-		e.listInstances(ctx)
 		select {
 		case <-ctx.Done():
 		case <-e.registerAgain:
@@ -38,9 +38,16 @@
 			e.writeRegistration(ctx)
 		case <-time.After(listInterval):
 		}
+		e.listInstances(ctx, e.store.ListStale)
 	}
 }
 
+// listRegistered lists the objects of a kind as they are now.
+func (e *Edge) listRegistered(ctx context.Context, kind string) ([]follower.Object, error) {
+	objects, _, err := e.store.List(ctx, kind)
+	return objects, err
+}
+
 // writeRegistration writes this instance's entry to the store. If this fails, it retries
 // until it succeeds, ctx ends or the instance stops.
 func (e *Edge) writeRegistration(ctx context.Context) {
@@ -62,9 +69,10 @@
 }
 
 // listInstances lists the instances that are registered in the store. It adds their
-// addresses to the peer table and passes their IDs to the model.
-func (e *Edge) listInstances(ctx context.Context) {
-	objects, _, err := e.store.List(ctx, platform.KindInstances)
+// addresses to the peer table and passes their IDs to the model. After the first list, data
+// that is some seconds old will do, since heartbeats make newer instances known.
+func (e *Edge) listInstances(ctx context.Context, list func(context.Context, string) ([]follower.Object, error)) {
+	objects, err := list(ctx, platform.KindInstances)
 	if err != nil {
 		e.log.Warn("instances: listing failed", zap.Error(err))
 		return
