Read the rate limits that endpoints name, and log them

Cause so far: three hypotheses stand in docs/incidents/server-limit.md, and neither logs nor metrics told them apart: nothing read the header.

Change: the header is read within bounds (the lowest valid value; signs, exponents and other numbers are invalid), kept for a lifetime of the endpoint, and logged when it appears, changes by a quarter or ends. Nothing is decided by it yet.

--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -97,6 +97,8 @@
 	// endpoint asked this instance to send no requests, or 0.
 	Leaving bool
 	Pause   time.Duration
+	// Limit is what the response states of the endpoint's rate limit.
+	Limit router.RateLimit
 }
 
 // Acceptable reports whether the attempt brought a response that is delivered without
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -229,6 +229,10 @@
 		m.balancer.RecordLeaving(r.choice.ID)
 	}
 	m.balancer.RecordPause(now, r.choice.ID, o.Pause)
+	// Another endpoint may send a 421 response.
+	if o.Status != 0 && o.Status != http.StatusMisdirectedRequest {
+		m.balancer.RecordLimit(now, r.choice.ID, o.Limit, o.Answered && !o.NotRun && o.Status/100 == 2)
+	}
 	m.balancer.RecordOutcome(now, r.choice.ID, placer.Outcome{
 		SentAt: r.sentAt, Object: r.placement.Object, Choice: r.choice,
 		Answered: o.Answered, SuccessStatus: o.Status/100 == 2, NotRun: o.NotRun && !o.Unreachable, Unreachable: o.Unreachable,
--- a/seam/conductor/stats.go
+++ b/seam/conductor/stats.go
@@ -1,6 +1,10 @@
 package conductor
 
-import "time"
+import (
+	"time"
+
+	"primroseseam.org/seam/placer"
+)
 
 // Stats is a snapshot of the model for metrics.
 type Stats struct {
@@ -12,6 +16,8 @@
 	// KnownEndpoints is the number of listed endpoints. RequestsInFlight is the number of
 	// requests that were sent to an endpoint at least once and have not ended.
 	KnownEndpoints, RequestsInFlight int
+	// LimitedEndpoints is the number of listed endpoints that name a rate limit.
+	LimitedEndpoints int
 	// TeamTokens holds, for each team with a rate limit that sent requests here, the
 	// tokens left in its fleet-wide bucket; negative after admissions beyond the
 	// rate.
@@ -21,12 +27,15 @@
 	RetryTokens map[string]float64
 }
 
+// TakeLimitChanges returns the changes of endpoints' rate limits since the last call.
+func (m *Model) TakeLimitChanges() []placer.LimitChange { return m.balancer.TakeLimitChanges() }
+
 // Stats returns a snapshot of the model.
 func (m *Model) Stats(now time.Time) Stats {
 	fleet := m.fleet()
 	s := Stats{
 		ConfigVersion: m.ConfigVersion(), LiveInstances: fleet.LiveInstances, KnownInstances: fleet.KnownInstances,
-		KnownEndpoints: m.balancer.EndpointCount(), RequestsInFlight: len(m.requests),
+		KnownEndpoints: m.balancer.EndpointCount(), RequestsInFlight: len(m.requests), LimitedEndpoints: m.balancer.LimitedCount(),
 		TeamTokens: map[string]float64{}, RetryTokens: map[string]float64{},
 	}
 	for name, t := range m.teams {
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -125,6 +125,7 @@
 	// it announced its end to this instance, which reports that to the others.
 	withdrawal      withdrawal
 	announceLeaving bool
+	limit           rateLimit
 	// untried means that the endpoint is new, this instance has sent it no request, and
 	// no other instance has reported a warm object there.
 	untried bool
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -78,6 +78,9 @@
 	// Slowdown is the endpoint's run time divided by the mean run time of its service.
 	// For a cold endpoint it is at least coldSlowdown.
 	Slowdown float64
+	// Limited means that the endpoint named a rate limit, RateLimit, in requests per second.
+	Limited   bool
+	RateLimit float64
 }
 
 // Load is a number of attempts in flight at an endpoint, which is identified by
@@ -131,6 +134,7 @@
 	// reported, by instance ID and endpoint hash.
 	peerAttempts   map[string]map[uint32]int
 	newWarmObjects []WarmObject
+	limitChanges   []LimitChange
 	// endpointsListed is set after the first list of endpoints. An endpoint that first
 	// appears in a later list is assumed to have just started.
 	endpointsListed bool
@@ -359,7 +363,7 @@
 	warmRunTime, coldRunTime := s.runTimes(r.TargetLatency, r.Timeout)
 	c := Choice{
 		ID: e.spec.ID, Address: e.spec.Address, Region: e.region, AttemptsInFlight: e.attemptsInFlight(), Slots: e.spec.Slots,
-		ObjectWarm: r.Object != 0 && e.isWarm(now, r.Object, s.warmCapacity),
+		ObjectWarm: r.Object != 0 && e.isWarm(now, r.Object, s.warmCapacity), Limited: e.limit.named, RateLimit: e.limit.perSecond,
 	}
 	runTime := coldRunTime
 	if c.ObjectWarm {
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -187,6 +187,9 @@
 	if cmd.Attempt > 1 {
 		e.metrics.retries.Inc()
 	}
+	if cmd.Choice.Limited {
+		e.metrics.limitedAttempts.Inc()
+	}
 	answer := e.exchanger.Do(req.ctx, exchanger.Call{
 		Address: cmd.Address, Method: req.request.Method, URI: req.request.RequestURI, Host: req.request.Host,
 		Header: req.header, Body: req.body, BodyRemainder: req.bodyRemainder, BodyLength: req.bodyLength,
@@ -254,6 +257,7 @@
 	outcome.Status = answer.Status
 	outcome.Leaving = platform.IsLeaving(answer.Header)
 	outcome.Pause = platform.PauseOf(answer.Status, answer.Header, time.Now())
+	outcome.Limit = platform.LimitOf(answer.Header)
 	outcome.NotRun = answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(platform.HeaderNotRun) != ""
 	// A 2xx answer without the endpoint's signature is not accepted.
 	outcome.Answered = answer.Status/100 != 2 || answer.Header.Get(platform.HeaderSignature) != ""
@@ -325,7 +329,8 @@
 	e.log.Info("request: sent", zap.String("request", req.requestID), zap.String("team", cmd.Team),
 		zap.String("endpoint", cmd.Endpoint), zap.String("region", choice.Region), zap.Int("attempt", cmd.Attempt),
 		zap.Duration("expected", choice.ExpectedLatency), zap.Duration("wait", choice.QueueTime), zap.Bool("warm", choice.ObjectWarm),
-		zap.Int("load", choice.AttemptsInFlight), zap.Int("slots", choice.Slots), zap.Float64("slow", choice.Slowdown), zap.Duration("budget", cmd.Budget),
+		zap.Int("load", choice.AttemptsInFlight), zap.Int("slots", choice.Slots), zap.Float64("slow", choice.Slowdown),
+		zap.Bool("limited", choice.Limited), zap.Duration("budget", cmd.Budget),
 		zap.Uint64("version", cmd.ConfigVersion))
 }
 
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -302,6 +302,20 @@
 	}
 }
 
+// logLimitChanges logs the changes of endpoints' rate limits since the last call.
+func (e *Edge) logLimitChanges() {
+	e.mu.Lock()
+	changes := e.model.TakeLimitChanges()
+	e.mu.Unlock()
+	for _, c := range changes {
+		if !c.Named {
+			e.log.Info("endpoint: rate limit ended", zap.String("endpoint", c.Endpoint))
+			continue
+		}
+		e.log.Info("endpoint: rate limit", zap.String("endpoint", c.Endpoint), zap.Float64("perSecond", c.PerSecond))
+	}
+}
+
 // runTicks does the work that is due at each tick, until ctx ends.
 func (e *Edge) runTicks(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -317,6 +331,7 @@
 			e.recordTick(now.Sub(lastTick))
 			lastTick = now
 			e.update(conductor.Ticked{})
+			e.logLimitChanges()
 			e.removeMissingEndpoints(now)
 			e.limitConnections()
 			if now.Sub(lastPrune) > pruneInterval {
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -19,6 +19,8 @@
 	heartbeatErrors     *metrics.Counter
 	retries             *metrics.Counter
 	endpointConnections *metrics.Counter
+	// limitedAttempts counts attempts at endpoints that named a rate limit.
+	limitedAttempts *metrics.Counter
 	// skippedResponses counts responses of endpoints that couldn't be attributed to the
 	// request at hand and were skipped.
 	skippedResponses *metrics.Counter
@@ -49,6 +51,7 @@
 		heartbeatErrors:      set.NewCounter("seam_edge_heartbeat_errors_total"),
 		retries:              set.NewCounter("seam_edge_retries_total"),
 		endpointConnections:  set.NewCounter("seam_edge_endpoint_connections_total"),
+		limitedAttempts:      set.NewCounter("seam_edge_limited_attempts_total"),
 		skippedResponses:     set.NewCounter("seam_edge_skipped_responses_total"),
 		invalidEntries:       set.NewCounter("seam_edge_invalid_entries_total"),
 		expectedWait:         set.NewHistogram("seam_edge_expected_wait_seconds"),
@@ -121,6 +124,7 @@
 	metrics.WriteGaugeUint64(w, "seam_edge_instances_known", uint64(stats.KnownInstances))
 	metrics.WriteGaugeUint64(w, "seam_edge_requests_open", uint64(stats.RequestsInFlight))
 	metrics.WriteGaugeUint64(w, "seam_edge_endpoints_known", uint64(stats.KnownEndpoints))
+	metrics.WriteGaugeUint64(w, "seam_edge_endpoints_limited", uint64(stats.LimitedEndpoints))
 	for team, tokens := range stats.TeamTokens {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_team_left{team=%q}", team), tokens)
 	}
