Keep the rate limits that endpoints name, over all instances together

Cause: each instance chose endpoints by warm objects and load; nothing bounded what all of them together sent to one endpoint, but for cold ones.

Change: one mechanism for cold endpoints and limits. Each endpoint has an order of the live instances of its region; the first few are its senders, each with a token bucket for its part. Owner of a cold endpoint is the first. Attempts count when sent, retries too. Limits travel in heartbeats with their age, for one lifetime; they end by a success that names none. Refused callers get the time of the next token. A stopping instance leaves all orders. Looking ahead for a Retry-After no longer fills buckets in advance.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -96,12 +96,14 @@
 	// live lists the IDs of the instances of each region that are neither silent nor
 	// leaving, this one included, and liveCount counts them. regionSize counts all known
 	// instances of this instance's region, since the live ones choose their intervals by
-	// that number. ownership is this instance's ownership of the endpoints of each region,
-	// computed when it is needed.
+	// that number. disputed holds the regions of which an instance is silent: it may be running
+	// and see other live instances. rankings holds this instance's ranking for the endpoints
+	// of each region, computed when it is needed.
 	live       map[string][]string
 	liveCount  int
 	regionSize int
-	ownership  map[string]*placer.Ownership
+	disputed   map[string]bool
+	rankings   map[string]*placer.Ranking
 	// peersByHash holds the peers by the hash of their IDs. sighted lists the peers of
 	// other regions that have sent a heartbeat since the last report to this region.
 	peersByHash map[uint32]*peer
@@ -163,7 +165,7 @@
 		opt(m)
 	}
 	m.balancer = placer.New(m.zone, m.zones)
-	m.balancer.SetColdOwner(m.ownsColdEndpoint)
+	m.balancer.SetStanding(m.standing)
 	if m.hasConnection != nil {
 		m.balancer.SetHasConnection(m.hasConnection)
 	}
@@ -201,6 +203,7 @@
 		m.ticked(now)
 	case StopRequested:
 		m.stopRequestedAt = now
+		m.refreshLive()
 	}
 	return nil
 }
--- a/seam/conductor/demand_test.go
+++ b/seam/conductor/demand_test.go
@@ -53,12 +53,12 @@
 	hb := Heartbeat{ID: "other", Region: "region-1", StartedAtMs: 1, SequenceNumber: 1}
 	m.Update(now, HeartbeatReceived{Heartbeat: hb})
 	endpoint := uint32(0)
-	for m.ownsColdEndpoint("region-1", endpoint) {
+	for m.standing("region-1", endpoint).Rank == 0 {
 		endpoint = placer.Hash32(fmt.Sprint(endpoint))
 	}
 	hb.SequenceNumber, hb.Leaving = 2, true
 	m.Update(now, HeartbeatReceived{Heartbeat: hb})
-	if !m.ownsColdEndpoint("region-1", endpoint) {
+	if m.standing("region-1", endpoint).Rank != 0 {
 		t.Error("the endpoint of an instance that leaves has no owner")
 	}
 }
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -196,6 +196,8 @@
 	Sightings []Sighting
 	// Departures lists endpoints that announced their end to the sender.
 	Departures []placer.Departure
+	// Limits reports endpoints that named a rate limit to the sender, or ended one.
+	Limits []placer.LimitReport
 	// WarmCapacities reports how many objects the endpoints of each service keep warm.
 	WarmCapacities []placer.WarmCapacity
 	// CopyStates reports, for each kind of stored objects, how recent the sender's copy
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -112,6 +112,7 @@
 	m.balancer.AddPeerWarmObjects(now, hb.WarmObjects)
 	m.balancer.ApplyPeerReachability(now, hb.ReachabilityReports)
 	m.balancer.ApplyDepartures(hb.Departures)
+	m.balancer.ApplyLimits(now, hb.Limits)
 	m.balancer.MergePeerWarmCapacities(hb.WarmCapacities)
 	if changed {
 		m.refreshLive()
@@ -168,39 +169,55 @@
 func (m *Model) refreshLive() {
 	m.liveCount, m.regionSize = 1, 1
 	m.live = map[string][]string{m.region: {m.id}}
+	m.disputed = map[string]bool{}
 	for id, p := range m.peers {
 		if p.lastHeartbeat.Region == m.region {
 			m.regionSize++
 		}
+		if p.silent && !p.lastHeartbeat.Leaving {
+			m.disputed[p.lastHeartbeat.Region] = true
+		}
 		if p.silent || p.lastHeartbeat.Leaving {
 			continue
 		}
 		m.liveCount++
 		m.live[p.lastHeartbeat.Region] = append(m.live[p.lastHeartbeat.Region], id)
 	}
-	m.ownership = map[string]*placer.Ownership{}
+	m.rankings = map[string]*placer.Ranking{}
 }
 
-// ownsColdEndpoint reports whether this instance owns an endpoint: while the endpoint
-// is cold, normally only its owner sends requests to it. The owner is one of the live
-// instances of the endpoint's region, which learn of each other's failures soonest. If
-// there are none, it is one of all.
-func (m *Model) ownsColdEndpoint(region string, endpoint uint32) bool {
-	if region != m.region && len(m.live[region]) > 0 {
-		return false
+// standing returns this instance's standing for an endpoint. The order of the endpoint
+// consists of the live instances of its region, which learn of each other's failures
+// soonest. If there are none, it consists of all. An instance that is stopping leaves the
+// order to the others.
+func (m *Model) standing(region string, endpoint uint32) placer.Standing {
+	others := len(m.live[region])
+	if region == m.region {
+		others--
+	}
+	if others > 0 && (region != m.region || !m.stopRequestedAt.IsZero()) {
+		return placer.Standing{Rank: placer.NoRank, Candidates: others}
 	}
-	o, ok := m.ownership[region]
+	r, ok := m.rankings[region]
 	if !ok {
-		candidates := m.live[region]
-		if len(candidates) == 0 {
-			for _, ids := range m.live {
-				candidates = append(candidates, ids...)
-			}
-		}
-		o = placer.NewOwnership(m.id, candidates)
-		m.ownership[region] = o
+		r = placer.NewRanking(m.id, m.candidates(region))
+		m.rankings[region] = r
+	}
+	// An instance that has just started doesn't know the others yet.
+	started := m.lastUpdate.Sub(m.firstUpdate) >= assumedFleetPeriod
+	return placer.Standing{Rank: r.Rank(endpoint), Candidates: r.Candidates(), Disputed: m.disputed[region] || !started}
+}
+
+// candidates returns the IDs of the instances in the orders of a region's endpoints.
+func (m *Model) candidates(region string) []string {
+	if len(m.live[region]) > 0 {
+		return m.live[region]
+	}
+	var all []string
+	for _, ids := range m.live {
+		all = append(all, ids...)
 	}
-	return o.Owns(endpoint)
+	return all
 }
 
 // demandTotals maps the hash of a team's name to the sum of its demand at several peers,
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -152,12 +152,15 @@
 	choice, ok := m.balancer.Pick(now, r.placement)
 	if !ok {
 		m.refundToken(r)
-		wait, paused := m.balancer.PauseLeft(now, r.placement)
-		if !paused {
+		wait, known := m.balancer.TimeUntilReady(now, r.placement)
+		if !known {
 			wait = unavailableRetryAfter
 		}
 		retryAfter := admitter.RetryAfter(wait, r.callerDeadline.Sub(now), m.rng.Float64())
-		return refuse(r.id, http.StatusServiceUnavailable, coder.NoUpstream, retryAfter)
+		return []Cmd{Refuse{
+			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.NoUpstream, RetryAfter: retryAfter,
+			Detail: fmt.Sprintf("team=%s service=%s %v ready=%v", r.team, r.service, m.balancer.Unavailable(now, r.placement), wait),
+		}}
 	}
 	estimate := m.routeLatency.get(r.route.Name).estimate(now, choice.ExpectedLatency, choice.QueueTime, m.serviceLatency.get(r.service))
 	decision := admitter.Decide(
--- a/seam/conductor/simulation_endpoint_test.go
+++ b/seam/conductor/simulation_endpoint_test.go
@@ -22,8 +22,10 @@
 	warmObjects  []uint32
 	warmCapacity int
 	shedRatio    float64
-	coldUntil    time.Time
-	arrivals     []time.Time
+	// limit is what the endpoint's answers state of its rate limit.
+	limit     router.RateLimit
+	coldUntil time.Time
+	arrivals  []time.Time
 	// maxColdArrivals is the largest number of arrivals within a second while the
 	// endpoint was cold.
 	maxColdArrivals int
--- a/seam/conductor/simulation_ideal_test.go
+++ b/seam/conductor/simulation_ideal_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"primroseseam.org/seam/router"
 )
 
 // minIdealRatio is the fraction of the ideal on-time ratio that the instances must
@@ -15,7 +17,8 @@
 // idealOnTimeRatio returns the fraction of the requests first sent at or after since
 // that an ideal balancer would answer on time. The ideal balancer has one queue for
 // the slots of all endpoints, finds every object warm, reaches every endpoint with
-// the delay within a region, and drops requests that would be late.
+// the delay within a region, drops requests that would be late, and sends an endpoint
+// that names a rate limit in the end just that rate.
 func (sim *simulation) idealOnTimeRatio(since time.Time) float64 {
 	var arrivals []time.Time
 	for _, a := range sim.answers {
@@ -23,9 +26,18 @@
 	}
 	slices.SortFunc(arrivals, time.Time.Compare)
 	var slotFreeAt []time.Time
+	// occupied holds, for the one slot of an endpoint with a rate limit, how long a request
+	// takes of the limit. It is 0 for a slot that is occupied while the request runs.
+	var occupied []time.Duration
 	for _, e := range sim.endpoints {
+		if e.limit.Statement == router.LimitNamed {
+			slotFreeAt = append(slotFreeAt, time.Time{})
+			occupied = append(occupied, time.Duration(float64(time.Second)/max(e.limit.PerSecond, 1e-3)))
+			continue
+		}
 		for range e.spec.Slots {
 			slotFreeAt = append(slotFreeAt, time.Time{})
+			occupied = append(occupied, 0)
 		}
 	}
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -45,6 +57,9 @@
 		inTime := end.Add(sameRegionDelay).Sub(at) <= sim.timings.target
 		if inTime {
 			slotFreeAt[slot] = end
+			if occupied[slot] > 0 {
+				slotFreeAt[slot] = start.Add(occupied[slot])
+			}
 		}
 		if !at.Before(since) {
 			total++
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -337,7 +337,7 @@
 		sim.admitted[team] = append(sim.admitted[team], sim.now)
 		sim.arrivals = append(sim.arrivals, arrival{at: sim.now, from: sim.zones[i.zone], in: e.region})
 		e.arrive(sim, attempt{object: object, done: func(status int, notRun bool) {
-			finish(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun})
+			finish(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun, Limit: e.limit})
 		}})
 	})
 }
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -33,16 +33,6 @@
 	// ownerTimeout is how long an endpoint must have been unreachable before instances
 	// that don't own it send it requests too.
 	ownerTimeout = 8 * time.Second
-	// A cold endpoint can handle a limited rate of requests. coldRateFraction is the
-	// fraction of this rate that its owner uses. coldBurst is the number of requests
-	// that the owner may send to it at once. While instances disagree about the owner,
-	// two of them may act as the owner: together they stay below 1.5 times the rate and
-	// a burst of 5.
-	coldRateFraction = 0.7
-	coldBurst        = 2
-	// minColdRate is the lowest rate that a cold endpoint is assumed to handle, in
-	// requests per second. It applies if the configured rate is lower or missing.
-	minColdRate = 2.0
 	// minWarmup is the shortest time for which an endpoint counts as cold after it can
 	// be reached again. It applies if the configured warm-up is shorter or missing.
 	minWarmup = time.Second
@@ -129,9 +119,9 @@
 	// untried means that the endpoint is new, this instance has sent it no request, and
 	// no other instance has reported a warm object there.
 	untried bool
-	// coldBudget limits the requests that this instance sends to the endpoint while the
-	// endpoint is cold.
-	coldBudget rationer.Bucket
+	// sendBudget limits the requests that this instance sends to the endpoint while all
+	// instances together may send it a limited rate.
+	sendBudget rationer.Bucket
 }
 
 // useTimes holds when an endpoint last handled an object, and when it first did so
@@ -180,29 +170,6 @@
 
 func (e *endpoint) isUnreachable() bool { return !e.unreachableSince.IsZero() }
 
-// maySendWhileCold reports whether this instance may send to the endpoint now, although
-// the endpoint counts as cold. owner means that this instance owns the endpoint, and rate
-// is the number of requests per second that a cold endpoint can handle.
-//
-// Only the owner may send to a cold endpoint, at a limited rate. There are two exceptions, in which an instance that
-// isn't the owner may make one attempt at a time. First, the endpoint is unreachable
-// from this instance, and no other instance currently reports it as unreachable.
-// Second, it has been unreachable from this instance for longer than ownerTimeout.
-// While an endpoint is ejected and unreachable from this instance, this instance sends
-// nothing to it.
-func (e *endpoint) maySendWhileCold(now time.Time, owner bool, rate float64) bool {
-	if e.isUnreachable() && e.isEjected(now) {
-		return false
-	}
-	if owner {
-		e.coldBudget.SetRate(now, max(rate, minColdRate)*coldRateFraction, coldBurst)
-		return e.coldBudget.Ready(now)
-	}
-	onlyHere := e.isUnreachable() && !now.Before(e.peerUnreachableUntil)
-	ownerTimedOut := e.isUnreachable() && now.Sub(e.unreachableSince) > ownerTimeout
-	return (onlyHere || ownerTimedOut) && e.ownInFlight == 0
-}
-
 func (e *endpoint) isEjected(now time.Time) bool { return now.Before(e.ejectedUntil) }
 
 // isWarm reports whether the endpoint handled the object recently and probably still
--- a/seam/placer/estimates.go
+++ b/seam/placer/estimates.go
@@ -40,8 +40,8 @@
 		return
 	}
 	e.recordAttempt(now)
-	if e.isCold(now) {
-		e.coldBudget.Take(now)
+	if e.isCold(now) || e.limit.named {
+		e.sendBudget.Take(now)
 	}
 	if object == 0 {
 		return
--- a/seam/placer/limit.go
+++ b/seam/placer/limit.go
@@ -14,6 +14,9 @@
 	// limitChangeRatio is the smallest change of a named limit that is collected for
 	// TakeLimitChanges, as a fraction of the limit collected last.
 	limitChangeRatio = 0.25
+	// limitReportPeriod is how long this instance reports a limit, or the end of one, after an
+	// answer to itself stated it. It covers the time in which heartbeats reach all instances.
+	limitReportPeriod = 10 * time.Second
 	// maxLimitChanges is the most changes collected between two calls of TakeLimitChanges.
 	maxLimitChanges = 128
 )
@@ -26,6 +29,8 @@
 	perSecond float64
 	// statedAt is when the answer arrived, or zero if no answer has named a limit.
 	statedAt time.Time
+	// ownAt is when an answer to this instance last named a limit or ended one.
+	ownAt time.Time
 	// collected is the limit last collected for TakeLimitChanges.
 	collected float64
 }
@@ -37,6 +42,10 @@
 	// longer.
 	Named     bool
 	PerSecond float64
+	// ByPeer means that another instance reported it, Age ago. Otherwise an answer to this
+	// instance stated it.
+	ByPeer bool
+	Age    time.Duration
 }
 
 // RecordLimit records what an answer stated of the endpoint's rate limit. success means
@@ -49,25 +58,76 @@
 	}
 	switch limit.Statement {
 	case router.LimitNamed:
-		b.setLimit(e, true, limit.PerSecond, now)
+		e.limit.ownAt = now
+		b.setLimit(e, LimitChange{Endpoint: id, Named: true, PerSecond: limit.PerSecond}, now)
 	case router.NoLimit:
-		if success && !e.limit.statedAt.IsZero() {
-			b.setLimit(e, false, 0, now)
+		if !success || e.limit.statedAt.IsZero() {
+			return
 		}
+		if e.limit.named {
+			e.limit.ownAt = now
+		}
+		b.setLimit(e, LimitChange{Endpoint: id}, now)
 	case router.InvalidLimit:
 	}
 }
 
-// setLimit replaces an endpoint's limit by the one stated at the given time.
-func (b *Balancer) setLimit(e *endpoint, named bool, perSecond float64, statedAt time.Time) {
-	ended := e.limit.named && !named
-	e.limit.named, e.limit.perSecond, e.limit.statedAt = named, min(max(perSecond, 0), maxRateLimit), statedAt
-	changed := named && math.Abs(perSecond-e.limit.collected) > limitChangeRatio*e.limit.collected
-	if !changed && !ended || len(b.limitChanges) >= maxLimitChanges {
+// setLimit replaces an endpoint's limit by the one stated at the given time. It collects c
+// if it is a change worth a report.
+func (b *Balancer) setLimit(e *endpoint, c LimitChange, statedAt time.Time) {
+	c.PerSecond = min(max(c.PerSecond, 0), maxRateLimit)
+	flipped := e.limit.named != c.Named
+	changed := c.Named && math.Abs(c.PerSecond-e.limit.collected) > limitChangeRatio*e.limit.collected
+	e.limit.named, e.limit.perSecond, e.limit.statedAt = c.Named, c.PerSecond, statedAt
+	if !changed && !flipped || len(b.limitChanges) >= maxLimitChanges {
 		return
 	}
-	e.limit.collected = e.limit.perSecond
-	b.limitChanges = append(b.limitChanges, LimitChange{Endpoint: e.spec.ID, Named: named, PerSecond: e.limit.perSecond})
+	e.limit.collected = c.PerSecond
+	b.limitChanges = append(b.limitChanges, c)
+}
+
+// LimitReport reports to other instances what an endpoint's answers stated of its rate
+// limit. Endpoint is the hash of the endpoint's ID. StartedAtMs holds the lower bits of its
+// start time, in Unix milliseconds, and distinguishes its lifetimes.
+type LimitReport struct {
+	Endpoint    uint32
+	StartedAtMs uint32
+	// Named means that the endpoint named the limit PerSecond. Otherwise its limit has ended.
+	Named     bool
+	PerSecond float64
+	// Age is the time since the answer.
+	Age time.Duration
+}
+
+// LimitReports returns a report on each endpoint of which an answer to this instance
+// recently named a limit or ended one.
+func (b *Balancer) LimitReports(now time.Time) []LimitReport {
+	var reports []LimitReport
+	for _, e := range b.byID {
+		if e.limit.ownAt.IsZero() || now.Sub(e.limit.ownAt) > limitReportPeriod {
+			continue
+		}
+		reports = append(reports, LimitReport{
+			Endpoint: e.hash, StartedAtMs: uint32(e.spec.StartedAtMs),
+			Named: e.limit.named, PerSecond: e.limit.perSecond, Age: max(now.Sub(e.limit.statedAt), 0),
+		})
+	}
+	return reports
+}
+
+// ApplyLimits applies another instance's reports, unless this instance knows of a later
+// answer of the endpoint.
+func (b *Balancer) ApplyLimits(now time.Time, reports []LimitReport) {
+	for _, r := range reports {
+		e, ok := b.byHash[r.Endpoint]
+		statedAt := now.Add(-r.Age)
+		if !ok || uint32(e.spec.StartedAtMs) != r.StartedAtMs || !statedAt.After(e.limit.statedAt) {
+			continue
+		}
+		if r.Named || !e.limit.statedAt.IsZero() {
+			b.setLimit(e, LimitChange{Endpoint: e.spec.ID, Named: r.Named, PerSecond: r.PerSecond, ByPeer: true, Age: r.Age}, statedAt)
+		}
+	}
 }
 
 // TakeLimitChanges returns the changes of rate limits since the last call, at most
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -14,9 +14,11 @@
 // always choosing the warm endpoint would build up queues.
 //
 // An endpoint is cold for a warm-up period after it starts: it is slower, and
-// requests to it are rate limited. Each endpoint has an owner, one of the instances.
-// Normally only the owner sends requests to the endpoint while it is cold. See
-// [Ownership].
+// requests to it are rate limited. An endpoint may also name the rate of requests that it
+// takes from all instances together. Each endpoint has an order of the instances, the same
+// at all of them. Normally only the first one, its owner, sends requests to the endpoint
+// while it is cold, and only the first few while it names a rate. See [Standing] and
+// [Ranking].
 //
 // An endpoint whose attempts fail repeatedly is ejected for a while: it is chosen
 // only if all others are ejected too.
@@ -31,6 +33,7 @@
 package placer
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -140,9 +143,9 @@
 	endpointsListed bool
 	// unlisted holds the withdrawals of endpoints that are no longer listed, by ID.
 	unlisted map[string]unlistedWithdrawal
-	// ownsCold reports whether this instance owns the endpoint with the given hash in the
+	// standing returns this instance's standing for the endpoint with the given hash in the
 	// given region.
-	ownsCold func(region string, endpoint uint32) bool
+	standing func(region string, endpoint uint32) Standing
 	// hasConnection reports whether this instance has an idle connection to an address,
 	// and a request may use that connection.
 	hasConnection func(address string, nonIdempotent bool) bool
@@ -193,15 +196,17 @@
 		unlisted: map[string]unlistedWithdrawal{},
 		services: map[string]*service{}, evacuatedZones: map[string]bool{},
 		roundTrip: map[string]time.Duration{}, peerAttempts: map[string]map[uint32]int{},
-		ownsCold:      func(string, uint32) bool { return true },
+		standing:      func(string, uint32) Standing { return Standing{Candidates: 1} },
 		hasConnection: func(string, bool) bool { return true },
 	}
 }
 
-// SetColdOwner sets the function that reports whether this instance owns the endpoint
-// with the given hash in the given region. If SetColdOwner is not called, this instance
-// owns all endpoints.
-func (b *Balancer) SetColdOwner(owns func(region string, endpoint uint32) bool) { b.ownsCold = owns }
+// SetStanding sets the function that returns this instance's standing for the endpoint with
+// the given hash in the given region. If SetStanding is not called, this instance is the
+// only one.
+func (b *Balancer) SetStanding(standing func(region string, endpoint uint32) Standing) {
+	b.standing = standing
+}
 
 // SetHasConnection sets the function that reports whether this instance has an idle
 // connection to an address, and a request may use that connection. If SetHasConnection
@@ -313,7 +318,10 @@
 	if slices.Contains(r.Tried, e.spec.ID) {
 		return false
 	}
-	return !e.isCold(now) || e.maySendWhileCold(now, b.ownsCold(e.region, e.hash), b.service(r.Service).spec.ColdRate)
+	if !e.isCold(now) && !e.limit.named {
+		return true
+	}
+	return e.maySend(now, b.standing(e.region, e.hash), b.service(r.Service).spec.ColdRate)
 }
 
 // Pick returns the endpoint with the lowest cost for a request, with the estimates
@@ -404,7 +412,7 @@
 	if e.isEjected(now) {
 		cost += ejectedCost
 	}
-	if e.untried && !e.isCold(now) && b.ownsCold(e.region, e.hash) {
+	if e.untried && !e.isCold(now) && b.standing(e.region, e.hash).Rank == 0 {
 		cost -= untriedBonus
 	}
 	return c, cost
@@ -463,3 +471,38 @@
 
 // EndpointCount returns the number of listed endpoints.
 func (b *Balancer) EndpointCount() int { return len(b.byID) }
+
+// Unavailability counts the endpoints of a service that may not receive a request, by the
+// reason that comes first in the order of the fields.
+type Unavailability struct {
+	Endpoints, Withdrawn, Elsewhere, Tried, Cold, Limited int
+}
+
+// String returns the counts for a log.
+func (u Unavailability) String() string {
+	return fmt.Sprintf("endpoints=%d withdrawn=%d elsewhere=%d tried=%d cold=%d limited=%d",
+		u.Endpoints, u.Withdrawn, u.Elsewhere, u.Tried, u.Cold, u.Limited)
+}
+
+// Unavailable explains why no endpoint may receive a request. Withdrawn endpoints are leaving,
+// pausing, draining or in an evacuated zone. Elsewhere are those in regions that may not
+// serve the request.
+func (b *Balancer) Unavailable(now time.Time, r Request) Unavailability {
+	s := b.service(r.Service)
+	u := Unavailability{Endpoints: len(s.endpoints)}
+	for _, e := range s.endpoints {
+		switch {
+		case e.spec.Draining || e.withdrawal.active(now) || b.evacuatedZones[e.spec.Zone]:
+			u.Withdrawn++
+		case r.Restricted && !slices.Contains(r.Regions, e.region):
+			u.Elsewhere++
+		case slices.Contains(r.Tried, e.spec.ID):
+			u.Tried++
+		case e.isCold(now):
+			u.Cold++
+		case e.limit.named:
+			u.Limited++
+		}
+	}
+	return u
+}
--- a/seam/placer/placer_test.go
+++ b/seam/placer/placer_test.go
@@ -124,7 +124,7 @@
 	for endpoint := range uint32(400) {
 		owners := 0
 		for _, id := range instances {
-			if placer.NewOwnership(id, reversed).Owns(endpoint * 7919) {
+			if placer.NewRanking(id, reversed).Rank(endpoint*7919) == 0 {
 				owners++
 				owned[id]++
 			}
--- a/seam/placer/withdrawal.go
+++ b/seam/placer/withdrawal.go
@@ -15,11 +15,12 @@
 // active reports whether the endpoint still gets no requests.
 func (w withdrawal) active(now time.Time) bool { return w.leaving || now.Before(w.pausedUntil) }
 
-// unlistedWithdrawal is the withdrawal of an endpoint that is no longer listed, with the
-// lifetime for which it holds. The entry may be listed again, since the store can lose
+// unlistedWithdrawal is the withdrawal and the rate limit of an endpoint that is no longer
+// listed, with the lifetime for which they hold. The entry may be listed again, since the store can lose
 // entries that are still in use.
 type unlistedWithdrawal struct {
 	withdrawal
+	limit       rateLimit
 	startedAtMs int64
 	unlistedAt  time.Time
 }
@@ -48,31 +49,40 @@
 	}
 }
 
-// PauseLeft returns the time until the first pause ends of an endpoint that may otherwise
-// receive the request. It returns false if there is no such endpoint.
-func (b *Balancer) PauseLeft(now time.Time, r Request) (time.Duration, bool) {
+// TimeUntilReady returns the time until the first endpoint may receive the request, of those
+// that paused or to which this instance may send a limited rate of requests. It returns
+// false if there is no such endpoint.
+func (b *Balancer) TimeUntilReady(now time.Time, r Request) (time.Duration, bool) {
 	shortest, found := MaxPause, false
 	for _, e := range b.service(r.Service).endpoints {
-		if !now.Before(e.withdrawal.pausedUntil) || !b.mayReceive(e.withdrawal.pausedUntil, r, e) {
-			continue
+		// A copy, since looking ahead fills the bucket.
+		ahead := *e
+		at := later(now, ahead.withdrawal.pausedUntil)
+		if !b.mayReceive(at, r, &ahead) {
+			at = at.Add(ahead.sendBudget.Wait(at) + time.Millisecond)
+			if !b.mayReceive(at, r, &ahead) {
+				continue
+			}
+		}
+		if wait := at.Sub(now); !found || wait < shortest {
+			shortest, found = wait, true
 		}
-		shortest, found = min(shortest, e.withdrawal.pausedUntil.Sub(now)), true
 	}
 	return shortest, found
 }
 
-// unlist keeps the withdrawal of an endpoint that is no longer listed.
+// unlist keeps the withdrawal and the limit of an endpoint that is no longer listed.
 func (b *Balancer) unlist(now time.Time, e *endpoint) {
-	if e.withdrawal.active(now) {
-		b.unlisted[e.spec.ID] = unlistedWithdrawal{withdrawal: e.withdrawal, startedAtMs: e.spec.StartedAtMs, unlistedAt: now}
+	if e.withdrawal.active(now) || e.limit.named {
+		b.unlisted[e.spec.ID] = unlistedWithdrawal{withdrawal: e.withdrawal, limit: e.limit, startedAtMs: e.spec.StartedAtMs, unlistedAt: now}
 	}
 }
 
-// relist restores the withdrawal of an endpoint that is listed again, if the endpoint
-// hasn't started again meanwhile.
+// relist restores the withdrawal and the limit of an endpoint that is listed again, if the
+// endpoint hasn't started again meanwhile.
 func (b *Balancer) relist(e *endpoint) {
 	if w, ok := b.unlisted[e.spec.ID]; ok && w.startedAtMs == e.spec.StartedAtMs {
-		e.withdrawal = w.withdrawal
+		e.withdrawal, e.limit = w.withdrawal, w.limit
 	}
 	delete(b.unlisted, e.spec.ID)
 }
--- a/seam/placer/withdrawal_test.go
+++ b/seam/placer/withdrawal_test.go
@@ -83,7 +83,7 @@
 		t.Error("a pause has no bound")
 	}
 	b.RecordPause(start, "one", 5*time.Second)
-	if left, ok := b.PauseLeft(start.Add(time.Second), request(1)); !ok || left != 4*time.Second {
+	if left, ok := b.TimeUntilReady(start.Add(time.Second), request(1)); !ok || left != 4*time.Second {
 		t.Errorf("the first pause ends after %v, %t; want 4s", left, ok)
 	}
 	if _, ok := b.Pick(start.Add(time.Second), request(1)); ok {
@@ -93,11 +93,11 @@
 
 // A pause of an endpoint that drains or is out of the question for another reason must not
 // be named to callers as the time to come back.
-func TestPauseLeftCountsOnlyEndpointsThatMayReceive(t *testing.T) {
+func TestTimeUntilReadyCountsOnlyEndpointsThatMayReceive(t *testing.T) {
 	b := newBalancerOf("one")
 	b.RecordPause(start, "one", time.Second)
 	b.RecordLeaving("one")
-	if _, ok := b.PauseLeft(start, request(1)); ok {
+	if _, ok := b.TimeUntilReady(start, request(1)); ok {
 		t.Error("an endpoint that leaves counts")
 	}
 }
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -309,10 +309,11 @@
 	e.mu.Unlock()
 	for _, c := range changes {
 		if !c.Named {
-			e.log.Info("endpoint: rate limit ended", zap.String("endpoint", c.Endpoint))
+			e.log.Info("endpoint: rate limit ended", zap.String("endpoint", c.Endpoint), zap.Bool("byPeer", c.ByPeer), zap.Duration("age", c.Age))
 			continue
 		}
-		e.log.Info("endpoint: rate limit", zap.String("endpoint", c.Endpoint), zap.Float64("perSecond", c.PerSecond))
+		e.log.Info("endpoint: rate limit", zap.String("endpoint", c.Endpoint), zap.Float64("perSecond", c.PerSecond),
+			zap.Bool("byPeer", c.ByPeer), zap.Duration("age", c.Age))
 	}
 }
 
--- a/seamedge/heartbeater/fuzz_test.go
+++ b/seamedge/heartbeater/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/netip"
 	"strings"
 	"testing"
@@ -18,6 +19,7 @@
 		Loads: []placer.Load{{Endpoint: 1, Count: 2}}, Demand: []conductor.Demand{{Team: 3, TenthsPerSecond: 4, Admitted: 5}},
 		CopyStates: []conductor.CopyState{{Kind: "config", Position: 1 << 45, Changed: 7}}, KnownAddresses: []string{"10.1.0.3:2"},
 		Departures: []placer.Departure{{Endpoint: 1, StartedAtMs: 2}},
+		Limits:     []placer.LimitReport{{Endpoint: 1, StartedAtMs: 2, Named: true, PerSecond: 1e300, Age: -1}},
 	}
 	whole, err := encode(hb)
 	if err != nil {
@@ -38,5 +40,10 @@
 		if hb, ok := s.toHeartbeat(m, x, netip.AddrPort{}); ok && hb.ID == "" {
 			t.Error("a heartbeat without a sender was accepted")
 		}
+		for _, l := range decodeLimits(x.Limits) {
+			if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) || l.Age < 0 {
+				t.Errorf("limit %+v", l)
+			}
+		}
 	})
 }
--- a/seamedge/heartbeater/heartbeater_test.go
+++ b/seamedge/heartbeater/heartbeater_test.go
@@ -26,6 +26,7 @@
 		WarmCapacities:      []placer.WarmCapacity{{Service: 3, Tenths: 180}},
 		KnownAddresses:      []string{"10.1.0.2:7400"},
 		Departures:          []placer.Departure{{Endpoint: 9, StartedAtMs: 17}},
+		Limits:              []placer.LimitReport{{Endpoint: 9, StartedAtMs: 17, Named: true, PerSecond: 2.75, Age: 300 * time.Millisecond}, {Endpoint: 1}},
 		Sightings:           []conductor.Sighting{{Instance: 1 << 31, AgeTenths: 255}, {Instance: 4}},
 	}
 	for i := range endpoints {
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -59,6 +61,9 @@
 	Departures []placer.Departure `msgpack:"d,omitempty"`
 	// Sightings holds sightingBytes for each sighting: the instance and the age.
 	Sightings []byte `msgpack:"s,omitempty"`
+	// Limits holds limitBytes for each report: the endpoint, its start, the limit in
+	// thousandths of a request per second, or noLimit, and the age.
+	Limits []byte `msgpack:"l,omitempty"`
 	// CopyStates holds the states whose positions are of a later era than 0. Builds from
 	// before the extension know no eras: they would ask the store for such a position, and
 	// then drop every list of the store as older.
@@ -118,9 +123,53 @@
 	return sightings
 }
 
+// limitBytes is the encoded size of a report on a rate limit in bytes. limitUnit is the unit
+// in which limits are encoded, in requests per second. noLimit stands for a limit that has
+// ended. limitAgeUnit is the unit of ages.
+const (
+	limitBytes   = 13
+	limitUnit    = 1e-3
+	noLimit      = math.MaxUint32
+	limitAgeUnit = 100 * time.Millisecond
+)
+
+// encodeLimits encodes reports on rate limits in a fixed number of bytes each. Ages are
+// rounded up, so that a report never seems later than it is.
+func encodeLimits(reports []placer.LimitReport) []byte {
+	data := make([]byte, 0, limitBytes*len(reports))
+	for _, r := range reports {
+		limit := uint32(noLimit)
+		if r.Named {
+			limit = uint32(min(max(r.PerSecond/limitUnit, 0), noLimit-1))
+		}
+		data = binary.BigEndian.AppendUint32(data, r.Endpoint)
+		data = binary.BigEndian.AppendUint32(data, r.StartedAtMs)
+		data = binary.BigEndian.AppendUint32(data, limit)
+		data = append(data, uint8(min(max((r.Age+limitAgeUnit-1)/limitAgeUnit, 0), math.MaxUint8)))
+	}
+	return data
+}
+
+// decodeLimits decodes reports on rate limits. Bytes at the end that aren't a whole one are
+// ignored.
+func decodeLimits(data []byte) []placer.LimitReport {
+	var reports []placer.LimitReport
+	for ; len(data) >= limitBytes; data = data[limitBytes:] {
+		r := placer.LimitReport{
+			Endpoint: binary.BigEndian.Uint32(data), StartedAtMs: binary.BigEndian.Uint32(data[4:]),
+			Age: time.Duration(data[limitBytes-1]) * limitAgeUnit,
+		}
+		if limit := binary.BigEndian.Uint32(data[8:]); limit != noLimit {
+			r.Named, r.PerSecond = true, float64(limit)*limitUnit
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
 // empty reports whether the extension holds nothing.
 func (x extension) empty() bool {
-	return len(x.Departures) == 0 && len(x.Sightings) == 0 && len(x.CopyStates) == 0
+	return len(x.Departures) == 0 && len(x.Sightings) == 0 && len(x.Limits) == 0 && len(x.CopyStates) == 0
 }
 
 // encode encodes a heartbeat as a message in MessagePack, followed by an extension if there
@@ -146,7 +195,7 @@
 	if err := encoder.Encode(m); err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
-	if x := (extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings), CopyStates: later}); !x.empty() {
+	if x := (extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings), Limits: encodeLimits(hb.Limits), CopyStates: later}); !x.empty() {
 		encoder.UseArrayEncodedStructs(false)
 		if err := encoder.Encode(x); err != nil {
 			return nil, fmt.Errorf("encode heartbeat extension: %w", err)
@@ -218,6 +267,6 @@
 		SequenceNumber: m.SequenceNumber, Leaving: m.Leaving, FleetSize: m.FleetSize, StoreUnreachable: m.StoreUnreachable,
 		FullDemand: m.FullDemand, CopyStatesOnly: m.CopyStatesOnly, Loads: m.Loads, WarmObjects: m.WarmObjects, Demand: m.Demand,
 		ReachabilityReports: m.ReachabilityReports, WarmCapacities: m.WarmCapacities, CopyStates: joinCopyStates(m.CopyStates, x.CopyStates),
-		KnownAddresses: m.KnownAddresses, Departures: x.Departures, Sightings: decodeSightings(x.Sightings),
+		KnownAddresses: m.KnownAddresses, Departures: x.Departures, Sightings: decodeSightings(x.Sightings), Limits: decodeLimits(x.Limits),
 	}, true
 }
