Give endpoints with a rate limit a sender for each 5 requests a second

Callers at 63 instances were refused although limits were left: with two or three senders among 21 instances, most could not use the endpoints that hold their objects warm. As many senders as the bound of two groups allows (the burst of all senders together is at least one each) spread the same limit wider.

--- a/seam/placer/allowance.go
+++ b/seam/placer/allowance.go
@@ -26,7 +26,7 @@
 	// least one each. Two groups of senders that dispute each other so send at most
 	// 6 x limit + 4 requests in 4 seconds, which is 1.5 times the limit and 4 requests.
 	minSenders        = 2
-	requestsPerSender = 10.0
+	requestsPerSender = 5.0
 	minBurst          = 2.0
 	burstPerLimit     = 0.2
 	// minLimitRate is the lowest rate, in requests per second, at which the senders use an
