Tell requests that are alike in the edge's log

Change: a digest of method, host, URI, key and body stands in the lines about a request, and whether an attempt broke off at the endpoint's side. Nothing is decided by it.

--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -89,6 +89,9 @@
 	ConnectionRefused bool
 	// TimedOut means that the request's deadline passed before a response arrived.
 	TimedOut bool
+	// Broken means that the connection was closed or reset by the endpoint's side before a
+	// complete response arrived.
+	Broken bool
 	// CallerDisconnected means that the caller disconnected.
 	CallerDisconnected bool
 	// DialTime is how long opening a new connection took, or 0 if none was opened.
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -49,6 +49,9 @@
 	body          []byte
 	bodyRemainder io.Reader
 	bodyLength    int64
+	// digest is the same for all requests that are alike; see digestOf. It is 0 until the
+	// request has been read.
+	digest uint64
 	// lastAnswer is the last valid answer of an endpoint that ran the request, or nil. It
 	// is sent to the caller when the model returns a Deliver command.
 	lastAnswer *exchanger.Result
@@ -74,6 +77,7 @@
 	if refused := e.readRequest(w, req); refused {
 		return
 	}
+	req.digest = digestOf(req, r.Header.Get(platform.HeaderKey))
 	msg := conductor.RequestArrived{
 		ID: req.id, Host: hostWithoutPort(r.Host), Path: r.URL.EscapedPath(), Key: r.Header.Get(platform.HeaderKey),
 		CallerTimeLeft: callerTimeout(r), ReadAt: req.arrivedAt, BodyStreamed: req.bodyRemainder != nil,
@@ -244,6 +248,12 @@
 	}
 }
 
+// isBroken reports whether an error of a call means that the endpoint's side closed or reset
+// the connection.
+func isBroken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // classify converts the result of an attempt to an outcome for the model.
 func (e *Edge) classify(req *callerRequest, answer exchanger.Result) conductor.Outcome {
 	outcome := conductor.Outcome{DialTime: answer.DialTime}
@@ -252,6 +262,7 @@
 		outcome.ConnectionRefused = errors.Is(answer.Err, syscall.ECONNREFUSED)
 		outcome.NotRun = !answer.MaybeSent
 		outcome.TimedOut = req.ctx.Err() == nil && !time.Now().Before(req.lastSend.Deadline)
+		outcome.Broken = answer.MaybeSent && req.ctx.Err() == nil && isBroken(answer.Err)
 		return outcome
 	}
 	outcome.Status = answer.Status
@@ -315,7 +326,7 @@
 	e.log.Warn("request: refused", zap.String("request", req.requestID), zap.Int("status", cmd.Status),
 		zap.Int("code", int(cmd.Code)), zap.String("reason", cmd.Code.String()), zap.Duration("retryAfter", cmd.RetryAfter),
 		zap.String("route", req.request.RequestURI), zap.String("detail", cmd.Detail), zap.Duration("took", took),
-		zap.Int("attempts", req.lastSend.Attempt))
+		zap.Int("attempts", req.lastSend.Attempt), zap.String("digest", formatDigest(req.digest)))
 }
 
 // logSend logs to which endpoint a request is sent and the estimates behind the choice.
@@ -331,7 +342,7 @@
 		zap.Duration("expected", choice.ExpectedLatency), zap.Duration("wait", choice.QueueTime), zap.Bool("warm", choice.ObjectWarm),
 		zap.Int("load", choice.AttemptsInFlight), zap.Int("slots", choice.Slots), zap.Float64("slow", choice.Slowdown),
 		zap.Bool("limited", choice.Limited), zap.Duration("budget", cmd.Budget),
-		zap.Uint64("version", cmd.ConfigVersion))
+		zap.Uint64("version", cmd.ConfigVersion), zap.String("digest", formatDigest(req.digest)))
 }
 
 // logAttempt logs an attempt if its outcome isn't acceptable, that is, if the model may
@@ -343,6 +354,6 @@
 	e.log.Warn("request: attempt failed", zap.String("request", req.requestID), zap.String("team", cmd.Team),
 		zap.String("endpoint", cmd.Endpoint), zap.Int("attempt", cmd.Attempt), zap.Int("status", outcome.Status),
 		zap.Bool("notRun", outcome.NotRun), zap.Bool("left", outcome.CallerDisconnected), zap.Bool("timedOut", outcome.TimedOut),
-		zap.Bool("reused", answer.ConnectionReused), zap.Duration("took", took),
+		zap.Bool("broken", outcome.Broken), zap.String("digest", formatDigest(req.digest)), zap.Bool("reused", answer.ConnectionReused), zap.Duration("took", took),
 		zap.Duration("closeAfter", answer.CloseAfter), zap.NamedError("error", answer.Err))
 }
