Take only requests in a planned stop that end before it does

Reported from systems like ours: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated. It can happen here.

Cause: new requests were taken until half of the grace whatever time they may take, and the process ends at 0.94 of it. A request at 0.45 of the grace whose endpoint takes over half of it is cut.

Change: from the stop on, a request is taken only if its deadline (the caller's or the route's, whichever is earlier) lies 0.1 s before the end; others are refused as not run, to come back in 50 ms, when other instances take them. What was open before the stop is waited for as before.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -101,7 +101,9 @@
 	// defaultCallerTimeout. A caller with less than callerRetryRatio times the longest
 	// time is taken to be retrying.
 	longestCallerTime map[string]time.Duration
-	stopRequestedAt   time.Time
+	// stopRequestedAt is when a graceful stop began, or zero, and stopEnd when it ends.
+	stopRequestedAt time.Time
+	stopEnd         time.Time
 	// live lists the IDs of the instances of each region that are neither silent nor
 	// leaving, this one included, and liveCount counts them. regionSize counts all known
 	// instances of this instance's region, since the live ones choose their intervals by
@@ -215,7 +217,7 @@
 	case Ticked:
 		m.ticked(now)
 	case StopRequested:
-		m.stopRequestedAt = now
+		m.stopRequestedAt, m.stopEnd = now, msg.End
 		m.refreshLive()
 	}
 	return nil
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -15,6 +15,9 @@
 	// unavailableRetryAfter is how long callers should wait before they retry if the
 	// instance has no configuration or no usable endpoint.
 	unavailableRetryAfter = 400 * time.Millisecond
+	// StoppingRetryAfter is how long callers should wait before they retry if the instance is
+	// stopping. It is short because other instances can serve them at once.
+	StoppingRetryAfter = 50 * time.Millisecond
 	// defaultCallerTimeout is assumed if a caller's request sets no timeout.
 	defaultCallerTimeout = 30 * time.Second
 	// A request is retried only if at least minAttemptBudget of its time is left.
@@ -85,6 +88,10 @@
 		}
 	}
 	m.setDeadlines(r, msg)
+	if !m.stopRequestedAt.IsZero() && r.deadline.After(m.stopEnd) {
+		// Its endpoint may still be at work when the instance ends.
+		return refuse(msg.ID, http.StatusServiceUnavailable, coder.Stopping, StoppingRetryAfter)
+	}
 	if cmds := m.checkQuarantine(now, r); cmds != nil {
 		return cmds
 	}
--- a/seam/conductor/requests_test.go
+++ b/seam/conductor/requests_test.go
@@ -338,3 +338,23 @@
 		t.Errorf("%d of 20 requests on the new route were sent to idle endpoints", served)
 	}
 }
+
+// A stopping instance takes only the requests that end before it does.
+func TestStoppingInstanceTakesOnlyWhatItCanAnswer(t *testing.T) {
+	sim := newSimulation(t, 1, [3]int{1, 0, 0}, [3]int{2, 0, 0}, 3, 100, openTeams)
+	m := sim.instances[0].model
+	m.Update(sim.now, conductor.StopRequested{End: sim.now.Add(2 * time.Second)})
+	for timeLeft, want := range map[time.Duration]bool{time.Second: true, 3 * time.Second: true} {
+		cmds := m.Update(sim.now, conductor.RequestArrived{ID: uint64(timeLeft), Host: host, Path: "/x", Key: "a", CallerTimeLeft: timeLeft, ReadAt: sim.now})
+		if _, sent := cmds[0].(conductor.Send); sent != want {
+			t.Errorf("caller waits %v: %+v", timeLeft, cmds[0])
+		}
+	}
+	now := sim.now.Add(1200 * time.Millisecond)
+	for timeLeft, want := range map[time.Duration]bool{700 * time.Millisecond: true, time.Second: false, 3 * time.Second: false} {
+		cmds := m.Update(now, conductor.RequestArrived{ID: uint64(timeLeft) + 1, Host: host, Path: "/x", Key: "a", CallerTimeLeft: timeLeft, ReadAt: now})
+		if refusal, refused := cmds[0].(conductor.Refuse); refused == want || refused && (refusal.Code != coder.Stopping || refusal.RetryAfter == 0) {
+			t.Errorf("caller waits %v: %+v", timeLeft, cmds[0])
+		}
+	}
+}
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -24,9 +24,6 @@
 	// buffered. A request whose whole body is buffered can be sent again in another
 	// attempt. The rest of a longer body is streamed.
 	maxBufferedBody = 256 << 10
-	// stoppingRetryAfter is the value of Retry-After when a stopping instance refuses a
-	// request. It is short because other instances can serve the request at once.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// Requests that take slowRequestThreshold or longer are always logged when they are
 	// answered. They don't count against the limit on routine log lines.
 	slowRequestThreshold = time.Second
@@ -117,7 +114,7 @@
 // it has refused the request.
 func (e *Edge) readRequest(w http.ResponseWriter, req *callerRequest) bool {
 	if e.refusingRequests.Load() {
-		e.refuse(w, req, conductor.Refuse{Status: http.StatusServiceUnavailable, Code: coder.Stopping, RetryAfter: stoppingRetryAfter})
+		e.refuse(w, req, conductor.Refuse{Status: http.StatusServiceUnavailable, Code: coder.Stopping, RetryAfter: conductor.StoppingRetryAfter})
 		return true
 	}
 	if req.requestID == "" {
--- a/seamedge/edger/edger_test.go
+++ b/seamedge/edger/edger_test.go
@@ -53,6 +53,8 @@
 	addresses map[string]string
 	servers   map[string]*httptest.Server
 	version   int
+	// timeout is that of the route, in seconds. Its target latency is a third of that.
+	timeout float64
 	// ports are the ports on which each instance listens. They are the same for all
 	// instances, since each instance has a loopback address of its own, as if it ran on
 	// a separate machine.
@@ -68,16 +70,16 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return &testEnv{t: t, store: k, addresses: map[string]string{}, servers: map[string]*httptest.Server{}, address: strings.TrimPrefix(server.URL, "http://")}
+	return &testEnv{t: t, store: k, addresses: map[string]string{}, servers: map[string]*httptest.Server{}, timeout: 1.5, address: strings.TrimPrefix(server.URL, "http://")}
 }
 
 // configure writes a configuration with one team and one route to the store.
 func (r *testEnv) configure(key, service string) {
 	r.version++
 	r.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":"r%d","routes":{"r":{"host":"h","path-prefix":"/x/",
-	"route-type":"non_idempotent","timeout-s":1.5,"target-latency-s":0.5,"service":%q,"max-attempts":2,"sticky":true}},
+	"route-type":"non_idempotent","timeout-s":%g,"target-latency-s":%g,"service":%q,"max-attempts":2,"sticky":true}},
 	"services":{%q:{"health-path":"/health","warmup-s":1,"cold-per-s":10}},"limits":{"max-body-bytes":1048576},
-	"tenants":{"team-1":{"api-keys":[%q],"rate-per-s":100000,"burst-size":100000}}}`, r.version, service, service, key)))
+	"tenants":{"team-1":{"api-keys":[%q],"rate-per-s":100000,"burst-size":100000}}}`, r.version, r.timeout, r.timeout/3, service, service, key)))
 }
 
 // endpoint starts an endpoint of a service and returns a counter of the requests that
@@ -420,6 +422,52 @@
 	}
 }
 
+// Requests that come while an instance stops must not be cut at its end: it takes only what
+// it can answer, and refuses the rest as not run.
+func TestRequestsTakenLateInAPlannedStopAreAnswered(t *testing.T) {
+	r := newTestEnv(t)
+	r.timeout = 5
+	r.configure("key-1", "a")
+	for n := range 8 {
+		r.endpoint(fmt.Sprint("i-", n), "a", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(1300 * time.Millisecond)
+			_, _ = io.WriteString(w, "done")
+		})
+	}
+	sink := &logSink{}
+	e := r.start("edge-1", sink)
+	e.waitFor(3*time.Second, "ready", e.ready)
+	if a := e.post("/x/1", "key-1", ""); a.status != http.StatusOK {
+		t.Fatalf("status %d, %v", a.status, a.err)
+	}
+	e.stop()
+	end := time.Now().Add(2 * time.Second)
+	answers := make(chan answer, 16)
+	var callers sync.WaitGroup
+	var late atomic.Int32
+	for range cap(answers) {
+		time.Sleep(80 * time.Millisecond)
+		callers.Go(func() {
+			answers <- e.post("/x/1", "key-1", "")
+			// The platform kills the process after the grace period.
+			if time.Now().After(end) {
+				late.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	close(answers)
+	for a := range answers {
+		refused := a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") != ""
+		if sink.contains(a.id) && a.status != http.StatusOK && !refused {
+			t.Errorf("request %s was read and ended with status %d, %v", a.id, a.status, a.err)
+		}
+	}
+	if n := late.Load(); n > 0 {
+		t.Errorf("%d requests were still open at the end of the grace period", n)
+	}
+}
+
 // A change in the store must not make a stopping instance ready again.
 func TestStoppingInstanceIsNotReadyAgain(t *testing.T) {
 	r := newTestEnv(t)
--- a/seamedge/edger/stop.go
+++ b/seamedge/edger/stop.go
@@ -20,6 +20,8 @@
 	// stopFraction is the fraction of the grace period after which the instance no longer
 	// waits for open requests.
 	stopFraction = 0.94
+	// answerTime is left before the end of the grace period for the last answers to be sent.
+	answerTime = 100 * time.Millisecond
 	// stopPollInterval is how often a stopping instance checks whether all open requests
 	// have ended.
 	stopPollInterval = 50 * time.Millisecond
@@ -32,15 +34,17 @@
 //
 //   - First the instance reports that it isn't ready, leaves itself out of its look-up
 //     answers, announces the stop in heartbeats, and removes its entry from the store. It
-//     still serves requests, since callers may use older look-up answers.
+//     still serves requests, since callers may use older look-up answers, but refuses those
+//     that may take longer than it has left.
 //   - After drainFraction of the grace period it refuses new requests.
 //   - When all open requests have ended, or after stopFraction of the grace period, it
 //     closes the servers.
 func (e *Edge) stop() {
 	start := time.Now()
 	grace := duration(e.settings.Bounds.Grace)
+	end := start.Add(time.Duration(stopFraction * float64(grace)))
 	e.stopping.Store(true)
-	e.update(conductor.StopRequested{})
+	e.update(conductor.StopRequested{End: end.Add(-answerTime)})
 	e.log.Info("stop: requested", zap.Int64("requests", e.openRequests.Load()))
 	for range leavingHeartbeats {
 		e.sendHeartbeat(conductor.SameRegion)
@@ -49,7 +53,6 @@
 	e.unregister()
 	time.Sleep(time.Until(start.Add(time.Duration(drainFraction * float64(grace)))))
 	e.refusingRequests.Store(true)
-	end := start.Add(time.Duration(stopFraction * float64(grace)))
 	for e.openRequests.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(stopPollInterval)
 	}
