Bound the reports of rate limits in a heartbeat

Right after a fleet's endpoints name limits, each instance reports all that its own answers named for 10 s: 13 bytes for each of several hundred endpoints, in a datagram of 8 KiB at most. The 128 of the latest answers are reported now (test: 300 limits, 128 reports). A field and a call that nothing needed are gone.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -218,7 +218,6 @@
 		m.ticked(now)
 	case StopRequested:
 		m.stopRequestedAt, m.stopEnd = now, msg.End
-		m.refreshLive()
 	}
 	return nil
 }
--- a/seam/placer/limit.go
+++ b/seam/placer/limit.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"primroseseam.org/seam/router"
@@ -17,6 +19,8 @@
 	// limitReportPeriod is how long this instance reports a limit, or the end of one, after an
 	// answer to itself stated it. It covers the time in which heartbeats reach all instances.
 	limitReportPeriod = 10 * time.Second
+	// maxLimitReports is the most reports made at once. They are a part of a datagram.
+	maxLimitReports = 128
 	// maxLimitChanges is the most changes collected between two calls of TakeLimitChanges.
 	maxLimitChanges = 128
 )
@@ -100,7 +104,8 @@
 }
 
 // LimitReports returns a report on each endpoint of which an answer to this instance
-// recently named a limit or ended one.
+// recently named a limit or ended one. If there are more than maxLimitReports, those of the
+// latest answers are returned.
 func (b *Balancer) LimitReports(now time.Time) []LimitReport {
 	var reports []LimitReport
 	for _, e := range b.byID {
@@ -112,6 +117,10 @@
 			Named: e.limit.named, PerSecond: e.limit.perSecond, Age: max(now.Sub(e.limit.statedAt), 0),
 		})
 	}
+	if len(reports) > maxLimitReports {
+		slices.SortFunc(reports, func(a, b LimitReport) int { return cmp.Compare(a.Age, b.Age) })
+		reports = reports[:maxLimitReports]
+	}
 	return reports
 }
 
--- a/seam/placer/limit_test.go
+++ b/seam/placer/limit_test.go
@@ -216,3 +216,18 @@
 		t.Error("a request was given in advance")
 	}
 }
+
+func TestReportsOfLimitsAreBounded(t *testing.T) {
+	var ids []string
+	for n := range 300 {
+		ids = append(ids, fmt.Sprint("e-", n))
+	}
+	b := newBalancerOf(ids...)
+	for n, id := range ids {
+		b.RecordLimit(start.Add(time.Duration(n)*time.Millisecond), id, named(1), true)
+	}
+	reports := b.LimitReports(start.Add(time.Second))
+	if len(reports) != 128 || reports[0].Age != 701*time.Millisecond {
+		t.Errorf("%d reports, the first of an answer %v ago", len(reports), reports[0].Age)
+	}
+}
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -80,9 +80,8 @@
 	// Slowdown is the endpoint's run time divided by the mean run time of its service.
 	// For a cold endpoint it is at least coldSlowdown.
 	Slowdown float64
-	// Limited means that the endpoint named a rate limit, RateLimit, in requests per second.
-	Limited   bool
-	RateLimit float64
+	// Limited means that the endpoint named a rate limit.
+	Limited bool
 }
 
 // Load is a number of attempts in flight at an endpoint, which is identified by
@@ -370,7 +369,7 @@
 	warmRunTime, coldRunTime := s.runTimes(r.TargetLatency, r.Timeout)
 	c := Choice{
 		ID: e.spec.ID, Address: e.spec.Address, Region: e.region, AttemptsInFlight: e.attemptsInFlight(), Slots: e.spec.Slots,
-		ObjectWarm: r.Object != 0 && e.isWarm(now, r.Object, s.warmCapacity), Limited: e.limit.named, RateLimit: e.limit.perSecond,
+		ObjectWarm: r.Object != 0 && e.isWarm(now, r.Object, s.warmCapacity), Limited: e.limit.named,
 	}
 	runTime := coldRunTime
 	if c.ObjectWarm {
--- a/seam/placer/withdrawal.go
+++ b/seam/placer/withdrawal.go
@@ -16,8 +16,8 @@
 func (w withdrawal) active(now time.Time) bool { return w.leaving || now.Before(w.pausedUntil) }
 
 // unlistedWithdrawal is the withdrawal and the rate limit of an endpoint that is no longer
-// listed, with the lifetime for which they hold. The entry may be listed again, since the store can lose
-// entries that are still in use.
+// listed, with the lifetime for which they hold. The entry may be listed again, since the
+// store can lose entries that are still in use.
 type unlistedWithdrawal struct {
 	withdrawal
 	limit       rateLimit
