Let endpoints name rate limits in the soak, and check that they are kept

The soak played none of the new kinds. In seeds with bit 8 all endpoints name a limit of 5 a second, again and again; rule limit: at most 35 requests from 3 s after that on, from undisturbed instances. Seeds without the bit are as before.

--- a/seamctl/soaker/endpoint.go
+++ b/seamctl/soaker/endpoint.go
@@ -31,6 +31,8 @@
 	maxWork = 120 * time.Millisecond
 	// requestedPause is the pause that an endpoint asks for with a refusal.
 	requestedPause = 1500 * time.Millisecond
+	// namedLimit is the rate limit that an endpoint names, in requests per second.
+	namedLimit = 5.0
 )
 
 // requestCount is the context key of the number of requests on a connection.
@@ -84,6 +86,9 @@
 	dropsResponses bool
 	// repeatsRefusals makes the endpoint write a refusal before each response.
 	repeatsRefusals bool
+	// limit is the rate limit that the endpoint names in its responses, in requests per
+	// second, or 0 if it names none.
+	limit float64
 	// pausing makes the endpoint refuse each request and ask for a pause.
 	pausing bool
 }
@@ -139,6 +144,12 @@
 	e.pausing = on
 }
 
+func (e *endpoint) setLimit(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = perSecond
+}
+
 // refusesForPause records the arrival of a request. While the endpoint asks for pauses, it
 // refuses the request, records the pause that it asks for, and returns true.
 func (e *endpoint) refusesForPause(w http.ResponseWriter, id string) bool {
@@ -201,8 +212,11 @@
 		content: r.Method + " " + r.RequestURI + " " + string(body),
 	})
 	e.mu.Lock()
-	extraWork, dropsResponses, repeatsRefusals := e.extraWork, e.dropsResponses, e.repeatsRefusals
+	extraWork, dropsResponses, repeatsRefusals, limit := e.extraWork, e.dropsResponses, e.repeatsRefusals, e.limit
 	e.mu.Unlock()
+	if limit > 0 {
+		w.Header().Set(platform.HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	time.Sleep(minWork + rand.N(maxWork-minWork) + extraWork)
 	if dropsResponses {
 		panic(http.ErrAbortHandler)
--- a/seamctl/soaker/faults.go
+++ b/seamctl/soaker/faults.go
@@ -37,7 +37,7 @@
 
 // injectFaults runs several series of faults in parallel for the duration of the test. A
 // series runs one fault at a time, chosen at random. The two series of operator actions,
-// reloads and planned stops always run. Each of the other three series runs if its bit of
+// reloads and planned stops always run. Each of the other four series runs if its bit of
 // the seed is set. With a seed that leaves out some of these series, instances are without
 // faults for long enough that the time limits of the rules apply to them.
 func (s *Soak) injectFaults(ctx context.Context) {
@@ -48,6 +48,7 @@
 		{resetEndpoint, cutEndpoint, delayEndpoint, slowEndpoint, dropResponses, repeatRefusals, requestPause},
 		{pauseInstance, crash},
 		{resetStore, cutStore, delayStore, breakStore, compactHistory, goBack, writeOddEntry},
+		{nameLimits},
 	}
 	for n, faults := range bySeedBit {
 		if s.seed>>n&1 == 1 {
@@ -191,6 +192,29 @@
 	s.timedFault(ctx, rng, e, e.id+" asks for pauses", func() { e.setPausing(true) }, func() { e.setPausing(false) })
 }
 
+// nameLimits makes all endpoints name a rate limit, until some time after all instances must
+// know of it. Most requests are refused meanwhile, so it is recorded as a fault, but as one
+// of an endpoint that doesn't exist: the rules apply to the others.
+func nameLimits(ctx context.Context, s *Soak, rng *rand.Rand) {
+	d := applyWithin + faultDuration(rng)
+	if end, ok := ctx.Deadline(); ok {
+		// The faults end then, and the time to recover begins.
+		d = min(d, time.Until(end))
+	}
+	s.logf("endpoints name limits for %v", d)
+	s.history.recordFault(&endpoint{}, d)
+	var ends []func()
+	for _, e := range s.endpoints {
+		e.setLimit(namedLimit)
+		ends = append(ends, s.history.recordLimit(e))
+	}
+	waiter.Pause(ctx, d)
+	for n, e := range s.endpoints {
+		ends[n]()
+		e.setLimit(0)
+	}
+}
+
 func resetEndpoint(_ context.Context, s *Soak, rng *rand.Rand) {
 	e := s.usedEndpoint(rng)
 	s.instantFault(e, "reset connections to "+e.id, e.proxy.Reset)
--- a/seamctl/soaker/judge.go
+++ b/seamctl/soaker/judge.go
@@ -33,6 +33,11 @@
 	// the endpoint asked it for a pause and the end of the pause.
 	pauseSlack        = 500 * time.Millisecond
 	maxPausedArrivals = 2
+	// In any period of length limitWindow, an endpoint may get as many requests as its limit
+	// allows, times limitTolerance, and a further limitSlack requests.
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
 	// recoveredRatio is the least share of requests that must be served, of those that are
 	// sent later than recoveredAfter after the end of the last fault.
 	recoveredRatio = 0.95
@@ -61,6 +66,7 @@
 		}
 	}
 	h.checkPauses(senders)
+	h.checkLimits(senders)
 	h.checkNoRollback()
 	h.checkRate()
 	h.checkRecovery()
@@ -116,6 +122,30 @@
 	}
 }
 
+// checkLimits checks that endpoints get no more requests than the limits allow that they
+// name. It leaves out requests of instances with a recent fault or planned stop, and
+// endpoints with a recent fault.
+func (h *history) checkLimits(senders map[string]*instance) {
+	for _, l := range h.limits {
+		from := l.from.Add(applyWithin)
+		if !h.undisturbed(l.subject, l.from, l.to) {
+			continue
+		}
+		count := 0
+		for _, a := range h.arrivals {
+			sender := senders[a.id]
+			if a.endpoint == l.subject && a.at.After(from) && a.at.Before(l.to) && sender != nil &&
+				h.undisturbed(sender, l.from, l.to) && !h.stoppedAround(sender, l.from, l.to) {
+				count++
+			}
+		}
+		// The time from which the limit must be kept is shorter than limitWindow.
+		if allowed := limitTolerance*namedLimit*limitWindow.Seconds() + limitSlack; float64(count) > allowed {
+			h.addViolation(ruleLimit, "%d requests reached %s in %v under its limit; %.0f are allowed", count, l.subject.(*endpoint).id, l.to.Sub(from), allowed)
+		}
+	}
+}
+
 // stoppedAround reports whether an instance was stopped as planned at some time between
 // from and to.
 func (h *history) stoppedAround(i *instance, from, to time.Time) bool {
--- a/seamctl/soaker/judge_test.go
+++ b/seamctl/soaker/judge_test.go
@@ -68,6 +68,12 @@
 			h.requests[0].status = 0
 			h.plannedStops = []span{{subject: i, from: at(0.5), to: at(3)}}
 		},
+		ruleLimit: func(h *history, _ *instance, e []*endpoint) {
+			h.limits = []span{{subject: e[0], from: at(15), to: at(20.5)}}
+			for range 36 {
+				h.arrivals = append(h.arrivals, arrival{id: "last", endpoint: e[0], at: at(20)})
+			}
+		},
 		ruleGone: func(h *history, _ *instance, _ []*endpoint) {
 			h.requests[0].cancelled, h.requests[0].status = true, 0
 			h.executions["first"][0].at = h.requests[0].endedAt.Add(600 * time.Millisecond)
--- a/seamctl/soaker/ledger.go
+++ b/seamctl/soaker/ledger.go
@@ -45,6 +45,9 @@
 	// An endpoint that asked an instance for a pause gets at most maxPausedArrivals requests
 	// from that instance in the pause.
 	rulePause // pause
+	// An endpoint that names a rate limit gets, once applyWithin has passed, no more requests
+	// than the limit allows.
+	ruleLimit // limit
 	// No request reaches an endpoint after its caller has cancelled it.
 	ruleGone // gone
 	// The process of an instance starts, and runs until the test stops it.
@@ -131,6 +134,8 @@
 	configVersions []configVersion
 	faults         []span
 	plannedStops   []span
+	// limits are the times during which an endpoint, the subject, names namedLimit.
+	limits []span
 	// violations describes the first maxListedViolations violations.
 	violations []string
 	// violationCounts has the number of violations by the name of the rule.
@@ -219,6 +224,17 @@
 	}
 }
 
+// recordLimit records that an endpoint names a limit, from now until the returned function
+// is called.
+func (h *history) recordLimit(e *endpoint) func() {
+	started := time.Now()
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.limits = append(h.limits, span{subject: e, from: started, to: time.Now()})
+	}
+}
+
 func (h *history) recordConfig(v configVersion) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/seamctl/soaker/rule_string.go
+++ b/seamctl/soaker/rule_string.go
@@ -21,14 +21,15 @@
 	_ = x[ruleRate-10]
 	_ = x[rulePlannedStop-11]
 	_ = x[rulePause-12]
-	_ = x[ruleGone-13]
-	_ = x[ruleRunsOn-14]
-	_ = x[ruleRecovers-15]
+	_ = x[ruleLimit-13]
+	_ = x[ruleGone-14]
+	_ = x[ruleRunsOn-15]
+	_ = x[ruleRecovers-16]
 }
 
-const _rule_name = "atMostOncetrueRefusalwholeAnswerownTeamnoKeyPassedkeyDiesconfigInForceconfigNeverBackdrainevacuationteamRateplannedStoppausegonerunsOnrecovers"
+const _rule_name = "atMostOncetrueRefusalwholeAnswerownTeamnoKeyPassedkeyDiesconfigInForceconfigNeverBackdrainevacuationteamRateplannedStoppauselimitgonerunsOnrecovers"
 
-var _rule_index = [...]uint8{0, 10, 21, 32, 39, 50, 57, 70, 85, 90, 100, 108, 119, 124, 128, 134, 142}
+var _rule_index = [...]uint8{0, 10, 21, 32, 39, 50, 57, 70, 85, 90, 100, 108, 119, 124, 129, 133, 139, 147}
 
 func (i rule) String() string {
 	idx := int(i) - 0
