Name the promises that failed in the demo's last line

The error, the last line, names each promise that was violated or not checked, with its counts (TestReportNamesThePromisesThatFailed).

--- a/seamctl/commander/demo.go
+++ b/seamctl/commander/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -64,8 +65,8 @@
 	if err := writeReport(cmd.OutOrStdout(), report, f.output); err != nil {
 		return err
 	}
-	if !report.Passed() {
-		return errPromiseBroken
+	if failures := report.Failures(); len(failures) > 0 {
+		return fmt.Errorf("%w: %s", errPromiseBroken, strings.Join(failures, "; "))
 	}
 	return nil
 }
--- a/seamctl/demonstrator/report.go
+++ b/seamctl/demonstrator/report.go
@@ -28,13 +28,20 @@
 // Passed reports whether no promise was violated and every required promise was checked at
 // least once. A promise that only a certain fault can check is required only if the run
 // contained that fault.
-func (r Report) Passed() bool {
+func (r Report) Passed() bool { return len(r.Failures()) == 0 }
+
+// Failures describes the promises because of which the run doesn't pass.
+func (r Report) Failures() []string {
+	var failures []string
 	for _, p := range r.Promises {
-		if p.Violations > 0 || (p.required && p.Checked == 0) {
-			return false
+		switch {
+		case p.Violations > 0:
+			failures = append(failures, fmt.Sprintf("%s violated %d times in %d checks", p.Name, p.Violations, p.Checked))
+		case p.required && p.Checked == 0:
+			failures = append(failures, p.Name+" not checked")
 		}
 	}
-	return true
+	return failures
 }
 
 // WriteTable writes the report as tables of text.
