Refuse heartbeats that announce more than they hold

A datagram of 41 bytes made an instance run out of memory: it announced an array of 3.2 billion elements, and the decoder allocates arrays by the announced length before it reads their elements.

Only heartbeats are MessagePack; copies and the store's objects are JSON.

Change: before a datagram is decoded, a loop over its values checks that no array, map, text or number is longer than what is left of the datagram.

--- a/seamedge/heartbeater/fuzz_test.go
+++ b/seamedge/heartbeater/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"math"
 	"net/netip"
 	"strings"
@@ -11,6 +12,28 @@
 	"primroseseam.org/seam/placer"
 )
 
+// A datagram of few bytes that announces an array of billions must not make an instance run
+// out of memory.
+func TestDatagramsWithFalseLengthsAreRefused(t *testing.T) {
+	whole, err := encode(conductor.Heartbeat{ID: "front-1", FullDemand: true, Loads: []placer.Load{{Endpoint: 1, Count: 2}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := checkLengths(whole); err != nil {
+		t.Errorf("a whole heartbeat: %v", err)
+	}
+	for name, data := range map[string]string{
+		"array of 32 bits": "\x91\xdd\xc0\xc0\xc0\xc0", "array of 16 bits": "\xdc\xff\xff\x01", "small array": "\x93\x01\x02",
+		"map of 32 bits": "\xdf\xff\xff\xff\xff\x01", "map of 16 bits": "\xde\xff\xff", "small map": "\x82\x01\x02\x03",
+		"text of 32 bits": "\xdb\xff\xff\xff\xff", "bytes of 8 bits": "\xc4\x05\x01", "small text": "\xa5abc", "cut length": "\xdd\x00",
+		"extension": "\xc9\xff\xff\xff\xff\x01", "number": "\xcf\x01", "nested": "\x92\xdd\x00\x00\x00\x02\x01",
+	} {
+		if _, _, err := decode([]byte(data)); !errors.Is(err, errFalseLength) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // FuzzDecode checks that datagrams that are cut, changed or of another origin are decoded or
 // refused, in bounded memory, and never recorded without an instance ID.
 func FuzzDecode(f *testing.F) {
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -215,6 +215,9 @@
 func decode(data []byte) (message, extension, error) {
 	var m message
 	var x extension
+	if err := checkLengths(data); err != nil {
+		return message{}, extension{}, fmt.Errorf("decode heartbeat: %w", err)
+	}
 	reader := bytes.NewReader(data)
 	decoder := msgpack.NewDecoder(reader)
 	if err := decoder.Decode(&m); err != nil {
