--- a/seam/conductor/ends.go
+++ b/seam/conductor/ends.go
@@ -68,8 +68,8 @@
 	end         quarantiner.End
 }
 
-// recordEvidence records what the outcome of a request's attempt says for or against the
-// request's digest.
+// recordEvidence records the outcome of a request's attempt as evidence for or against the
+// request's digest, if it is.
 func (m *Model) recordEvidence(now time.Time, r *request, o Outcome) {
 	if r.digest == 0 {
 		return
--- a/seam/placer/limit.go
+++ b/seam/placer/limit.go
@@ -77,7 +77,7 @@
 }
 
 // setLimit replaces an endpoint's limit by the one stated at the given time. It collects c
-// if it is a change worth a report.
+// if the limit begins, ends or changes by limitChangeRatio.
 func (b *Balancer) setLimit(e *endpoint, c LimitChange, statedAt time.Time) {
 	c.PerSecond = min(max(c.PerSecond, 0), maxRateLimit)
 	flipped := e.limit.named != c.Named
