--- a/seam/conductor/limit_test.go
+++ b/seam/conductor/limit_test.go
@@ -50,19 +50,20 @@
 	}
 }
 
-// An endpoint's limit holds for all instances together, also while instances stop, start
-// anew, freeze or lose each other.
-func TestEndpointsGetNoMoreThanTheyNamed(t *testing.T) {
+// playLimits plays fleets in which 70% of the endpoints name half of what they got, an
+// instance starts anew and another loses the others. It calls check with the end of each.
+func playLimits(t *testing.T, check func(t *testing.T, sim *simulation, limited []*fakeEndpoint, since time.Time)) {
+	t.Helper()
 	fleets := map[string]struct {
 		instances, endpoints [3]int
 		perSecond            float64
 	}{
-		"few":  {[3]int{4, 4, 3}, [3]int{6, 8, 2}, 400},
+		"few":  {[3]int{4, 4, 3}, [3]int{6, 8, 2}, 600},
 		"many": {[3]int{21, 21, 21}, [3]int{20, 30, 18}, 500},
 	}
 	for name, f := range fleets {
 		for seed := range uint64(3) {
-			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+			t.Run(fmt.Sprint(name, "-", seed), func(t *testing.T) {
 				sim := newSimulation(t, seed, f.instances, f.endpoints, 9, 112, openTeams)
 				for _, i := range sim.instances {
 					sim.generateLoad(i, f.perSecond/float64(len(sim.instances)), 143, "a", "/x", 25*time.Second)
@@ -76,9 +77,21 @@
 				sim.run(5 * time.Second)
 				sim.instances[5].partitioned = false
 				sim.run(9 * time.Second)
-				sim.checkLimits(t, limited, since)
-				sim.checkAgainstIdeal(t, "with limits", since.Add(contactTime), 0.7)
+				check(t, sim, limited, since)
 			})
 		}
 	}
 }
+
+// An endpoint's limit holds for all instances together.
+func TestEndpointsGetNoMoreThanTheyNamed(t *testing.T) {
+	playLimits(t, func(t *testing.T, sim *simulation, limited []*fakeEndpoint, since time.Time) {
+		sim.checkLimits(t, limited, since)
+	})
+}
+
+func TestCallersAreServedWhileEndpointsNameLimits(t *testing.T) {
+	playLimits(t, func(t *testing.T, sim *simulation, _ []*fakeEndpoint, since time.Time) {
+		sim.checkAgainstIdeal(t, "with limits", since.Add(contactTime), 0.7)
+	})
+}
--- a/seamd/daemon/heads_test.go
+++ b/seamd/daemon/heads_test.go
@@ -29,7 +29,7 @@
 }
 
 // An upstream that stops within the head of its answer has given none: callers must never
-// get a success, on new and on kept connections, and the outcome is unknown.
+// get a success, and the outcome is unknown.
 func TestAnswerHeadsThatBreakOffAreNoSuccess(t *testing.T) {
 	u := headsUpstream{length: new(atomic.Int64)}
 	fleet := newTestFleet(t, 1, u, u)
