--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -63,9 +63,9 @@
 		}
 		endpoints = append(endpoints, e)
 	}
-	seeds := []string{"127.0.0.21:" + w.ports["control"], "127.0.0.22:" + w.ports["control"]}
+	seeds := []string{w.ip(21) + ":" + w.ports["control"], w.ip(22) + ":" + w.ports["control"]}
 	for i, zone := range []string{"zone-a", "zone-b"} {
-		e, err := w.addEdge(fmt.Sprintf("front-%s-1", zone), fmt.Sprintf("127.0.0.%d", 21+i), zone, zones, seeds)
+		e, err := w.addEdge(fmt.Sprintf("front-%s-1", zone), w.ip(21+i), zone, zones, seeds)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/review/harness/regions.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["regions"] = regionsCut }
+
+// link is one direction of the path between two machines: a proxy that passes datagrams on,
+// or drops them while it is cut.
+type link struct {
+	cut  atomic.Bool
+	from *net.UDPConn
+	to   *net.UDPConn
+}
+
+// newLink listens at an address and passes on what arrives there.
+func newLink(listen, source, target string) (*link, error) {
+	at, err := net.ResolveUDPAddr("udp4", listen)
+	if err != nil {
+		return nil, err
+	}
+	dest, err := net.ResolveUDPAddr("udp4", target)
+	if err != nil {
+		return nil, err
+	}
+	l := &link{}
+	if l.from, err = net.ListenUDP("udp4", at); err != nil {
+		return nil, err
+	}
+	if l.to, err = net.DialUDP("udp4", &net.UDPAddr{IP: net.ParseIP(source)}, dest); err != nil {
+		return nil, err
+	}
+	go func() {
+		buffer := make([]byte, 64<<10)
+		for {
+			n, _, err := l.from.ReadFromUDP(buffer)
+			if err != nil {
+				return
+			}
+			if !l.cut.Load() {
+				// A datagram to a machine that doesn't run is lost.
+				_, _ = l.to.Write(buffer[:n])
+			}
+		}
+	}()
+	return l, nil
+}
+
+const (
+	ratePerSecond = 60
+	burstSize     = 60
+	quotaWindow   = 5 * time.Second
+	quotaOver     = 0.1
+	quotaSlack    = 20
+)
+
+// regionsCut runs a machine in each of three regions. Two regions lose each other; both still
+// reach the third. A tenant asks for more than its rate in these two.
+func regionsCut(w *world, trouble bool) (result, error) {
+	places := map[string]string{"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
+	limited := tenant(keyOfFirst)
+	limited["rate-per-s"], limited["burst-size"] = ratePerSecond, burstSize
+	w.configure(1, map[string]any{"first": limited})
+	names := []string{"zone-a", "zone-b", "zone-c"}
+	for i, zone := range names {
+		for k := range 2 {
+			if err := w.newEndpoint(fmt.Sprintf("i-%d%d", i, k), zone, "").start(); err != nil {
+				return result{}, err
+			}
+		}
+	}
+	ip := func(i int) string { return w.ip(21 + i) }
+	// The machines reach each other only by proxies, which are their seeds. They state their
+	// own addresses with a host name, to which no datagram is sent, and so each needs a port
+	// of its own.
+	own := []string{w.ports["internal"], w.ports["second"], w.ports["third"]}
+	links := map[[2]int]*link{}
+	for i := range names {
+		var seeds []string
+		for j := range names {
+			if i == j {
+				continue
+			}
+			at := w.ip(40 + 10*i + j)
+			l, err := newLink(at+":"+own[i], w.ip(80+10*i+j), "127.0.0.1:"+own[j])
+			if err != nil {
+				return result{}, err
+			}
+			links[[2]int{i, j}] = l
+			seeds = append(seeds, at+":"+w.ports["control"])
+		}
+		if _, err := w.addEdge("front-"+names[i]+"-1", ip(i), names[i], places, seeds); err != nil {
+			return result{}, err
+		}
+	}
+	for i, e := range w.edges {
+		if err := e.replaceSetting(`"peers": "`+e.ip+":"+w.ports["internal"], `"peers": "localhost:`+own[i]); err != nil {
+			return result{}, err
+		}
+		if err := e.run(); err != nil {
+			return result{}, err
+		}
+	}
+	for _, e := range w.edges {
+		if err := e.awaitReady(10 * time.Second); err != nil {
+			return result{}, err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	end := make(chan struct{})
+	var all sync.WaitGroup
+	for i, clients := range []int{24, 24, 3} {
+		for range clients {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				c := client{w: w, address: w.edges[i].front()}
+				for {
+					select {
+					case <-end:
+						return
+					case <-time.After(200 * time.Millisecond):
+						c.send(list(keyOfFirst))
+					}
+				}
+			}()
+		}
+	}
+	time.Sleep(15 * time.Second)
+	cutAt := time.Since(w.start)
+	if trouble {
+		links[[2]int{0, 1}].cut.Store(true)
+		links[[2]int{1, 0}].cut.Store(true)
+		w.log("the regions of the first two machines lose each other")
+	}
+	time.Sleep(25 * time.Second)
+	close(end)
+	all.Wait()
+	return w.judgeQuota(cutAt), nil
+}
+
+// judgeQuota applies the rule QUOTA to all windows.
+func (w *world) judgeQuota(cutAt time.Duration) result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	allowed := (ratePerSecond*quotaWindow.Seconds()+burstSize)*(1+quotaOver) + quotaSlack
+	var times []time.Duration
+	counts := map[int]int{}
+	for _, r := range w.order {
+		counts[r.status]++
+		if len(r.runs) > 0 {
+			times = append(times, r.ranAt)
+		}
+	}
+	slices.Sort(times)
+	most, mostAt, before := 0, time.Duration(0), 0
+	for i, j := 0, 0; i < len(times); i++ {
+		for times[i]-times[j] > quotaWindow {
+			j++
+		}
+		if n := i - j + 1; n > most {
+			most, mostAt = n, times[j]
+		}
+		if times[i] < cutAt {
+			before = max(before, i-j+1)
+		}
+	}
+	var perSecond []string
+	for s := time.Duration(0); len(times) > 0 && s <= times[len(times)-1]; s += 5 * time.Second {
+		n := 0
+		for _, t := range times {
+			if t >= s && t < s+5*time.Second {
+				n++
+			}
+		}
+		perSecond = append(perSecond, fmt.Sprint(n))
+	}
+	return result{
+		broken: float64(most) > allowed,
+		summary: fmt.Sprintf("answers by status: %v\nrun in each 5 s from the start: %s (the cut came at %.1f s)\nQUOTA: %d run in the window from %.1f s, allowed %.0f; at most %d before the cut",
+			counts, strings.Join(perSecond, " "), cutAt.Seconds(), most, mostAt.Seconds(), allowed, before),
+	}
+}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +30,7 @@
 	store     *store
 	edges     []*edge
 	ports     map[string]string
+	network   string
 
 	mu       sync.Mutex
 	out      *bufio.Writer
@@ -48,6 +50,7 @@
 	err        error
 	runs       []string
 	tenant     string
+	ranAt      time.Duration
 }
 
 func newWorld(root, record string) (*world, error) {
@@ -66,20 +69,56 @@
 	return w, w.choosePorts()
 }
 
-// choosePorts picks ports that are free now. Each is the same on all machines.
+// choosePorts picks a network of loopback addresses, and ports that are free on the
+// addresses of it that a case uses. Each port is the same on all machines. The ports are
+// below the range from which the system takes those of outgoing connections.
 func (w *world) choosePorts() error {
 	w.ports = map[string]string{}
-	for _, name := range []string{"front", "ready", "directory", "internal", "metrics", "control"} {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
+	w.network = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
+	for _, name := range []string{"front", "ready", "directory", "internal", "second", "third", "metrics", "control"} {
+		for tries := 0; w.ports[name] == ""; tries++ {
+			port := fmt.Sprint(12000 + rand.IntN(18000))
+			if w.isFree(port) {
+				w.ports[name] = port
+			}
+			if tries > 100 {
+				return fmt.Errorf("no free ports")
+			}
 		}
-		defer func() { _ = l.Close() }()
-		_, w.ports[name], _ = net.SplitHostPort(l.Addr().String())
 	}
 	return nil
 }
 
+// isFree reports whether a port is free, for TCP and UDP, on all addresses that a case uses.
+func (w *world) isFree(port string) bool {
+	for _, taken := range w.ports {
+		if taken == port {
+			return false
+		}
+	}
+	addresses := []string{"127.0.0.1"}
+	for last := 20; last < 120; last++ {
+		addresses = append(addresses, w.ip(last))
+	}
+	for _, address := range addresses {
+		at := net.JoinHostPort(address, port)
+		l, err := net.Listen("tcp4", at)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+		u, err := net.ListenPacket("udp4", at)
+		if err != nil {
+			return false
+		}
+		_ = u.Close()
+	}
+	return true
+}
+
+// ip returns an address of the network of this run.
+func (w *world) ip(last int) string { return w.network + strconv.Itoa(last) }
+
 func (w *world) log(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -105,6 +144,7 @@
 	if q, ok := w.requests[id]; ok {
 		q.runs = append(q.runs, e.id)
 		q.tenant = r.Header.Get("X-Tenant")
+		q.ranAt = time.Since(w.start)
 	}
 }
 
@@ -203,6 +243,15 @@
 	return nil
 }
 
+// replaceSetting changes the settings file.
+func (e *edge) replaceSetting(before, after string) error {
+	data, err := os.ReadFile(e.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(e.settings, []byte(strings.Replace(string(data), before, after, 1)), 0o600)
+}
+
 // awaitReady waits until the platform's check finds the machine ready.
 func (e *edge) awaitReady(limit time.Duration) error {
 	client := http.Client{Timeout: time.Second}
