--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -99,13 +99,22 @@
 // traffic sends requests from a number of clients, each with a pause after each answer, until
 // the returned function is called.
 func (w *world) traffic(clients int, pause time.Duration, next func() call) (stop func()) {
+	return w.trafficTo(-1, clients, pause, next)
+}
+
+// trafficTo is like traffic, but to one machine only, unless that is -1.
+func (w *world) trafficTo(machine, clients int, pause time.Duration, next func() call) (stop func()) {
 	end := make(chan struct{})
 	var all sync.WaitGroup
 	for i := range clients {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			c := client{w: w, address: w.edges[i%len(w.edges)].front()}
+			at := machine
+			if at < 0 {
+				at = i % len(w.edges)
+			}
+			c := client{w: w, address: w.edges[at].front()}
 			for {
 				select {
 				case <-end:
--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -31,6 +31,7 @@
 	conns    map[net.Conn]bool
 	sequence int
 	ended    bool
+	left     bool
 	state    string
 
 	// mostExtras is the number of its answers of which the endpoint also sends a second
@@ -83,7 +84,7 @@
 		"info":   map[string]any{"service": e.service, "version": "v1", "zone": e.zone, "slots": e.slots},
 		"status": map[string]any{"state": e.state, "sequence": e.sequence, "cold-remaining-s": cold},
 	}
-	ended := e.ended
+	ended := e.ended || e.left
 	e.mu.Unlock()
 	if !ended {
 		e.w.store.write("servers", e.id, entry)
@@ -95,7 +96,7 @@
 	for last := ""; ; time.Sleep(heartbeat) {
 		e.mu.Lock()
 		now := fmt.Sprint(e.state, time.Since(time.UnixMilli(e.born)) < e.warmup+heartbeat)
-		ended := e.ended
+		ended := e.ended || e.left
 		e.mu.Unlock()
 		if ended {
 			return
@@ -123,6 +124,15 @@
 	})
 }
 
+// leave removes the endpoint's entry without a report that it drains. It serves on.
+func (e *endpoint) leave() {
+	e.mu.Lock()
+	e.left = true
+	e.mu.Unlock()
+	e.w.store.remove("servers", e.id)
+	e.w.log("the entry of endpoint %s is removed; it serves on", e.id)
+}
+
 func (e *endpoint) serve(c net.Conn) {
 	defer func() {
 		_ = c.Close()
--- a/review/harness/regions.go
+++ b/review/harness/regions.go
@@ -53,6 +53,71 @@
 	return l, nil
 }
 
+// fleet is a number of machines with the paths between them and to the store. The machines
+// reach each other only by proxies, which are their seeds. They state their own addresses
+// with a host name, to which no datagram is sent, and so each needs a port of its own.
+type fleet struct {
+	w      *world
+	links  map[[2]int]*link
+	stores []*tcpLink
+	off    map[int]bool
+}
+
+// newFleet starts a machine in each zone and waits until all are ready.
+func (w *world) newFleet(names []string, places map[string]string) (*fleet, error) {
+	own := []string{w.ports["internal"], w.ports["second"], w.ports["third"], w.ports["fourth"], w.ports["fifth"]}
+	f := &fleet{w: w, links: map[[2]int]*link{}, off: map[int]bool{}}
+	for i := range names {
+		var seeds []string
+		for j := range names {
+			if i == j {
+				continue
+			}
+			at := w.ip(40 + 10*i + j)
+			l, err := newLink(at+":"+own[i], w.ip(100+10*i+j), "127.0.0.1:"+own[j])
+			if err != nil {
+				return nil, err
+			}
+			f.links[[2]int{i, j}] = l
+			seeds = append(seeds, at+":"+w.ports["control"])
+		}
+		e, err := w.addEdge("front-"+names[i]+"-1", w.ip(21+i), names[i], places, seeds)
+		if err != nil {
+			return nil, err
+		}
+		if err := e.replaceSetting(`"peers": "`+e.ip+":"+w.ports["internal"], `"peers": "localhost:`+own[i]); err != nil {
+			return nil, err
+		}
+		t, err := newTCPLink(w.store.address)
+		if err != nil {
+			return nil, err
+		}
+		f.stores = append(f.stores, t)
+		if err := e.replaceSetting(`"store": "`+w.store.address, `"store": "`+t.address); err != nil {
+			return nil, err
+		}
+		if err := e.run(); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range w.edges {
+		if err := e.awaitReady(10 * time.Second); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// set cuts a machine off from the others and from the store, or heals that.
+func (f *fleet) set(machine int, cut bool) {
+	f.w.log("machine %d is cut off: %v", machine, cut)
+	f.off[machine] = cut
+	for pair, l := range f.links {
+		l.cut.Store(f.off[pair[0]] || f.off[pair[1]])
+	}
+	f.stores[machine].set(cut)
+}
+
 const (
 	ratePerSecond = 60
 	burstSize     = 60
@@ -76,42 +141,9 @@
 			}
 		}
 	}
-	ip := func(i int) string { return w.ip(21 + i) }
-	// The machines reach each other only by proxies, which are their seeds. They state their
-	// own addresses with a host name, to which no datagram is sent, and so each needs a port
-	// of its own.
-	own := []string{w.ports["internal"], w.ports["second"], w.ports["third"]}
-	links := map[[2]int]*link{}
-	for i := range names {
-		var seeds []string
-		for j := range names {
-			if i == j {
-				continue
-			}
-			at := w.ip(40 + 10*i + j)
-			l, err := newLink(at+":"+own[i], w.ip(80+10*i+j), "127.0.0.1:"+own[j])
-			if err != nil {
-				return result{}, err
-			}
-			links[[2]int{i, j}] = l
-			seeds = append(seeds, at+":"+w.ports["control"])
-		}
-		if _, err := w.addEdge("front-"+names[i]+"-1", ip(i), names[i], places, seeds); err != nil {
-			return result{}, err
-		}
-	}
-	for i, e := range w.edges {
-		if err := e.replaceSetting(`"peers": "`+e.ip+":"+w.ports["internal"], `"peers": "localhost:`+own[i]); err != nil {
-			return result{}, err
-		}
-		if err := e.run(); err != nil {
-			return result{}, err
-		}
-	}
-	for _, e := range w.edges {
-		if err := e.awaitReady(10 * time.Second); err != nil {
-			return result{}, err
-		}
+	fleet, err := w.newFleet(names, places)
+	if err != nil {
+		return result{}, err
 	}
 	time.Sleep(5 * time.Second)
 	end := make(chan struct{})
@@ -136,8 +168,8 @@
 	time.Sleep(15 * time.Second)
 	cutAt := time.Since(w.start)
 	if trouble {
-		links[[2]int{0, 1}].cut.Store(true)
-		links[[2]int{1, 0}].cut.Store(true)
+		fleet.links[[2]int{0, 1}].cut.Store(true)
+		fleet.links[[2]int{1, 0}].cut.Store(true)
 		w.log("the regions of the first two machines lose each other")
 	}
 	time.Sleep(25 * time.Second)
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -50,7 +50,9 @@
 	err        error
 	runs       []string
 	tenant     string
+	sentAt     time.Duration
 	ranAt      time.Duration
+	ranTimes   []time.Duration
 }
 
 func newWorld(root, record string) (*world, error) {
@@ -75,7 +77,7 @@
 func (w *world) choosePorts() error {
 	w.ports = map[string]string{}
 	w.network = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
-	for _, name := range []string{"front", "ready", "directory", "internal", "second", "third", "metrics", "control"} {
+	for _, name := range []string{"front", "ready", "directory", "internal", "second", "third", "fourth", "fifth", "metrics", "control"} {
 		for tries := 0; w.ports[name] == ""; tries++ {
 			port := fmt.Sprint(12000 + rand.IntN(18000))
 			if w.isFree(port) {
@@ -97,7 +99,7 @@
 		}
 	}
 	addresses := []string{"127.0.0.1"}
-	for last := 20; last < 120; last++ {
+	for last := 20; last < 150; last++ {
 		addresses = append(addresses, w.ip(last))
 	}
 	for _, address := range addresses {
@@ -131,6 +133,7 @@
 	defer w.mu.Unlock()
 	w.lastID++
 	r := &request{id: fmt.Sprintf("%08x%08x", w.lastID, w.start.UnixNano()&0xffffffff), idempotent: idempotent}
+	r.sentAt = time.Since(w.start)
 	w.requests[r.id] = r
 	w.order = append(w.order, r)
 	return r
@@ -145,6 +148,7 @@
 		q.runs = append(q.runs, e.id)
 		q.tenant = r.Header.Get("X-Tenant")
 		q.ranAt = time.Since(w.start)
+		q.ranTimes = append(q.ranTimes, q.ranAt)
 	}
 }
 
