--- a/review/harness/regions.go
+++ b/review/harness/regions.go
@@ -65,7 +65,7 @@
 
 // newFleet starts a machine in each zone and waits until all are ready.
 func (w *world) newFleet(names []string, places map[string]string) (*fleet, error) {
-	own := []string{w.ports["internal"], w.ports["second"], w.ports["third"], w.ports["fourth"], w.ports["fifth"]}
+	own := []string{w.ports["internal"], w.ports["second"], w.ports["third"], w.ports["fourth"], w.ports["fifth"], w.ports["sixth"]}
 	f := &fleet{w: w, links: map[[2]int]*link{}, off: map[int]bool{}}
 	for i := range names {
 		var seeds []string
@@ -108,14 +108,16 @@
 	return f, nil
 }
 
-// set cuts a machine off from the others and from the store, or heals that.
-func (f *fleet) set(machine int, cut bool) {
-	f.w.log("machine %d is cut off: %v", machine, cut)
-	f.off[machine] = cut
+// set cuts machines off from the others and from the store, or heals that.
+func (f *fleet) set(cut bool, machines ...int) {
+	f.w.log("machines %v are cut off: %v", machines, cut)
+	for _, m := range machines {
+		f.off[m] = cut
+		f.stores[m].set(cut)
+	}
 	for pair, l := range f.links {
 		l.cut.Store(f.off[pair[0]] || f.off[pair[1]])
 	}
-	f.stores[machine].set(cut)
 }
 
 const (
