Log the connection of attempts that fail and of skipped responses

No line named the connection.

Change: each connection to an endpoint has a number, and the lines of failed attempts and of skipped responses hold it as `connection`.

Result: no decision changes.

--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -217,7 +217,7 @@
 	if answer.SkippedResponses > 0 {
 		e.metrics.skippedResponses.Add(answer.SkippedResponses)
 		e.log.Warn("endpoint: skipped responses to other requests", zap.String("endpoint", cmd.Endpoint),
-			zap.String("request", req.requestID), zap.Int("count", answer.SkippedResponses))
+			zap.String("request", req.requestID), zap.Uint64("connection", answer.ConnectionID), zap.Int("count", answer.SkippedResponses))
 	}
 	e.metrics.expectedWait.Update(cmd.Choice.QueueTime.Seconds())
 	if cmd.Choice.Region != e.region() {
@@ -355,6 +355,6 @@
 	e.log.Warn("request: attempt failed", zap.String("request", req.requestID), zap.String("team", cmd.Team),
 		zap.String("endpoint", cmd.Endpoint), zap.Int("attempt", cmd.Attempt), zap.Int("status", outcome.Status),
 		zap.Bool("notRun", outcome.NotRun), zap.Bool("left", outcome.CallerDisconnected), zap.Bool("timedOut", outcome.TimedOut),
-		zap.Bool("broken", outcome.Broken), zap.String("digest", formatDigest(req.digest)), zap.Bool("reused", answer.ConnectionReused), zap.Duration("took", took),
+		zap.Bool("broken", outcome.Broken), zap.String("digest", formatDigest(req.digest)), zap.Bool("reused", answer.ConnectionReused), zap.Uint64("connection", answer.ConnectionID), zap.Duration("took", took),
 		zap.Duration("closeAfter", answer.CloseAfter), zap.NamedError("error", answer.Err))
 }
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -95,9 +95,11 @@
 	MaybeSent bool
 	// DialTime is how long it took to open a new connection for the call. It is 0 if an
 	// idle connection was used or no connection could be opened. ConnectionReused means
-	// that an idle connection was used.
+	// that an idle connection was used. ConnectionID is a number that no other connection
+	// of the Exchanger has, or 0 if no connection could be opened.
 	DialTime         time.Duration
 	ConnectionReused bool
+	ConnectionID     uint64
 	// SkippedResponses is the number of responses that were skipped because they couldn't
 	// be attributed to the request. It is 0 if the call failed.
 	SkippedResponses int
@@ -110,8 +112,9 @@
 // Exchanger sends calls and keeps idle connections to endpoints. It is safe for
 // concurrent use.
 type Exchanger struct {
-	pool      pool
-	openConns atomic.Int64
+	pool       pool
+	openConns  atomic.Int64
+	lastConnID atomic.Uint64
 }
 
 // New returns an exchanger without connections.
@@ -177,6 +180,7 @@
 	}
 	result := x.roundTrip(ctx, c, call)
 	result.ConnectionReused = reused
+	result.ConnectionID = c.id
 	if !reused {
 		result.DialTime = c.dialTime
 	}
--- a/seamedge/exchanger/pool.go
+++ b/seamedge/exchanger/pool.go
@@ -41,6 +41,7 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
+	id     uint64
 	reader *bufio.Reader
 	// input is what reader reads from: the connection, limited to maxHeadBytes while the
 	// head of a response is read.
@@ -237,7 +238,7 @@
 	}
 	input := &io.LimitedReader{R: opened, N: maxHeadBytes}
 	return &conn{
-		Conn: opened, reader: bufio.NewReaderSize(input, readBuffer), input: input, maxIdle: defaultMaxIdle,
+		Conn: opened, id: x.lastConnID.Add(1), reader: bufio.NewReaderSize(input, readBuffer), input: input, maxIdle: defaultMaxIdle,
 		lastUsed: time.Now(), dialTime: time.Since(start), openConns: &x.openConns,
 	}, nil
 }
