Send no two attempts of a request on one connection

Cause: answers are told apart by the request's id, which all attempts of a request share. The second attempt took the connection that had carried the first, so the copy of the first 421 was taken for its answer: "not run", though the endpoint ran it.

Ruled out: a retry of what may have run (seam/conductor sends on only after "not run"), and bytes left before use (the connection is looked at; the copy comes after the request).

Change: a connection remembers (a hash of) the id of each request that it carried, and never carries the same id again; the pool passes over it or a new one is opened. To bound the memory, a connection is closed after 512 requests. What holds now: the first answer with an id on a connection is the answer to the only attempt with that id there. This also holds for callers that use an id twice.

Looked at, not concerned: seamd's forwarder (each attempt has an id of its own), interim answers (the id decides, and the connection is closed after).

--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -4,7 +4,9 @@
 //
 // It doesn't use the client of net/http, because callers are given these guarantees: a
 // request is never resent automatically, a response is accepted only if it belongs to the
-// request, and a connection on which unexpected bytes arrive is closed.
+// attempt, and a connection on which unexpected bytes arrive is closed. Endpoints return the
+// ID of the request, which all attempts of a request share; so no connection carries two
+// attempts of the same request.
 //
 // # Usage
 //
@@ -19,6 +21,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"math"
 	"net/http"
@@ -67,7 +70,8 @@
 	// RequestID is the ID of the request. IDHeader is the name of the response header in
 	// which the endpoint returns this ID. A response without this header is accepted only
 	// if it isn't a 2xx response and is the first one on a new connection: nothing else
-	// can have been sent there before.
+	// can have been sent there before. Calls with the same ID, or without one, use
+	// different connections.
 	RequestID string
 	IDHeader  string
 	// NonIdempotent means that the request must not run more than once. Such a request
@@ -113,13 +117,14 @@
 // concurrent use.
 type Exchanger struct {
 	pool       pool
+	seed       maphash.Seed
 	openConns  atomic.Int64
 	lastConnID atomic.Uint64
 }
 
 // New returns an exchanger without connections.
 func New() *Exchanger {
-	return &Exchanger{pool: pool{idle: map[string][]*conn{}}}
+	return &Exchanger{seed: maphash.MakeSeed(), pool: pool{idle: map[string][]*conn{}}}
 }
 
 // Connections returns two counts. openConns counts all connections, including the idle
@@ -168,7 +173,8 @@
 	if err := ctx.Err(); err != nil {
 		return Result{Err: err}
 	}
-	c := x.pool.take(call.Address, call.NonIdempotent, time.Now())
+	id := maphash.String(x.seed, call.RequestID)
+	c := x.pool.take(call.Address, poolRequest{id: id, nonIdempotent: call.NonIdempotent}, time.Now())
 	reused := c != nil
 	if c == nil {
 		ctx, cancel := context.WithDeadline(ctx, call.Deadline)
@@ -178,6 +184,7 @@
 			return Result{Err: fmt.Errorf("connect: %w", err)}
 		}
 	}
+	c.requests = append(c.requests, id)
 	result := x.roundTrip(ctx, c, call)
 	result.ConnectionReused = reused
 	result.ConnectionID = c.id
@@ -222,7 +229,6 @@
 			_ = c.SetDeadline(time.Time{})
 			c.maxIdle = maxIdleTime(response.Header)
 			c.lastUsed = time.Now()
-			c.reused = true
 			x.pool.put(call.Address, c)
 			return
 		}
@@ -264,7 +270,7 @@
 			return Result{}, nil, fmt.Errorf("read response body: %w", err)
 		}
 		id := response.Header.Get(call.IDHeader)
-		if isForeign(id, call, c.reused || skipped > 0) {
+		if isForeign(id, call, c.reused() || skipped > 0) {
 			// The response can be skipped only if its whole body has been read.
 			if len(body) == maxBuffered {
 				return Result{}, nil, ErrUnexpectedResponse
@@ -299,8 +305,9 @@
 }
 
 // reusable reports whether a connection can be used for another request. This requires that
-// the last request was written completely, that the end of its response is known, that
-// the response isn't marked to close the connection, and that no bytes follow it.
+// it has carried fewer than maxRequestsPerConn, that the last request was written completely,
+// that the end of its response is known, that the response isn't marked to close the
+// connection, and that no bytes follow it.
 func reusable(c *conn, response *http.Response, writeResult <-chan error) bool {
 	select {
 	case err := <-writeResult:
@@ -311,7 +318,7 @@
 		return false
 	}
 	endKnown := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return endKnown && !response.Close && c.reader.Buffered() == 0
+	return len(c.requests) < maxRequestsPerConn && endKnown && !response.Close && c.reader.Buffered() == 0
 }
 
 // maxIdleTime returns how long a connection may be idle and still be reused. The time is
--- a/seamedge/exchanger/pool.go
+++ b/seamedge/exchanger/pool.go
@@ -32,6 +32,9 @@
 	// and a non-idempotent request that was sent on such a connection must not be sent
 	// again.
 	nonIdempotentMaxIdle = 3 * time.Second
+	// maxRequestsPerConn limits the requests that a connection carries, and with them the
+	// memory for their IDs.
+	maxRequestsPerConn = 512
 	// maxIdlePerEndpoint limits the idle connections to one endpoint.
 	maxIdlePerEndpoint = 16
 	// readBuffer is the size of a connection's read buffer in bytes.
@@ -50,8 +53,8 @@
 	// when the last response on it was read, or when it was opened.
 	maxIdle  time.Duration
 	lastUsed time.Time
-	// reused means that a response to an earlier request was read on the connection.
-	reused bool
+	// requests holds the hashes of the IDs of all requests that were sent on the connection.
+	requests []uint64
 	// dialTime is how long it took to open the connection.
 	dialTime time.Duration
 	// openConns is the Exchanger's count of open connections. The first call of Close
@@ -88,6 +91,9 @@
 	return err == nil && idleAndOpen
 }
 
+// reused reports whether an earlier request was sent on the connection.
+func (c *conn) reused() bool { return len(c.requests) > 1 }
+
 // pool keeps the idle connections, in a list for each address. The most recently used
 // connection is at the end of its list and is reused first.
 type pool struct {
@@ -95,43 +101,53 @@
 	idle map[string][]*conn
 }
 
+// poolRequest describes the request for which a connection is taken from the pool. id is the
+// hash of its ID.
+type poolRequest struct {
+	id            uint64
+	nonIdempotent bool
+}
+
 // take removes an idle connection to an address from the pool and returns it. It returns
 // nil if no connection may be used for the request. Connections that take finds unusable
 // are closed: those that have been idle too long, that the endpoint has closed, or on which
 // unexpected bytes have arrived.
-func (p *pool) take(address string, nonIdempotent bool, now time.Time) *conn {
+func (p *pool) take(address string, r poolRequest, now time.Time) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, r, now)
 		if c == nil {
 			return nil
 		}
-		age := now.Sub(c.lastUsed)
-		switch {
-		case age > c.maxIdle, !c.idleAndOpen():
-			_ = c.Close()
-		case nonIdempotent && age > nonIdempotentMaxIdle:
-			// The connection can still be used for idempotent requests. All others to this
-			// address have been idle for longer.
-			p.put(address, c)
-			return nil
-		default:
+		if now.Sub(c.lastUsed) <= c.maxIdle && c.idleAndOpen() {
 			return c
 		}
+		_ = c.Close()
 	}
 }
 
-// pop removes and returns the most recently used idle connection to an address. It returns
-// nil if there is none.
-func (p *pool) pop(address string) *conn {
+// pop removes and returns the most recently used idle connection to an address that has not
+// carried a request with the same ID: responses are told apart by that ID alone, so a late
+// copy of the response to an earlier attempt would be taken for the response to this one.
+// pop returns nil if there is no such connection or, for a non-idempotent request, if it has
+// been idle for longer than nonIdempotentMaxIdle.
+func (p *pool) pop(address string, r poolRequest, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for n := len(list) - 1; n >= 0; n-- {
+		c := list[n]
+		if slices.Contains(c.requests, r.id) {
+			continue
+		}
+		if age := now.Sub(c.lastUsed); r.nonIdempotent && age > nonIdempotentMaxIdle && age <= c.maxIdle {
+			// The connection can still be used for idempotent requests. All others to this
+			// address have been idle for longer.
+			return nil
+		}
+		p.idle[address] = slices.Delete(list, n, n+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds a connection to the pool as the most recently used one to its address. If there
