Answer teams whatever characters their names hold

Cause: the name stood unescaped in the name of a metric, whose registry panics on malformed names. The panic came after the answer had been written to net/http's buffer and before it was sent; net/http then drops it. Ruled out: the endpoints (each payment ran and was answered) and the header (they got the name as it is).

Change: seam/labeler builds every name of a metric with labels, in seamedge and in seamd, and is the only place that escapes values. %q, used elsewhere, isn't the escaping of the format. The counter of a team exists while the team is in the configuration; before, it stayed for ever. Names in the details of refusals are quoted. And a panic costs no answer any longer: what was written stays whole, who was sent nothing gets 503 (not run) or 502, and the panic is logged with its stack and counted.

Looked at: fields of log lines are JSON and escaped by zap; names of metrics elsewhere hold no text from outside but went through the same place.

--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -76,6 +76,8 @@
 	OutcomeUnknown Code = 123
 	// CallerGone means that the caller cancelled the request or disconnected.
 	CallerGone Code = 124
+	// InternalError means that the instance itself failed while it handled the request.
+	InternalError Code = 125
 )
 
 // Results of configuration, settings and store calls.
--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -27,6 +27,7 @@
 	_ = x[AnswerMismatched-122]
 	_ = x[OutcomeUnknown-123]
 	_ = x[CallerGone-124]
+	_ = x[InternalError-125]
 	_ = x[ConfigInvalid-200]
 	_ = x[ConfigConflict-201]
 	_ = x[ConfigNotInForce-202]
@@ -46,7 +47,7 @@
 	_Code_name_0 = "OK"
 	_Code_name_1 = "KeyMissingKeyUnknownKeyEvidenceStaleRouteUnknownRequestMalformed"
 	_Code_name_2 = "TeamOverRateDeadlineUnreachableQueueFullNoUpstreamStoppingLinkCapReachedNoConfigurationRequestQuarantined"
-	_Code_name_3 = "UpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGone"
+	_Code_name_3 = "UpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGoneInternalError"
 	_Code_name_4 = "ConfigInvalidConfigConflictConfigNotInForce"
 	_Code_name_5 = "SettingsInvalid"
 	_Code_name_6 = "ArgumentInvalid"
@@ -58,7 +59,7 @@
 var (
 	_Code_index_1 = [...]uint8{0, 10, 20, 36, 48, 64}
 	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72, 87, 105}
-	_Code_index_3 = [...]uint8{0, 14, 29, 45, 59, 69}
+	_Code_index_3 = [...]uint8{0, 14, 29, 45, 59, 69, 82}
 	_Code_index_4 = [...]uint8{0, 13, 27, 43}
 	_Code_index_7 = [...]uint8{0, 16, 29, 42, 56, 75}
 	_Code_index_9 = [...]uint8{0, 12, 25}
@@ -74,7 +75,7 @@
 	case 110 <= i && i <= 117:
 		i -= 110
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
-	case 120 <= i && i <= 124:
+	case 120 <= i && i <= 125:
 		i -= 120
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
 	case 200 <= i && i <= 202:
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -153,7 +153,7 @@
 	retryAfter := admitter.RetryAfter(t.fleetBucket.Wait(now), r.callerDeadline.Sub(now), m.rng.Float64())
 	return []Cmd{Refuse{
 		ID: r.id, Status: http.StatusTooManyRequests, Code: coder.TeamOverRate, RetryAfter: retryAfter,
-		Detail: fmt.Sprintf("team=%s rate=%g burst=%g fleetLeft=%.1f expected=%.1f whole=%t version=%d",
+		Detail: fmt.Sprintf("team=%q rate=%g burst=%g fleetLeft=%.1f expected=%.1f whole=%t version=%d",
 			r.team, team.Rate, team.Burst, t.fleetBucket.Tokens(now), t.fleetDemand(now), t.hasMajority, m.config.Version()),
 	}}
 }
@@ -171,7 +171,7 @@
 		retryAfter := admitter.RetryAfter(wait, r.callerDeadline.Sub(now), m.rng.Float64())
 		return []Cmd{Refuse{
 			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.NoUpstream, RetryAfter: retryAfter,
-			Detail: fmt.Sprintf("team=%s service=%s %v ready=%v", r.team, r.service, m.balancer.Unavailable(now, r.placement), wait),
+			Detail: fmt.Sprintf("team=%q service=%q %v ready=%v", r.team, r.service, m.balancer.Unavailable(now, r.placement), wait),
 		}}
 	}
 	estimate := m.routeLatency.get(r.route.Name).estimate(now, choice.ExpectedLatency, choice.QueueTime, m.serviceLatency.get(r.service))
@@ -189,7 +189,7 @@
 		// without being late. cameBack means that the caller is taken to be retrying.
 		return []Cmd{Refuse{
 			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.DeadlineUnreachable, RetryAfter: decision.RetryAfter,
-			Detail: fmt.Sprintf("team=%s service=%s best=%s expect=%v paced=%v wait=%v room=%v load=%d slots=%d warm=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
+			Detail: fmt.Sprintf("team=%q service=%q best=%q expect=%v paced=%v wait=%v room=%v load=%d slots=%d warm=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
 				r.team, r.service, choice.ID, choice.ExpectedLatency, estimate, choice.QueueTime, choice.QueueSlack,
 				choice.AttemptsInFlight, choice.Slots, choice.ObjectWarm,
 				r.targetDeadline.Sub(now), r.deadline.Sub(now), r.callerRetry, m.config.Version()),
--- a/seamd/daemon/metrics.go
+++ b/seamd/daemon/metrics.go
@@ -1,10 +1,8 @@
 package daemon
 
 import (
-	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +11,7 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/decider"
+	"primroseseam.org/seam/labeler"
 	"primroseseam.org/seamd/forwarder"
 )
 
@@ -136,7 +135,7 @@
 	if m, ok := l.byValue.Load(value); ok {
 		return m.(M)
 	}
-	m := l.make(fmt.Sprintf("%s{%s=%s}", l.name, l.label, strconv.Quote(value)))
+	m := l.make(labeler.Name(l.name, labeler.Label{Name: l.label, Value: value}))
 	l.byValue.Store(value, m)
 	return m
 }
--- a/seamd/daemon/store.go
+++ b/seamd/daemon/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"time"
@@ -13,6 +12,7 @@
 	"primroseseam.org/seam/configurer"
 	"primroseseam.org/seam/decider"
 	"primroseseam.org/seam/gossiper"
+	"primroseseam.org/seam/labeler"
 	"primroseseam.org/seam/spreader"
 	"primroseseam.org/seam/steerer"
 	"primroseseam.org/seam/storer"
@@ -33,8 +33,8 @@
 // countStoreCall counts a call to the store and records its duration. The duration of a
 // watch isn't recorded, because a watch waits for changes.
 func (d *Daemon) countStoreCall(c storer.Call) {
-	labels := fmt.Sprintf(`{method=%q,kind=%q,result=%q}`, c.Method, string(c.Kind), c.Result)
-	d.metrics.GetOrCreateCounter(metricStoreCalls + labels).Inc()
+	d.metrics.GetOrCreateCounter(labeler.Name(metricStoreCalls, labeler.Label{Name: "method", Value: c.Method},
+		labeler.Label{Name: "kind", Value: string(c.Kind)}, labeler.Label{Name: "result", Value: c.Result.String()})).Inc()
 	if c.Method != "watch" {
 		d.metrics.GetOrCreateHistogram(metricStoreSeconds).Update(c.Took.Seconds())
 	}
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -55,8 +55,18 @@
 	team       string
 	// lastSend is the model's command for the last attempt.
 	lastSend conductor.Send
+	progress answerProgress
 }
 
+// answerProgress is how much of the answer to a caller has been written.
+type answerProgress int
+
+const (
+	answerPending answerProgress = iota
+	answerBegun
+	answerWritten
+)
+
 // serveCaller handles a request from a caller: it reads the request, passes it to the
 // model and executes the model's commands until the caller has an answer.
 func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -68,6 +78,7 @@
 		id: e.lastRequestID.Add(1), requestID: r.Header.Get(platform.HeaderRequestID), request: r, ctx: ctx, arrivedAt: time.Now(),
 		bodyLength: r.ContentLength,
 	}
+	defer func() { e.handlePanic(w, req, recover()) }()
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -287,11 +298,15 @@
 	if answer.BodyRemainder == nil {
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
+	req.progress = answerBegun
 	w.WriteHeader(answer.Status)
 	_, err := w.Write(answer.Body)
 	if answer.BodyRemainder != nil && err == nil {
 		_, err = io.Copy(w, answer.BodyRemainder)
 	}
+	if err == nil {
+		req.progress = answerWritten
+	}
 	took := time.Since(req.arrivedAt)
 	e.metrics.recordAnswer(coder.OK.String(), answer.Status, req.team, took.Seconds())
 	if err != nil {
@@ -319,9 +334,11 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := strconv.Itoa(int(cmd.Code)) + " " + cmd.Code.String() + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	req.progress = answerBegun
 	w.WriteHeader(cmd.Status)
 	// A write error means that the caller has disconnected and needs no answer.
 	_, _ = io.WriteString(w, body)
+	req.progress = answerWritten
 	took := time.Since(req.arrivedAt)
 	e.metrics.recordAnswer(cmd.Code.String(), cmd.Status, req.team, took.Seconds())
 	e.log.Warn("request: refused", zap.String("request", req.requestID), zap.Int("status", cmd.Status),
--- a/seamedge/edger/edger_test.go
+++ b/seamedge/edger/edger_test.go
@@ -53,6 +53,8 @@
 	addresses map[string]string
 	servers   map[string]*httptest.Server
 	version   int
+	// team is the name of the configuration's only team.
+	team string
 	// timeout is that of the route, in seconds. Its target latency is a third of that.
 	timeout float64
 	// ports are the ports on which each instance listens. They are the same for all
@@ -70,16 +72,17 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return &testEnv{t: t, store: k, addresses: map[string]string{}, servers: map[string]*httptest.Server{}, timeout: 1.5, address: strings.TrimPrefix(server.URL, "http://")}
+	return &testEnv{t: t, store: k, team: "team-1", addresses: map[string]string{}, servers: map[string]*httptest.Server{}, timeout: 1.5, address: strings.TrimPrefix(server.URL, "http://")}
 }
 
 // configure writes a configuration with one team and one route to the store.
 func (r *testEnv) configure(key, service string) {
 	r.version++
+	team, _ := json.Marshal(r.team)
 	r.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":"r%d","routes":{"r":{"host":"h","path-prefix":"/x/",
 	"route-type":"non_idempotent","timeout-s":%g,"target-latency-s":%g,"service":%q,"max-attempts":2,"sticky":true}},
 	"services":{%q:{"health-path":"/health","warmup-s":1,"cold-per-s":10}},"limits":{"max-body-bytes":1048576},
-	"tenants":{"team-1":{"api-keys":[%q],"rate-per-s":100000,"burst-size":100000}}}`, r.version, r.timeout, r.timeout/3, service, service, key)))
+	"tenants":{%s:{"api-keys":[%q],"rate-per-s":100000,"burst-size":100000}}}`, r.version, r.timeout, r.timeout/3, service, service, team, key)))
 }
 
 // endpoint starts an endpoint of a service and returns a counter of the requests that
@@ -94,6 +97,7 @@
 			return
 		}
 		w.Header().Set("X-Response-Signature", "s")
+		w.Header().Set("Team", q.Header.Get("X-Tenant"))
 		if answer != nil {
 			answer(w, q)
 			return
--- a/seamedge/edger/follow.go
+++ b/seamedge/edger/follow.go
@@ -102,6 +102,9 @@
 	before := e.model.ConfigVersion()
 	e.model.Update(time.Now(), conductor.ConfigReceived{Config: config})
 	after := e.model.ConfigVersion()
+	if after == config.Version() {
+		e.metrics.setTeams(config.Teams())
+	}
 	e.mu.Unlock()
 	e.log.Info("configuration: seen", zap.Uint64("version", config.Version()), zap.Uint64("before", before),
 		zap.Uint64("inForce", after), zap.String("position", follower.FormatPosition(v.Position)))
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -1,17 +1,22 @@
 package edger
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/labeler"
+	"primroseseam.org/seam/router"
 )
 
+// metricTeamRequests is the name of the counters of answers to each team.
+const metricTeamRequests = "seam_edge_team_requests_total"
+
 // edgeMetrics holds the metrics of an instance; docs/LOGS-AND-METRICS.md lists them.
 type edgeMetrics struct {
 	set                 *metrics.Set
@@ -44,6 +49,11 @@
 	otherRegionBodyBytes *metrics.Counter
 	heartbeatBytes       [2]*metrics.Counter
 	copies               [2]*metrics.Counter
+	// panics counts the panics of handlers of callers' requests.
+	panics *metrics.Counter
+	// teamRequests holds the counter of each team in the configuration.
+	mu           sync.RWMutex
+	teamRequests map[string]*metrics.Counter
 }
 
 func newMetrics() *edgeMetrics {
@@ -63,30 +73,59 @@
 		closeAfter:           set.NewHistogram("seam_edge_left_close_seconds"),
 		otherRegionBodyBytes: set.NewCounter("seam_edge_far_body_bytes_total"),
 		heartbeatBytes: [2]*metrics.Counter{
-			conductor.SameRegion:   set.NewCounter(`seam_edge_heartbeat_bytes_total{to="near"}`),
-			conductor.OtherRegions: set.NewCounter(`seam_edge_heartbeat_bytes_total{to="far"}`),
+			conductor.SameRegion:   set.NewCounter(labeled("seam_edge_heartbeat_bytes_total", "to", "near")),
+			conductor.OtherRegions: set.NewCounter(labeled("seam_edge_heartbeat_bytes_total", "to", "far")),
 		},
 		copies: [2]*metrics.Counter{
-			conductor.SameRegion:   set.NewCounter(`seam_edge_copies_total{from="near"}`),
-			conductor.OtherRegions: set.NewCounter(`seam_edge_copies_total{from="far"}`),
+			conductor.SameRegion:   set.NewCounter(labeled("seam_edge_copies_total", "from", "near")),
+			conductor.OtherRegions: set.NewCounter(labeled("seam_edge_copies_total", "from", "far")),
 		},
+		panics:       set.NewCounter("seam_edge_panics_total"),
+		teamRequests: map[string]*metrics.Counter{},
+	}
+}
+
+// labeled returns the name of a metric with one label.
+func labeled(metric, label, value string) string {
+	return labeler.Name(metric, labeler.Label{Name: label, Value: value})
+}
+
+// setTeams creates the counters of a configuration's teams and deletes those of all others.
+func (m *edgeMetrics) setTeams(teams map[string]*router.Team) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for team := range m.teamRequests {
+		if _, ok := teams[team]; !ok {
+			m.set.UnregisterMetric(labeled(metricTeamRequests, "team", team))
+			delete(m.teamRequests, team)
+		}
+	}
+	for team := range teams {
+		if _, ok := m.teamRequests[team]; !ok {
+			m.teamRequests[team] = m.set.GetOrCreateCounter(labeled(metricTeamRequests, "team", team))
+		}
 	}
 }
 
 // recordAnswer counts an answer to a caller. It also records seconds, the time from the
-// arrival of the request to the answer.
+// arrival of the request to the answer. A team that is no longer in the configuration isn't
+// counted by name.
 func (m *edgeMetrics) recordAnswer(code string, status int, team string, seconds float64) {
-	m.set.GetOrCreateCounter(`seam_edge_requests_total{code="` + code + `",status="` + strconv.Itoa(status) + `"}`).Inc()
-	if team != "" {
-		m.set.GetOrCreateCounter(`seam_edge_team_requests_total{team="` + team + `"}`).Inc()
+	m.set.GetOrCreateCounter(labeler.Name("seam_edge_requests_total",
+		labeler.Label{Name: "code", Value: code}, labeler.Label{Name: "status", Value: strconv.Itoa(status)})).Inc()
+	m.mu.RLock()
+	requests, ok := m.teamRequests[team]
+	m.mu.RUnlock()
+	if ok {
+		requests.Inc()
 	}
-	m.set.GetOrCreateHistogram(`seam_edge_answer_seconds{code="` + code + `"}`).Update(seconds)
+	m.set.GetOrCreateHistogram(labeled("seam_edge_answer_seconds", "code", code)).Update(seconds)
 }
 
 // recordAttempt records an attempt at an endpoint: its duration in seconds and whether the
 // endpoint sent a valid answer.
 func (m *edgeMetrics) recordAttempt(answered bool, seconds float64) {
-	m.set.GetOrCreateHistogram(`seam_edge_attempt_seconds{answered="` + strconv.FormatBool(answered) + `"}`).Update(seconds)
+	m.set.GetOrCreateHistogram(labeled("seam_edge_attempt_seconds", "answered", strconv.FormatBool(answered))).Update(seconds)
 }
 
 // Stages of a request, for recordDisconnect. disconnectedBeforeSend means that the caller
@@ -100,12 +139,12 @@
 // recordDisconnect counts a caller that disconnected. before is disconnectedBeforeSend or
 // disconnectedBeforeAnswer.
 func (m *edgeMetrics) recordDisconnect(before string) {
-	m.set.GetOrCreateCounter(`seam_edge_callers_left_total{before="` + before + `"}`).Inc()
+	m.set.GetOrCreateCounter(labeled("seam_edge_callers_left_total", "before", before)).Inc()
 }
 
 // recordAcceptError counts a failed attempt to accept a connection at a socket.
 func (m *edgeMetrics) recordAcceptError(socket string) {
-	m.set.GetOrCreateCounter(`seam_edge_accept_errors_total{socket="` + socket + `"}`).Inc()
+	m.set.GetOrCreateCounter(labeled("seam_edge_accept_errors_total", "socket", socket)).Inc()
 }
 
 // serveMetrics serves all metrics in the Prometheus text format.
@@ -131,12 +170,12 @@
 	metrics.WriteGaugeUint64(w, "seam_edge_endpoints_limited", uint64(stats.LimitedEndpoints))
 	metrics.WriteGaugeUint64(w, "seam_edge_requests_quarantined", uint64(stats.QuarantinedRequests))
 	for team, tokens := range stats.TeamTokens {
-		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_team_left{team=%q}", team), tokens)
+		metrics.WriteGaugeFloat64(w, labeled("seam_edge_team_left", "team", team), tokens)
 	}
 	for service, tokens := range stats.RetryTokens {
-		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_retry_budget_left{service=%q}", service), tokens)
+		metrics.WriteGaugeFloat64(w, labeled("seam_edge_retry_budget_left", "service", service), tokens)
 	}
 	for kind, f := range e.followers {
-		metrics.WriteGaugeFloat64(w, fmt.Sprintf("seam_edge_store_age_seconds{kind=%q}", kind), f.State(now).Age.Seconds())
+		metrics.WriteGaugeFloat64(w, labeled("seam_edge_store_age_seconds", "kind", kind), f.State(now).Age.Seconds())
 	}
 }
--- a/seamedge/edger/sockets.go
+++ b/seamedge/edger/sockets.go
@@ -1,7 +1,6 @@
 package edger
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -150,8 +149,8 @@
 // endpoints and for each server.
 func (e *Edge) writeConnectionMetrics(w io.Writer) {
 	write := func(kind string, open, idle int) {
-		metrics.WriteGaugeUint64(w, fmt.Sprintf("seam_edge_connections_open{kind=%q}", kind), uint64(open))
-		metrics.WriteGaugeUint64(w, fmt.Sprintf("seam_edge_connections_idle{kind=%q}", kind), uint64(idle))
+		metrics.WriteGaugeUint64(w, labeled("seam_edge_connections_open", "kind", kind), uint64(open))
+		metrics.WriteGaugeUint64(w, labeled("seam_edge_connections_idle", "kind", kind), uint64(idle))
 	}
 	open, idle := e.exchanger.Connections()
 	write("endpoints", open, idle)
