Refuse names that would change the head of a request

Cause: names of teams and of endpoints' entries come from the store, and were written into the head of requests as they are.

Change: seam/validator knows what a head can hold. seamedge/exchanger checks each head before it is written, the only way to endpoints; what fails there is not sent, and doesn't count against the endpoint.

Looked at: answers to callers go through net/http, which cleans values; names of stored objects are escaped in paths; look-ups and copies are JSON.

--- /dev/null
+++ b/seam/validator/validator.go
@@ -0,0 +1,61 @@
+// Package validator checks whether text can stand in the head of an HTTP/1.1 request and
+// arrives there unchanged. Text that can't may end the line in which it stands, and so add
+// header fields or whole requests. The edge daemon seamedge uses it for the names that others
+// write to the platform's store, and for all that it sends to endpoints.
+//
+// # Usage
+//
+//	if err := validator.FieldValue(team); err != nil { ... }
+package validator
+
+import (
+	"fmt"
+	"strings"
+)
+
+// deleteChar is the control character at the end of ASCII.
+const deleteChar = 0x7f
+
+// tokenSymbols are the characters of tokens other than letters and digits; see RFC 9110,
+// section 5.6.2.
+const tokenSymbols = "!#$%&'*+-.^_`|~"
+
+// FieldValue returns an error unless text can be the value of a header field. It must hold no
+// control characters but tabs, and no white space at its ends, which receivers remove.
+func FieldValue(text string) error {
+	for n := range len(text) {
+		if c := text[n]; c < ' ' && c != '\t' || c == deleteChar {
+			return fmt.Errorf("byte %d is the control character 0x%02x", n, c)
+		}
+	}
+	if text != strings.Trim(text, " \t") {
+		return fmt.Errorf("white space at the start or the end")
+	}
+	return nil
+}
+
+// Token returns an error unless text can be a method or the name of a header field.
+func Token(text string) error {
+	if text == "" {
+		return fmt.Errorf("empty")
+	}
+	for n := range len(text) {
+		c := text[n]
+		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+		if !letter && (c < '0' || c > '9') && strings.IndexByte(tokenSymbols, c) < 0 {
+			return fmt.Errorf("byte %d is 0x%02x", n, c)
+		}
+	}
+	return nil
+}
+
+// Word returns an error unless text can be the target of a request or the name of a host: it
+// must hold neither control characters nor white space.
+func Word(text string) error {
+	for n := range len(text) {
+		if c := text[n]; c <= ' ' || c == deleteChar {
+			return fmt.Errorf("byte %d is 0x%02x", n, c)
+		}
+	}
+	return nil
+}
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -270,7 +270,7 @@
 func (e *Edge) classify(req *callerRequest, answer exchanger.Result) conductor.Outcome {
 	outcome := conductor.Outcome{DialTime: answer.DialTime}
 	if answer.Err != nil {
-		outcome.Unreachable = !answer.MaybeSent
+		outcome.Unreachable = !answer.MaybeSent && !errors.Is(answer.Err, exchanger.ErrInvalidCall)
 		outcome.ConnectionRefused = errors.Is(answer.Err, syscall.ECONNREFUSED)
 		outcome.NotRun = !answer.MaybeSent
 		outcome.TimedOut = req.ctx.Err() == nil && !time.Now().Before(req.lastSend.Deadline)
--- a/seamedge/edger/follow.go
+++ b/seamedge/edger/follow.go
@@ -95,7 +95,8 @@
 	}
 	config, err := platform.DecodeConfig(o.Spec)
 	if err != nil {
-		e.log.Error("configuration: decoding failed; the version in force stays", zap.Error(err))
+		e.metrics.refusedConfigs.Inc()
+		e.log.Error("configuration: refused as a whole; the version in force stays", zap.Uint64("version", platform.ConfigVersion(o.Spec)), zap.Error(err))
 		return
 	}
 	e.mu.Lock()
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -32,8 +32,10 @@
 	// skippedResponses counts responses of endpoints that couldn't be attributed to the
 	// request at hand and were skipped.
 	skippedResponses *metrics.Counter
-	// invalidEntries counts entries of endpoints that can't be used.
+	// invalidEntries counts entries of endpoints that can't be used, and refusedConfigs
+	// configurations.
 	invalidEntries *metrics.Counter
+	refusedConfigs *metrics.Counter
 	// expectedWait is the time, in seconds, for which the model expects an attempt to
 	// wait in the queue of its endpoint.
 	expectedWait *metrics.Histogram
@@ -68,6 +70,7 @@
 		limitedAttempts:      set.NewCounter("seam_edge_limited_attempts_total"),
 		skippedResponses:     set.NewCounter("seam_edge_skipped_responses_total"),
 		invalidEntries:       set.NewCounter("seam_edge_invalid_entries_total"),
+		refusedConfigs:       set.NewCounter("seam_edge_configs_refused_total"),
 		expectedWait:         set.NewHistogram("seam_edge_expected_wait_seconds"),
 		tickLateness:         set.NewHistogram("seam_edge_tick_late_seconds"),
 		closeAfter:           set.NewHistogram("seam_edge_left_close_seconds"),
--- a/seamedge/exchanger/attempts_test.go
+++ b/seamedge/exchanger/attempts_test.go
@@ -1,6 +1,7 @@
 package exchanger_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -78,3 +79,24 @@
 		t.Errorf("%d connections for %d requests, want 2 to 8", n, requests)
 	}
 }
+
+// Guards against UNASKED: text from outside must not add lines to a request.
+func TestHeadsThatWouldArriveChangedAreNotSent(t *testing.T) {
+	e := listen(t, func(net.Conn, *http.Request, int) bool { return false })
+	for name, change := range map[string]func(*exchanger.Call){
+		"header value": func(c *exchanger.Call) { c.Header.Set("Team", "a\r\nX-Evil: 1") },
+		"header name":  func(c *exchanger.Call) { c.Header["X-Evil: 1\r\nTeam"] = []string{"a"} },
+		"method":       func(c *exchanger.Call) { c.Method = "GET / HTTP/1.1\r\nX-Evil: 1\r\n\r\nGET" },
+		"target":       func(c *exchanger.Call) { c.URI = "/x HTTP/1.1\r\nX-Evil: 1" },
+		"host":         func(c *exchanger.Call) { c.Host = "h\nX-Evil: 1" },
+	} {
+		call := newCall(e, "1")
+		change(&call)
+		if a := exchanger.New().Do(t.Context(), call); !errors.Is(a.Err, exchanger.ErrInvalidCall) || a.MaybeSent {
+			t.Errorf("%s: got %v, may be sent %v", name, a.Err, a.MaybeSent)
+		}
+	}
+	if n := e.requests.Load(); n > 0 {
+		t.Errorf("%d requests arrived", n)
+	}
+}
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -29,6 +29,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"primroseseam.org/seam/validator"
 )
 
 // maxBuffered is the number of bytes of a response body that are read before the response
@@ -51,6 +53,9 @@
 	// response to be skipped with a body of maxBuffered bytes or more, or more than
 	// maxExtraResponses responses that had to be skipped.
 	ErrUnexpectedResponse = errors.New("unexpected response from endpoint")
+	// ErrInvalidCall means that the head of the request would not arrive as it is: some text
+	// in it would end a line or be changed by the receiver. Nothing was sent.
+	ErrInvalidCall = errors.New("request can't be sent unchanged")
 )
 
 // Call is a request to an endpoint.
@@ -173,6 +178,9 @@
 	if err := ctx.Err(); err != nil {
 		return Result{Err: err}
 	}
+	if err := validate(call); err != nil {
+		return Result{Err: err}
+	}
 	id := maphash.String(x.seed, call.RequestID)
 	c := x.pool.take(call.Address, poolRequest{id: id, nonIdempotent: call.NonIdempotent}, time.Now())
 	reused := c != nil
@@ -194,6 +202,26 @@
 	return result
 }
 
+// validate returns an error that wraps ErrInvalidCall if the head of a call's request would
+// not arrive as it is. It is the only check between text from outside and endpoints.
+func validate(call Call) error {
+	err := errors.Join(validator.Token(call.Method), validator.Word(call.URI), validator.Word(call.Host))
+	if err != nil {
+		return fmt.Errorf("%w: request line or host: %w", ErrInvalidCall, err)
+	}
+	for name, values := range call.Header {
+		if err := validator.Token(name); err != nil {
+			return fmt.Errorf("%w: name of header %q: %w", ErrInvalidCall, name, err)
+		}
+		for _, v := range values {
+			if err := validator.FieldValue(v); err != nil {
+				return fmt.Errorf("%w: value of header %q: %w", ErrInvalidCall, name, err)
+			}
+		}
+	}
+	return nil
+}
+
 // roundTrip sends the request of a call on a connection and reads the response. It then
 // puts the connection back into the pool if the connection can be reused, and closes it
 // otherwise. If the rest of the response body is to be streamed, the connection stays open
