Keep a team to its rate when its name is empty

Callers saw: nothing; a team with the name "" had no limit, and endpoints got no name of a team for its requests (QUOTA, UNASKED).

Cause: the empty name stood for "no team" in the state of a request, so the check of the rate passed it by.

Change: a request holds its team or none, and the command to send says whether there is one.

Measured: TestTeamWithAnEmptyNameKeepsToItsRate fails on the commit before (200 of 200 requests sent at once, 40 allowed) and passes.

--- a/seam/conductor/ends.go
+++ b/seam/conductor/ends.go
@@ -111,7 +111,7 @@
 	return []Cmd{Refuse{
 		ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.RequestQuarantined, RetryAfter: v.Until.Sub(now),
 		Detail: fmt.Sprintf("team=%q route=%q ends=%d lastEnd=%v byPeer=%t version=%d",
-			r.team, r.route.Name, v.Ends, now.Sub(v.LastEndAt), v.ByPeer, m.config.Version()),
+			r.teamName(), r.route.Name, v.Ends, now.Sub(v.LastEndAt), v.ByPeer, m.config.Version()),
 	}}
 }
 
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -135,8 +135,10 @@
 	ID       uint64
 	Endpoint string
 	Address  string
-	// Team is the caller's team, or "".
-	Team string
+	// Team is the name of the caller's team. HasTeam means that the caller has one, whose
+	// name may be empty.
+	Team    string
+	HasTeam bool
 	// Budget is the timeout that is announced to the endpoint. At Deadline the attempt is
 	// abandoned.
 	Budget   time.Duration
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -34,9 +34,10 @@
 type request struct {
 	id uint64
 	// digest is that of [RequestArrived].
-	digest    uint64
-	route     *router.Route
-	team      string
+	digest uint64
+	route  *router.Route
+	// team is the team that holds the caller's key, or nil. Its name may be empty.
+	team      *router.Team
 	service   string
 	placement placer.Request
 	arrivedAt time.Time
@@ -62,6 +63,14 @@
 	bodyStreamed bool
 }
 
+// teamName returns the name of the caller's team, or "" if it has none.
+func (r *request) teamName() string {
+	if r.team == nil {
+		return ""
+	}
+	return r.team.Name
+}
+
 func refuse(id uint64, status int, code coder.Code, retryAfter time.Duration) []Cmd {
 	return []Cmd{Refuse{ID: id, Status: status, Code: code, RetryAfter: retryAfter}}
 }
@@ -81,7 +90,7 @@
 		team, ok := m.config.TeamOf(msg.Key)
 		switch {
 		case ok:
-			r.team = team.Name
+			r.team = team
 			homes = team.HomeRegions
 		case !route.AllowAnonymous:
 			return refuse(msg.ID, http.StatusUnauthorized, coder.KeyUnknown, 0)
@@ -135,14 +144,11 @@
 // checkTeamRate refuses a request that exceeds its team's rate limit; it returns
 // nil if the request is admitted.
 func (m *Model) checkTeamRate(now time.Time, r *request) []Cmd {
-	if r.team == "" {
+	team := r.team
+	if team == nil || team.Rate <= 0 {
 		return nil
 	}
-	team := m.config.Teams()[r.team]
-	if team.Rate <= 0 {
-		return nil
-	}
-	t := m.teamStateOf(now, r.team)
+	t := m.teamStateOf(now, team.Name)
 	t.demand.Add(now, 1)
 	if t.admit(now, team, m.rng.Float64()) {
 		return nil
@@ -154,7 +160,7 @@
 	return []Cmd{Refuse{
 		ID: r.id, Status: http.StatusTooManyRequests, Code: coder.TeamOverRate, RetryAfter: retryAfter,
 		Detail: fmt.Sprintf("team=%q rate=%g burst=%g fleetLeft=%.1f expected=%.1f whole=%t version=%d",
-			r.team, team.Rate, team.Burst, t.fleetBucket.Tokens(now), t.fleetDemand(now), t.hasMajority, m.config.Version()),
+			team.Name, team.Rate, team.Burst, t.fleetBucket.Tokens(now), t.fleetDemand(now), t.hasMajority, m.config.Version()),
 	}}
 }
 
@@ -171,7 +177,7 @@
 		retryAfter := admitter.RetryAfter(wait, r.callerDeadline.Sub(now), m.rng.Float64())
 		return []Cmd{Refuse{
 			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.NoUpstream, RetryAfter: retryAfter,
-			Detail: fmt.Sprintf("team=%q service=%q %v ready=%v", r.team, r.service, m.balancer.Unavailable(now, r.placement), wait),
+			Detail: fmt.Sprintf("team=%q service=%q %v ready=%v", r.teamName(), r.service, m.balancer.Unavailable(now, r.placement), wait),
 		}}
 	}
 	estimate := m.routeLatency.get(r.route.Name).estimate(now, choice.ExpectedLatency, choice.QueueTime, m.serviceLatency.get(r.service))
@@ -190,7 +196,7 @@
 		return []Cmd{Refuse{
 			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.DeadlineUnreachable, RetryAfter: decision.RetryAfter,
 			Detail: fmt.Sprintf("team=%q service=%q best=%q expect=%v paced=%v wait=%v room=%v load=%d slots=%d warm=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
-				r.team, r.service, choice.ID, choice.ExpectedLatency, estimate, choice.QueueTime, choice.QueueSlack,
+				r.teamName(), r.service, choice.ID, choice.ExpectedLatency, estimate, choice.QueueTime, choice.QueueSlack,
 				choice.AttemptsInFlight, choice.Slots, choice.ObjectWarm,
 				r.targetDeadline.Sub(now), r.deadline.Sub(now), r.callerRetry, m.config.Version()),
 		}}
@@ -213,7 +219,10 @@
 // refundToken returns the token that a request took from its team's rate limit. It is
 // called for admitted requests that did not run.
 func (m *Model) refundToken(r *request) {
-	if t, ok := m.teams[r.team]; ok {
+	if r.team == nil {
+		return
+	}
+	if t, ok := m.teams[r.team.Name]; ok {
 		t.refundToken()
 	}
 }
@@ -226,7 +235,7 @@
 	r.placement.Tried = append(r.placement.Tried, choice.ID)
 	m.balancer.RecordAttempt(now, choice.ID, r.placement.Object)
 	return []Cmd{Send{
-		ID: r.id, Endpoint: choice.ID, Address: choice.Address, Team: r.team,
+		ID: r.id, Endpoint: choice.ID, Address: choice.Address, Team: r.teamName(), HasTeam: r.team != nil,
 		Budget: r.deadline.Sub(now) - answerMargin, Deadline: r.deadline,
 		Idempotent: r.route.Idempotent, Attempt: r.attempts, Choice: choice, ConfigVersion: m.config.Version(),
 	}}
--- a/seam/conductor/requests_test.go
+++ b/seam/conductor/requests_test.go
@@ -358,3 +358,32 @@
 		}
 	}
 }
+
+// Guards against QUOTA and UNASKED: a team whose name is empty is a team like others. Its rate
+// is kept, and endpoints get its name.
+func TestTeamWithAnEmptyNameKeepsToItsRate(t *testing.T) {
+	const burst, requests = 40, 200
+	routes := oneRoute(true)
+	routes[0].AllowAnonymous = false
+	m := newModel(routes, []router.Team{{Name: "", Rate: 10, Burst: burst, Keys: []string{"key"}}})
+	m.Update(start, conductor.InstancesReceived{IDs: []string{"edge-1"}})
+	sent := 0
+	for id := range uint64(requests) {
+		msg := conductor.RequestArrived{ID: id, Host: "h", Path: "/x", Key: "key", CallerTimeLeft: 4 * time.Second, ReadAt: start}
+		switch cmd := m.Update(start, msg)[0].(type) {
+		case conductor.Send:
+			sent++
+			if !cmd.HasTeam || cmd.Team != "" {
+				t.Fatalf("sent for team %q, has one: %v", cmd.Team, cmd.HasTeam)
+			}
+			end(m, id, conductor.Outcome{Answered: true, Status: http.StatusOK})
+		case conductor.Refuse:
+			if cmd.Code != coder.TeamOverRate {
+				t.Fatalf("refused with %v", cmd.Code)
+			}
+		}
+	}
+	if sent == 0 || sent > burst {
+		t.Errorf("%d of %d requests sent at once, want 1 to %d", sent, requests, burst)
+	}
+}
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -191,7 +191,7 @@
 	req.lastSend = cmd
 	req.header.Set(platform.HeaderDeadline, strconv.FormatInt(max(cmd.Budget.Milliseconds(), 1), 10))
 	req.header.Set(platform.HeaderExpectInstance, cmd.Endpoint)
-	if cmd.Team != "" {
+	if cmd.HasTeam {
 		req.header.Set(platform.HeaderTeam, cmd.Team)
 	}
 	start := time.Now()
