Require keys also when the table of teams is empty

Cause: "has teams" was derived from the number of entries, so an empty table was taken for a missing one, and decoding made no difference between them. An empty key was held like others, and a request without a key has the empty one.

An empty key is nobody's. A key of several teams counts for the first by name; before, each instance chose by chance. `configuration: seen` shows whether keys are required.

Looked at: home regions (an empty list means none on the wire), splits, limits and rates (0 means none on the pages): empty and missing are the same there.

--- a/seam/conductor/bench_test.go
+++ b/seam/conductor/bench_test.go
@@ -18,7 +18,7 @@
 			m := conductor.New(conductor.WithSelf("edge-1", "zone-0", map[string]string{"zone-0": "region-0"}),
 				conductor.WithBounds(testBounds))
 			teams := []router.Team{{Name: "t", Keys: []string{"k"}, Rate: 1e9, Burst: 1e9}}
-			m.Update(start, conductor.ConfigReceived{Config: router.NewConfig(1, oneRoute(true), []router.Service{{Name: "a"}}, teams, router.Limits{})})
+			m.Update(start, conductor.ConfigReceived{Config: router.NewConfig(1, oneRoute(true), []router.Service{{Name: "a"}}, router.Limits{}, withTeams(teams)...)})
 			var list []router.Endpoint
 			for i := range size.endpoints {
 				list = append(list, router.Endpoint{ID: fmt.Sprint(i), Address: fmt.Sprint(i), Service: "a", Zone: "zone-0", Slots: 9})
@@ -88,7 +88,7 @@
 				teams = append(teams, router.Team{Name: fmt.Sprint(i), Keys: []string{fmt.Sprint("k", i)}, Rate: 10, Burst: 10})
 			}
 			m := newModel(oneRoute(true), nil)
-			m.Update(start, conductor.ConfigReceived{Config: router.NewConfig(9, oneRoute(true), []router.Service{{Name: "a"}}, teams, router.Limits{})})
+			m.Update(start, conductor.ConfigReceived{Config: router.NewConfig(9, oneRoute(true), []router.Service{{Name: "a"}}, router.Limits{}, withTeams(teams)...)})
 			for i := range instances - 1 {
 				m.Update(start, conductor.HeartbeatReceived{Heartbeat: peerHeartbeat(i, 1)})
 			}
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -86,7 +86,7 @@
 	}
 	var homes []string
 	r := &request{id: msg.ID, digest: msg.Digest, route: route, arrivedAt: now, bodyStreamed: msg.BodyStreamed}
-	if m.config.HasTeams() {
+	if m.config.RequiresKeys() {
 		team, ok := m.config.TeamOf(msg.Key)
 		switch {
 		case ok:
--- a/seam/conductor/requests_test.go
+++ b/seam/conductor/requests_test.go
@@ -18,7 +18,7 @@
 func newModel(routes []router.Route, teams []router.Team) *conductor.Model {
 	m := conductor.New(conductor.WithSelf("edge-1", "zone-0", map[string]string{"zone-0": "region-0", "zone-1": "region-1"}),
 		conductor.WithBounds(testBounds))
-	m.Update(start, conductor.ConfigReceived{Config: router.NewConfig(3, routes, []router.Service{{Name: "a"}, {Name: "b"}}, teams, router.Limits{})})
+	m.Update(start, conductor.ConfigReceived{Config: router.NewConfig(3, routes, []router.Service{{Name: "a"}, {Name: "b"}}, router.Limits{}, withTeams(teams)...)})
 	var list []router.Endpoint
 	for i := range 3 {
 		list = append(list, router.Endpoint{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Service: "a", Zone: "zone-0", Slots: 4})
@@ -28,6 +28,14 @@
 	return m
 }
 
+// withTeams returns the option for a table of teams, or none if there is no table.
+func withTeams(teams []router.Team) []router.Option {
+	if teams == nil {
+		return nil
+	}
+	return []router.Option{router.WithTeams(teams)}
+}
+
 func oneRoute(idempotent bool) []router.Route {
 	return []router.Route{{
 		Name: "r", Host: "h", Prefix: "/", Idempotent: idempotent, Timeout: 2 * time.Second, TargetLatency: time.Second,
@@ -193,8 +201,8 @@
 	}
 	// A newer version of the configuration removes the key. An older version that arrives
 	// afterwards is ignored.
-	newer := router.NewConfig(5, routes, nil, []router.Team{{Name: "t", Keys: []string{"k2"}}}, router.Limits{})
-	older := router.NewConfig(4, routes, nil, []router.Team{{Name: "t", Keys: []string{"k1"}}}, router.Limits{})
+	newer := router.NewConfig(5, routes, nil, router.Limits{}, router.WithTeams([]router.Team{{Name: "t", Keys: []string{"k2"}}}))
+	older := router.NewConfig(4, routes, nil, router.Limits{}, router.WithTeams([]router.Team{{Name: "t", Keys: []string{"k1"}}}))
 	m.Update(start, conductor.ConfigReceived{Config: newer})
 	m.Update(start, conductor.ConfigReceived{Config: older})
 	if r, ok := sendRequest("/a/x", "k1").(conductor.Refuse); !ok || r.Status != http.StatusUnauthorized {
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -150,7 +150,7 @@
 	}, {
 		Name: "pay", Host: host, Prefix: "/pay/", Timeout: timings.timeout, TargetLatency: timings.target,
 		MaxAttempts: 3, TrafficSplit: []router.WeightedService{{Service: service, Weight: 1}},
-	}}, []router.Service{{Name: service, Warmup: 3 * time.Second, ColdRate: coldRate}}, teams, router.Limits{})
+	}}, []router.Service{{Name: service, Warmup: 3 * time.Second, ColdRate: coldRate}}, router.Limits{}, withTeams(teams)...)
 	for r := range 3 {
 		sim.zones[zone(r)] = region(r)
 	}
--- a/seam/router/router.go
+++ b/seam/router/router.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	config := router.NewConfig(7, routes, services, teams, limits)
+//	config := router.NewConfig(7, routes, services, limits, router.WithTeams(teams))
 //	route, ok := config.Route("pages.example", "/lessons/2")
 //	team, ok := config.TeamOf(key)
 package router
@@ -105,13 +105,39 @@
 	version      uint64
 	routesByHost map[string][]*Route
 	services     map[string]Service
+	requiresKeys bool
 	teams        map[string]*Team
 	teamsByKey   map[string]*Team
 	limits       Limits
 }
 
+// Option configures a Config in NewConfig.
+type Option func(*Config)
+
+// WithTeams gives a configuration a table of teams. It may be empty: no request then has a
+// known key, and only routes that allow that serve any. Without this option, no request needs
+// a key.
+//
+// An empty key is nobody's, since a request without a key has it. If several teams hold a
+// key, it counts for the first of them by name, so that all instances agree.
+func WithTeams(teams []Team) Option {
+	return func(c *Config) {
+		c.requiresKeys = true
+		teams = slices.SortedFunc(slices.Values(teams), func(a, b Team) int { return strings.Compare(a.Name, b.Name) })
+		for i := range teams {
+			t := &teams[i]
+			c.teams[t.Name] = t
+			for _, key := range t.Keys {
+				if _, held := c.teamsByKey[key]; key != "" && !held {
+					c.teamsByKey[key] = t
+				}
+			}
+		}
+	}
+}
+
 // NewConfig returns a configuration with the given tables.
-func NewConfig(version uint64, routes []Route, services []Service, teams []Team, limits Limits) *Config {
+func NewConfig(version uint64, routes []Route, services []Service, limits Limits, opts ...Option) *Config {
 	c := &Config{
 		version:      version,
 		routesByHost: map[string][]*Route{},
@@ -130,12 +156,8 @@
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
-	for i := range teams {
-		t := &teams[i]
-		c.teams[t.Name] = t
-		for _, key := range t.Keys {
-			c.teamsByKey[key] = t
-		}
+	for _, opt := range opts {
+		opt(c)
 	}
 	return c
 }
@@ -156,9 +178,9 @@
 // Teams returns all teams by name.
 func (c *Config) Teams() map[string]*Team { return c.teams }
 
-// HasTeams reports whether any team is configured; without teams no request needs
-// a key.
-func (c *Config) HasTeams() bool { return len(c.teams) > 0 }
+// RequiresKeys reports whether the configuration has a table of teams, be it empty. If so,
+// requests need the key of a team, except on routes with AllowAnonymous.
+func (c *Config) RequiresKeys() bool { return c.requiresKeys }
 
 // TeamOf returns the team that holds a key, or false if no team does.
 func (c *Config) TeamOf(key string) (*Team, bool) {
--- a/seamedge/edger/edger_test.go
+++ b/seamedge/edger/edger_test.go
@@ -77,12 +77,17 @@
 
 // configure writes a configuration with one team and one route to the store.
 func (r *testEnv) configure(key, service string) {
-	r.version++
 	team, _ := json.Marshal(r.team)
+	r.configureTable(fmt.Sprintf(`,"tenants":{%s:{"api-keys":[%q],"rate-per-s":100000,"burst-size":100000}}`, team, key), service)
+}
+
+// configureTable writes a configuration with one route to the store. table is the JSON of the
+// table of teams, after a comma, or empty for none.
+func (r *testEnv) configureTable(table, service string) {
+	r.version++
 	r.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":"r%d","routes":{"r":{"host":"h","path-prefix":"/x/",
 	"route-type":"non_idempotent","timeout-s":%g,"target-latency-s":%g,"service":%q,"max-attempts":2,"sticky":true}},
-	"services":{%q:{"health-path":"/health","warmup-s":1,"cold-per-s":10}},"limits":{"max-body-bytes":1048576},
-	"tenants":{%s:{"api-keys":[%q],"rate-per-s":100000,"burst-size":100000}}}`, r.version, r.timeout, r.timeout/3, service, service, team, key)))
+	"services":{%q:{"health-path":"/health","warmup-s":1,"cold-per-s":10}},"limits":{"max-body-bytes":1048576}%s}`, r.version, r.timeout, r.timeout/3, service, service, table)))
 }
 
 // endpoint starts an endpoint of a service and returns a counter of the requests that
--- a/seamedge/edger/follow.go
+++ b/seamedge/edger/follow.go
@@ -108,7 +108,7 @@
 	}
 	e.mu.Unlock()
 	e.log.Info("configuration: seen", zap.Uint64("version", config.Version()), zap.Uint64("before", before),
-		zap.Uint64("inForce", after), zap.String("position", follower.FormatPosition(v.Position)))
+		zap.Uint64("inForce", after), zap.Bool("keysRequired", config.RequiresKeys()), zap.Int("teams", len(config.Teams())), zap.String("position", follower.FormatPosition(v.Position)))
 	e.checkReady()
 	e.announceView(v)
 }
--- a/seamedge/edger/names_test.go
+++ b/seamedge/edger/names_test.go
@@ -92,3 +92,40 @@
 		t.Errorf("%d requests arrived with another header; or the log has no line of the refusals", forged.Load())
 	}
 }
+
+// Guards against ROUTE: when the last team or its last key goes, its key and all others stop
+// working. Only a configuration without a table of teams opens its routes to all.
+func TestNoKeyIsAcceptedWithoutTeams(t *testing.T) {
+	r := newTestEnv(t)
+	r.endpoint("i-1", "s", nil)
+	run := (*runningEdge)(nil)
+	for _, c := range []struct {
+		table  string
+		status int
+	}{
+		{`,"tenants":{}`, http.StatusUnauthorized},
+		{`,"tenants":null`, http.StatusUnauthorized},
+		{`,"tenants":{"team-1":{"api-keys":[]}}`, http.StatusUnauthorized},
+		{`,"tenants":{"team-1":{}}`, http.StatusUnauthorized},
+		{`,"tenants":{"team-1":null}`, http.StatusUnauthorized},
+		{`,"tenants":{"team-1":{"api-keys":[""]}}`, http.StatusUnauthorized},
+		{``, http.StatusOK},
+	} {
+		r.configure("key", "s")
+		if run == nil {
+			run = r.start("one", &logSink{})
+			run.waitFor(5*time.Second, "ready", run.ready)
+		}
+		run.waitFor(5*time.Second, "the team", func() bool {
+			return run.post("/x/", "key", "").status == http.StatusOK && run.post("/x/", "other", "").status == http.StatusUnauthorized
+		})
+		r.configureTable(c.table, "s")
+		inForce := fmt.Sprintf("\nseam_edge_config_version %d\n", r.version)
+		run.waitFor(5*time.Second, "the version with "+c.table, func() bool { return strings.Contains(run.metricsPage(), inForce) })
+		for _, key := range []string{"key", "never", ""} {
+			if a := run.post("/x/", key, ""); a.status != c.status {
+				t.Errorf("%q, key %q: got status %d, want %d", c.table, key, a.status, c.status)
+			}
+		}
+	}
+}
