Bound the memory for bodies, and give up callers that take nothing

Here the head is bounded and a body streamed beyond 256 KiB, but each answer kept those 256 KiB while it was written, and writing to a caller that reads nothing had no end: 400 such answers took 127 MB, and none of the requests had ended 10 s after their deadline.

Cause: the buffer of each body was bounded, the sum of all wasn't, and only reading from the endpoint had a deadline.

Change: seamedge/bufferer gives all buffered bodies, of requests and answers, one budget: a quarter of the instance's memory. The first 16 KiB of each body are free; without room the rest is streamed from there on. A long answer is written in parts of 16 KiB; a caller that takes none of them for the configuration's idle timeout is disconnected. Answers are not shortened for callers that read slowly.

Measured: TestEndlessAnswersToSlowCallersStayWithinMemory on the commit before: "127 MB used for 400 callers, the instance has 64" and "not met within 10s: the end of the requests"; it passes now. TestSlowCallersGetWholeAnswers: 12 MB read in 3.6 s with an idle timeout of 1.5 s, twice on one connection.

--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -16,18 +16,13 @@
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
+	"primroseseam.org/seamedge/bufferer"
 	"primroseseam.org/seamedge/exchanger"
 )
 
-const (
-	// maxBufferedBody is the largest number of bytes of a request's body that are
-	// buffered. A request whose whole body is buffered can be sent again in another
-	// attempt. The rest of a longer body is streamed.
-	maxBufferedBody = 256 << 10
-	// Requests that take slowRequestThreshold or longer are always logged when they are
-	// answered. They don't count against the limit on routine log lines.
-	slowRequestThreshold = time.Second
-)
+// Requests that take slowRequestThreshold or longer are always logged when they are
+// answered. They don't count against the limit on routine log lines.
+const slowRequestThreshold = time.Second
 
 // callerRequest is the state of a request from a caller.
 type callerRequest struct {
@@ -40,10 +35,11 @@
 	ctx       context.Context
 	arrivedAt time.Time
 	header    http.Header
-	// body is the buffered part of the body. bodyRemainder reads the part that is
-	// streamed; it is nil if the whole body is buffered. bodyLength is the size of both
-	// parts together, or -1 if it isn't known.
-	body          []byte
+	// body is the buffered part of the body; a request whose whole body is buffered can be
+	// sent again in another attempt. bodyRemainder reads the part that is streamed; it is
+	// nil if the whole body is buffered. bodyLength is the size of both parts together, or
+	// -1 if it isn't known.
+	body          bufferer.Start
 	bodyRemainder io.Reader
 	bodyLength    int64
 	// digest is the same for all requests that are alike; see digestOf. It is 0 until the
@@ -97,7 +93,10 @@
 	if accepter.CallerDisconnected(ctx) {
 		e.abandon(req, disconnectedBeforeSend)
 	}
-	defer func() { closeAnswer(req.lastAnswer) }()
+	defer func() {
+		req.body.Release()
+		closeAnswer(req.lastAnswer)
+	}()
 	cmds := e.update(msg)
 	// The message must reach the model even if the handler panics, as it does to abort
 	// the connection.
@@ -117,8 +116,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// readRequest checks a request against the limits of the configuration and buffers up to
-// maxBufferedBody bytes of its body. It refuses the request if it is invalid or exceeds a
+// readRequest checks a request against the limits of the configuration and buffers the start
+// of its body. It refuses the request if it is invalid or exceeds a
 // limit, or if the instance refuses all requests because it is stopping. If the length of
 // the body isn't known, the limit on body bytes is checked only while the rest of the body
 // is streamed, and not for a body that is buffered as a whole. readRequest reports whether
@@ -146,21 +145,22 @@
 	if req.bodyLength == 0 {
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(req.request.Body, maxBufferedBody))
+	body, err := e.buffers.Read(req.request.Body)
 	if err != nil {
 		// The caller closed the connection early, or the body's framing is invalid.
 		e.refuse(w, req, conductor.Refuse{Status: http.StatusBadRequest, Code: coder.RequestMalformed, Detail: err.Error()})
 		return true
 	}
 	req.body = body
+	buffered := int64(len(body.Data))
 	switch {
-	case len(body) == maxBufferedBody && req.bodyLength != maxBufferedBody:
+	case body.More && req.bodyLength != buffered:
 		req.bodyRemainder = req.request.Body
 		if req.bodyLength < 0 && limits.BodyBytes > 0 {
-			req.bodyRemainder = http.MaxBytesReader(w, req.request.Body, limits.BodyBytes-maxBufferedBody)
+			req.bodyRemainder = http.MaxBytesReader(w, req.request.Body, max(limits.BodyBytes-buffered, 0))
 		}
 	default:
-		req.bodyLength = int64(len(body))
+		req.bodyLength = buffered
 	}
 	return false
 }
@@ -204,7 +204,7 @@
 	}
 	answer := e.exchanger.Do(req.ctx, exchanger.Call{
 		Address: cmd.Address, Method: req.request.Method, URI: req.request.RequestURI, Host: req.request.Host,
-		Header: req.header, Body: req.body, BodyRemainder: req.bodyRemainder, BodyLength: req.bodyLength,
+		Header: req.header, Body: req.body.Data, BodyRemainder: req.bodyRemainder, BodyLength: req.bodyLength,
 		RequestID: req.requestID, IDHeader: platform.HeaderRequestID,
 		NonIdempotent: !cmd.Idempotent, Deadline: cmd.Deadline,
 	})
@@ -232,7 +232,7 @@
 	}
 	e.metrics.expectedWait.Update(cmd.Choice.QueueTime.Seconds())
 	if cmd.Choice.Region != e.region() {
-		e.metrics.otherRegionBodyBytes.Add(len(req.body) + len(answer.Body))
+		e.metrics.otherRegionBodyBytes.Add(len(req.body.Data) + len(answer.Body))
 	}
 	if outcome.Answered && !outcome.NotRun {
 		req.setLastAnswer(&answer)
@@ -252,8 +252,7 @@
 	req.lastAnswer = answer
 }
 
-// closeAnswer closes the connection of an answer with a streamed body. It does nothing if
-// answer is nil or its body isn't streamed.
+// closeAnswer closes an answer if that is needed. answer may be nil.
 func closeAnswer(answer *exchanger.Result) {
 	if answer != nil && answer.Close != nil {
 		answer.Close()
@@ -300,10 +299,7 @@
 	}
 	req.progress = answerBegun
 	w.WriteHeader(answer.Status)
-	_, err := w.Write(answer.Body)
-	if answer.BodyRemainder != nil && err == nil {
-		_, err = io.Copy(w, answer.BodyRemainder)
-	}
+	err := e.writeBody(w, answer)
 	if err == nil {
 		req.progress = answerWritten
 	}
--- a/seamedge/edger/digest.go
+++ b/seamedge/edger/digest.go
@@ -17,7 +17,7 @@
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
 		_, _ = io.WriteString(h, part)
 	}
-	_, _ = h.Write(req.body)
+	_, _ = h.Write(req.body.Data)
 	return max(binary.BigEndian.Uint64(h.Sum(nil)), 1)
 }
 
--- a/seamedge/edger/digest_test.go
+++ b/seamedge/edger/digest_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"testing"
+
+	"primroseseam.org/seamedge/bufferer"
 )
 
 // Requests are alike only if method, host, URI, key and body are the same, wherever one of
@@ -10,7 +12,7 @@
 func TestDigestsTellUnlikeRequestsApart(t *testing.T) {
 	digest := func(method, host, uri, key, body string, length int64) uint64 {
 		r := &http.Request{Method: method, Host: host, RequestURI: uri, Header: http.Header{"X-Request-Id": {t.Name()}}}
-		return digestOf(&callerRequest{request: r, body: []byte(body), bodyLength: length}, key)
+		return digestOf(&callerRequest{request: r, body: bufferer.Start{Data: []byte(body)}, bodyLength: length}, key)
 	}
 	first := digest("GET", "h", "/x/1", "key", "body", 4)
 	if again := digest("GET", "h", "/x/1", "key", "body", 4); again != first || first == 0 {
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -41,6 +41,7 @@
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/dialer"
 	"primroseseam.org/seam/follower"
+	"primroseseam.org/seamedge/bufferer"
 	"primroseseam.org/seamedge/exchanger"
 	"primroseseam.org/seamedge/heartbeater"
 )
@@ -67,6 +68,9 @@
 	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of
 	// the instance's memory. Near this limit the garbage collector runs more often.
 	memoryLimitFraction = 0.7
+	// bufferFraction is the part of the instance's memory for bodies that are buffered
+	// beyond their first bytes; see package bufferer.
+	bufferFraction = 0.25
 )
 
 // Edge is an edge instance.
@@ -78,11 +82,13 @@
 	log          *zap.Logger
 	metrics      *edgeMetrics
 	exchanger    *exchanger.Exchanger
-	heartbeats   *heartbeater.Heartbeater
-	store        *platform.Store
-	followers    map[string]*follower.Follower
-	copyClient   *http.Client
-	fetchQueue   *fetchQueue
+	// buffers is the memory for the buffered bodies of requests and answers.
+	buffers    *bufferer.Budget
+	heartbeats *heartbeater.Heartbeater
+	store      *platform.Store
+	followers  map[string]*follower.Follower
+	copyClient *http.Client
+	fetchQueue *fetchQueue
 	// announceAll and announceSameRegion make runHeartbeats send the positions of this
 	// instance's copies at once. announceAll sends them to the instances of all regions,
 	// announceSameRegion only to those of this instance's region.
@@ -129,7 +135,8 @@
 func New(settings Settings, output io.Writer, opts ...Option) *Edge {
 	startedAtMs := time.Now().UnixMilli()
 	logs := NewLogs(output, settings.Log.LinesPerSecond)
-	exchange := exchanger.New()
+	buffers := bufferer.New(int64(bufferFraction * float64(settings.Memory.LimitMB) * (1 << 20)))
+	exchange := exchanger.New(exchanger.WithBuffers(buffers))
 	e := &Edge{
 		settings:    settings,
 		startedAtMs: startedAtMs,
@@ -137,6 +144,7 @@
 		log:         logs.logger.With(zap.String("instance", settings.Instance.ID)),
 		metrics:     newMetrics(),
 		exchanger:   exchange,
+		buffers:     buffers,
 		store:       platform.NewStore(settings.Store),
 		followers:   map[string]*follower.Follower{},
 		copyClient: &http.Client{Transport: &http.Transport{
--- a/seamedge/edger/edger_test.go
+++ b/seamedge/edger/edger_test.go
@@ -57,6 +57,11 @@
 	team string
 	// timeout is that of the route, in seconds. Its target latency is a third of that.
 	timeout float64
+	// idleTimeout is the limit on idle callers, in seconds, or 0 for none. memoryMB and
+	// descriptors are those of each instance.
+	idleTimeout float64
+	memoryMB    int
+	descriptors int
 	// ports are the ports on which each instance listens. They are the same for all
 	// instances, since each instance has a loopback address of its own, as if it ran on
 	// a separate machine.
@@ -72,7 +77,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return &testEnv{t: t, store: k, team: "team-1", addresses: map[string]string{}, servers: map[string]*httptest.Server{}, timeout: 1.5, address: strings.TrimPrefix(server.URL, "http://")}
+	return &testEnv{t: t, store: k, team: "team-1", memoryMB: 256, descriptors: 512, addresses: map[string]string{}, servers: map[string]*httptest.Server{}, timeout: 1.5, address: strings.TrimPrefix(server.URL, "http://")}
 }
 
 // configure writes a configuration with one team and one route to the store.
@@ -87,7 +92,8 @@
 	r.version++
 	r.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":"r%d","routes":{"r":{"host":"h","path-prefix":"/x/",
 	"route-type":"non_idempotent","timeout-s":%g,"target-latency-s":%g,"service":%q,"max-attempts":2,"sticky":true}},
-	"services":{%q:{"health-path":"/health","warmup-s":1,"cold-per-s":10}},"limits":{"max-body-bytes":1048576}%s}`, r.version, r.timeout, r.timeout/3, service, service, table)))
+	"services":{%q:{"health-path":"/health","warmup-s":1,"cold-per-s":10}},"limits":{"max-body-bytes":1048576,"idle-timeout-s":%g}%s}`,
+		r.version, r.timeout, r.timeout/3, service, service, r.idleTimeout, table)))
 }
 
 // endpoint starts an endpoint of a service and returns a counter of the requests that
@@ -122,9 +128,14 @@
 
 // putEndpoint writes an endpoint's entry to the store.
 func (r *testEnv) putEndpoint(id, service, address, state string) {
-	r.store.Put("servers", id, json.RawMessage(fmt.Sprintf(
+	r.store.Put("servers", id, r.endpointEntry(service, address, state))
+}
+
+// endpointEntry returns an endpoint's entry.
+func (r *testEnv) endpointEntry(service, address, state string) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(
 		`{"address":%q,"born":1,"info":{"service":%q,"version":"v1","zone":"z","slots":4},"status":{"state":%q,"sequence":1,"cold-remaining-s":0}}`,
-		address, service, state)))
+		address, service, state))
 }
 
 // runningEdge is a started instance.
@@ -163,8 +174,8 @@
 	at := func(n int) string { return fmt.Sprintf("127.0.0.%d:%s", r.instances, r.ports[n]) }
 	data := fmt.Sprintf(`{"instance":{"id":%q,"zone":"z"},"zones":{"z":"region-1"},
 	"listen":{"callers":%q,"ready":%q,"lookups":%q,"peers":%q,"metrics":%q},"store":%q,"seeds":["127.0.0.1:1"],
-	"bounds":{"retryRatio":0.2,"retryExtra":60,"grace":2},"descriptors":512}`,
-		id, at(0), at(1), at(2), at(3), at(4), r.address)
+	"bounds":{"retryRatio":0.2,"retryExtra":60,"grace":2},"descriptors":%d,"memory":{"limitMb":%d}}`,
+		id, at(0), at(1), at(2), at(3), at(4), r.address, r.descriptors, r.memoryMB)
 	path := filepath.Join(r.t.TempDir(), "settings.json")
 	if err := os.WriteFile(path, []byte(data), 0o600); err != nil {
 		r.t.Fatal(err)
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -31,12 +31,11 @@
 	"time"
 
 	"primroseseam.org/seam/validator"
+	"primroseseam.org/seamedge/bufferer"
 )
 
-// maxBuffered is the number of bytes of a response body that are read before the response
-// is returned. A body shorter than this is read completely first, so that a caller never
-// gets a part of a short body that breaks off. The rest of a longer body is streamed.
-const maxBuffered = 256 << 10
+// defaultBufferBytes is the budget for buffered response bodies if none is set.
+const defaultBufferBytes = 64 << 20
 
 // maxHeadBytes limits the bytes that are read for the head of a response.
 const maxHeadBytes = 64 << 10
@@ -50,7 +49,7 @@
 var (
 	// ErrUnexpectedResponse means that the endpoint sent a response that can't be used:
 	// a 2xx response without a request ID, a response with a content-encoded body, a
-	// response to be skipped with a body of maxBuffered bytes or more, or more than
+	// response to be skipped with a body that isn't buffered as a whole, or more than
 	// maxExtraResponses responses that had to be skipped.
 	ErrUnexpectedResponse = errors.New("unexpected response from endpoint")
 	// ErrInvalidCall means that the head of the request would not arrive as it is: some text
@@ -92,13 +91,12 @@
 	Header http.Header
 	Body   []byte
 	// BodyRemainder reads the part of the response body after Body. It is nil if the
-	// body is shorter than maxBuffered bytes. Close closes the connection. It is set, and
-	// must be called, only if BodyRemainder is set.
+	// whole body is buffered; see package bufferer. Close frees the buffer and, if
+	// BodyRemainder is set, closes the connection. It must be called once if it is set.
 	BodyRemainder io.Reader
 	Close         func()
-	// Err is set if there is no valid response or its body broke off within the first
-	// maxBuffered bytes. If the body breaks off later, reading BodyRemainder returns the
-	// error.
+	// Err is set if there is no valid response or its body broke off within the buffered
+	// part. If the body breaks off later, reading BodyRemainder returns the error.
 	Err error
 	// MaybeSent means that some bytes of the request may have reached the endpoint.
 	MaybeSent bool
@@ -123,13 +121,27 @@
 type Exchanger struct {
 	pool       pool
 	seed       maphash.Seed
+	buffers    *bufferer.Budget
 	openConns  atomic.Int64
 	lastConnID atomic.Uint64
 }
 
+// Option configures an Exchanger in New.
+type Option func(*Exchanger)
+
+// WithBuffers sets the budget for buffered response bodies, which may be shared.
+func WithBuffers(b *bufferer.Budget) Option { return func(x *Exchanger) { x.buffers = b } }
+
 // New returns an exchanger without connections.
-func New() *Exchanger {
-	return &Exchanger{seed: maphash.MakeSeed(), pool: pool{idle: map[string][]*conn{}}}
+func New(opts ...Option) *Exchanger {
+	x := &Exchanger{seed: maphash.MakeSeed(), pool: pool{idle: map[string][]*conn{}}}
+	for _, opt := range opts {
+		opt(x)
+	}
+	if x.buffers == nil {
+		x.buffers = bufferer.New(defaultBufferBytes)
+	}
+	return x
 }
 
 // Connections returns two counts. openConns counts all connections, including the idle
@@ -241,7 +253,7 @@
 		// read while the request is being written.
 		go func() { writeResult <- writeRequest(c, call) }()
 	}
-	result, response, err := x.readResponse(c, call)
+	response, body, skipped, err := x.readResponse(c, call)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -262,11 +274,20 @@
 		}
 		_ = c.Close()
 	}
-	if result.BodyRemainder == nil {
+	result := Result{Status: response.StatusCode, Header: response.Header, Body: body.Data, MaybeSent: true, SkippedResponses: skipped}
+	switch {
+	case body.More:
+		result.BodyRemainder = response.Body
+		result.Close = func() {
+			body.Release()
+			finish(false)
+		}
+	case body.Reserved():
+		result.Close = body.Release
+		finish(true)
+	default:
 		finish(true)
-		return result
 	}
-	result.Close = func() { finish(false) }
 	return result
 }
 
@@ -277,48 +298,45 @@
 	return call.BodyRemainder == nil && len(call.Body) <= buffered
 }
 
-// readResponse reads responses from a connection until it has the response to the call. It
-// skips interim responses and responses that can't be attributed to the call. It returns
-// the response both as a Result and as an http.Response.
-func (x *Exchanger) readResponse(c *conn, call Call) (Result, *http.Response, error) {
+// readResponse reads responses from a connection until it has the response to the call and
+// the start of its body. It skips interim responses and responses that can't be attributed to
+// the call, and returns how many of the latter.
+func (x *Exchanger) readResponse(c *conn, call Call) (response *http.Response, body bufferer.Start, skipped int, err error) {
 	request := &http.Request{Method: call.Method}
-	skipped := 0
 	for extra := 0; extra <= maxExtraResponses; extra++ {
 		c.input.N = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, request)
+		response, err = http.ReadResponse(c.reader, request)
 		if err != nil {
-			return Result{}, nil, fmt.Errorf("read response: %w", err)
+			return nil, bufferer.Start{}, 0, fmt.Errorf("read response: %w", err)
 		}
 		c.input.N = math.MaxInt64
 		if response.StatusCode/100 == 1 {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered))
+		body, err = x.buffers.Read(response.Body)
 		if err != nil {
-			return Result{}, nil, fmt.Errorf("read response body: %w", err)
+			return nil, bufferer.Start{}, 0, fmt.Errorf("read response body: %w", err)
 		}
 		id := response.Header.Get(call.IDHeader)
 		if isForeign(id, call, c.reused() || skipped > 0) {
+			body.Release()
 			// The response can be skipped only if its whole body has been read.
-			if len(body) == maxBuffered {
-				return Result{}, nil, ErrUnexpectedResponse
+			if body.More {
+				return nil, bufferer.Start{}, 0, ErrUnexpectedResponse
 			}
 			skipped++
 			continue
 		}
 		if id == "" && response.StatusCode/100 == 2 || response.Header.Get("Content-Encoding") != "" {
-			return Result{}, nil, ErrUnexpectedResponse
+			body.Release()
+			return nil, bufferer.Start{}, 0, ErrUnexpectedResponse
 		}
 		if extra > 0 {
 			response.Close = true
 		}
-		result := Result{Status: response.StatusCode, Header: response.Header, Body: body, MaybeSent: true, SkippedResponses: skipped}
-		if len(body) == maxBuffered {
-			result.BodyRemainder = response.Body
-		}
-		return result, response, nil
+		return response, body, skipped, nil
 	}
-	return Result{}, nil, ErrUnexpectedResponse
+	return nil, bufferer.Start{}, 0, ErrUnexpectedResponse
 }
 
 // isForeign reports whether a response with the given request ID, or "", can't be
