--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -149,6 +149,7 @@
 		followers:   map[string]*follower.Follower{},
 		copyClient: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.New().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+			MaxResponseHeaderBytes: heartbeater.MaxHeadBytes,
 		}},
 		model: conductor.New(
 			conductor.WithSelf(settings.Instance.ID, settings.Instance.Zone, settings.Zones),
--- a/seamedge/heartbeater/copies.go
+++ b/seamedge/heartbeater/copies.go
@@ -13,6 +13,15 @@
 // copyProcedure is the path of the RPC that fetches changes of store objects.
 const copyProcedure = "/seam.edge.v1.Copies/Copy"
 
+const (
+	// maxRequestBytes and maxResponseBytes limit the bodies of the RPC. A request has a
+	// position for each kind; a response may hold all objects of a kind.
+	maxRequestBytes  = 64 << 10
+	maxResponseBytes = 16 << 20
+	// MaxHeadBytes limits the head of a response.
+	MaxHeadBytes = 64 << 10
+)
+
 // CopyRequest is the request for the changes of store objects. Positions maps each
 // requested kind of object to a position in the store's sequence of changes. Only changes
 // after this position are requested.
@@ -39,6 +48,20 @@
 // Unmarshal implements connect.Codec.
 func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
 
+// limitedClient is an HTTP client that fails when a response has more than maxResponseBytes.
+// Connect's own limit reads the rest of the response until the call's timeout.
+type limitedClient struct{ client *http.Client }
+
+// Do implements connect.HTTPClient.
+func (c limitedClient) Do(r *http.Request) (*http.Response, error) {
+	response, err := c.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxResponseBytes)
+	return response, nil
+}
+
 // Handler returns the path and the HTTP handler of the RPC. The handler calls copies with
 // the request and responds with its result.
 func Handler(copies func(CopyRequest) CopyResponse) (string, http.Handler) {
@@ -46,14 +69,15 @@
 		func(_ context.Context, r *connect.Request[CopyRequest]) (*connect.Response[CopyResponse], error) {
 			response := copies(*r.Msg)
 			return connect.NewResponse(&response), nil
-		}, connect.WithCodec(jsonCodec{}))
+		}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxRequestBytes))
 	return copyProcedure, handler
 }
 
 // FetchCopies calls the RPC of the instance at address, host:port, and returns the
-// response. It fails when ctx ends.
+// response. It fails when ctx ends. client should limit the heads of responses to
+// MaxHeadBytes.
 func FetchCopies(ctx context.Context, client *http.Client, address string, request CopyRequest) (CopyResponse, error) {
-	copyClient := connect.NewClient[CopyRequest, CopyResponse](client, "http://"+address+copyProcedure, connect.WithCodec(jsonCodec{}))
+	copyClient := connect.NewClient[CopyRequest, CopyResponse](limitedClient{client}, "http://"+address+copyProcedure, connect.WithCodec(jsonCodec{}))
 	response, err := copyClient.CallUnary(ctx, connect.NewRequest(&request))
 	if err != nil {
 		return CopyResponse{}, err
