Lose no removal between copies of the store

A partial copy left out removals of objects that its giver never had: it hadn't recorded them when it took them over from others. 2. A list, or a whole copy, shows no objects that were written and removed since the position before. The giver went on as if it knew all removals, and as if nothing had changed where the list was the same as before. 3. A removal is recorded at the end of the response that held it. An object written again before that end, under the same name, was removed at readers between the two, though it exists.

Change: removals taken over are recorded; after a list or whole copy, only readers of that position or a later one get a part, others the whole; a part holds the objects that were written again after a removal in it. A part says that it has all removals; one of an earlier build, which doesn't, is refused with a log line, and the whole copy is fetched.

Not covered: lists of several pages, whose pages are of different moments.

--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -253,13 +253,18 @@
 		same = same && f.stored[o.Name].Revision == o.Revision
 	}
 	if same {
-		f.view.Position = position
+		// The list shows no objects that were written and removed since the last position,
+		// and other copies may hold them.
+		f.view.Position, f.lastChange = position, max(f.lastChange, lastChange)
+		f.removalsLostUpTo = max(f.removalsLostUpTo, position)
 		return false
 	}
 	if f.hasCopy && EraOf(position) > EraOf(f.view.Position) {
 		f.enterEra(time.Now(), position)
 	}
-	f.publishView(next, missingNames(f.stored, next), position, lastChange)
+	removed := missingNames(f.stored, next)
+	f.removalsLostUpTo = max(f.removalsLostUpTo, position)
+	f.publishView(next, removed, position, lastChange)
 	return true
 }
 
--- a/seam/follower/outage_test.go
+++ b/seam/follower/outage_test.go
@@ -56,7 +56,7 @@
 	time.Sleep(3 * time.Second)
 	now := time.Now()
 	f.ObservePeer(follower.State{Position: position + 1, Changed: position + 1}, now)
-	f.ApplyDelta(follower.Delta{Kind: "servers", From: position, Position: position + 1, Changed: position + 1, Removed: []string{"b"}})
+	f.ApplyDelta(follower.Delta{Kind: "servers", From: position, Position: position + 1, Changed: position + 1, Complete: true, Removed: []string{"b"}})
 	if v, _ := f.View(); now.Sub(v.StoreRecoveredAt) > time.Second {
 		t.Errorf("the store responded to another instance after 3 s; StoreRecoveredAt = %v, want within the last second", v.StoreRecoveredAt)
 	}
--- a/seam/follower/sharing.go
+++ b/seam/follower/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -19,18 +20,25 @@
 // Delta holds the changes of a kind after the position From, up to and including
 // Position. Objects are the objects that were written, and Removed are the names of
 // those that were deleted. If Whole is set, Objects is instead a full list that replaces
-// the receiver's copy. Changed is the position of the last change. The field names of
-// Delta and Object are part of the wire format between instances.
+// the receiver's copy. Changed is the position of the last change. Complete means that
+// Removed holds every removal since From, also those of objects that the sender never had;
+// earlier versions of the program don't set it and leave some out. The field names of Delta
+// and Object are part of the wire format between instances.
 type Delta struct {
 	Kind     string
 	From     uint64
 	Position uint64
 	Changed  uint64
 	Whole    bool
+	Complete bool
 	Objects  []Object
 	Removed  []string
 }
 
+// HasAllRemovals reports whether a copy that the delta is applied to keeps no object that
+// the store has removed.
+func (d Delta) HasAllRemovals() bool { return d.Whole || d.Complete }
+
 // State returns the state of the copy, to be sent to other instances.
 func (f *Follower) State(now time.Time) State {
 	f.mu.Lock()
@@ -87,26 +95,33 @@
 	}
 	d := Delta{
 		Kind: f.kind, From: from, Position: f.view.Position, Changed: f.lastChange,
-		Whole: from == 0 || from < f.removalsLostUpTo,
+		Whole: from == 0 || from < f.removalsLostUpTo, Complete: true,
 	}
-	for _, o := range f.stored {
-		if d.Whole || o.Revision > from {
-			d.Objects = append(d.Objects, o)
-		}
+	if d.Whole {
+		d.Objects = slices.Collect(maps.Values(f.stored))
+		return d, true
 	}
+	removed := map[string]bool{}
 	for _, r := range f.removed {
-		if !d.Whole && r.position > from {
+		if r.position > from && !removed[r.object.Name] {
+			removed[r.object.Name] = true
 			d.Removed = append(d.Removed, r.object.Name)
 		}
 	}
+	for _, o := range f.stored {
+		// A removal is recorded at the end of the response that contained it. An object that
+		// was written again before that end may be older than the position from.
+		if o.Revision > from || removed[o.Name] {
+			d.Objects = append(d.Objects, o)
+		}
+	}
 	return d, true
 }
 
 // ApplyDelta applies a delta from another instance. It ignores a delta that is no newer
 // than the copy. A delta that isn't whole is also ignored if there is no copy, if it is of
-// another era, or if it starts after the copy's position, because the changes in between
-// are missing. It
-// reports whether the copy changed.
+// another era, if it starts after the copy's position, because the changes in between
+// are missing, or if it doesn't have all removals. It reports whether the copy changed.
 func (f *Follower) ApplyDelta(d Delta) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,20 +132,18 @@
 	if d.Whole {
 		return f.replaceObjects(d.Objects, d.Position, d.Changed)
 	}
-	if !f.hasCopy || d.From > f.view.Position || EraOf(d.Position) != EraOf(f.view.Position) {
+	if !f.hasCopy || !d.HasAllRemovals() || d.From > f.view.Position || EraOf(d.Position) != EraOf(f.view.Position) {
 		return false
 	}
 	next := maps.Clone(f.stored)
-	var removed []string
 	for _, name := range d.Removed {
-		if _, ok := next[name]; ok {
-			delete(next, name)
-			removed = append(removed, name)
-		}
+		delete(next, name)
 	}
 	for _, o := range d.Objects {
 		next[o.Name] = o
 	}
-	f.publishView(next, removed, d.Position, d.Changed)
+	// Removals of objects that this copy never had are recorded too: the copies of those who
+	// ask for changes here may have them.
+	f.publishView(next, d.Removed, d.Position, d.Changed)
 	return true
 }
--- a/seamedge/edger/copies.go
+++ b/seamedge/edger/copies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -180,22 +181,20 @@
 }
 
 // fetchChanges fetches the changes after the position of this instance's copy from another
-// instance and applies them. It reports whether the call succeeded.
+// instance and applies them. If the response may lack removals, it fetches the whole copy
+// instead. It reports whether the calls succeeded.
 func (e *Edge) fetchChanges(ctx context.Context, pending pendingFetch) bool {
-	timeout := otherRegionFetchTimeout
-	if pending.sameRegion {
-		timeout = sameRegionFetchTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	v, _ := e.followers[pending.kind].View()
-	request := heartbeater.CopyRequest{Positions: map[string]uint64{pending.kind: v.Position}}
-	answer, err := heartbeater.FetchCopies(ctx, e.copyClient, pending.peer, request)
+	deltas, err := e.fetchDeltas(ctx, pending, v.Position)
+	if err == nil && slices.ContainsFunc(deltas, func(d follower.Delta) bool { return !d.HasAllRemovals() }) {
+		e.log.Warn("copy: changes refused, as removals may be missing; fetching the whole copy", zap.String("peer", pending.peer), zap.String("kind", pending.kind))
+		deltas, err = e.fetchDeltas(ctx, pending, 0)
+	}
 	if err != nil {
 		e.log.Info("copy: fetch from another instance failed", zap.String("peer", pending.peer), zap.String("kind", pending.kind), zap.Error(err))
 		return false
 	}
-	for _, d := range answer.Deltas {
+	for _, d := range deltas {
 		if f, ok := e.followers[d.Kind]; ok && f.ApplyDelta(d) {
 			e.log.Info("copy: changes applied", zap.String("peer", pending.peer), zap.String("kind", d.Kind), zap.String("position", follower.FormatPosition(d.Position)),
 				zap.Bool("whole", d.Whole))
@@ -208,6 +207,20 @@
 	return true
 }
 
+// fetchDeltas fetches the changes after a position from another instance, or everything if
+// the position is 0.
+func (e *Edge) fetchDeltas(ctx context.Context, pending pendingFetch, position uint64) ([]follower.Delta, error) {
+	timeout := otherRegionFetchTimeout
+	if pending.sameRegion {
+		timeout = sameRegionFetchTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := heartbeater.CopyRequest{Positions: map[string]uint64{pending.kind: position}}
+	answer, err := heartbeater.FetchCopies(ctx, e.copyClient, pending.peer, request)
+	return answer.Deltas, err
+}
+
 // deltasFor returns the response to another instance's call: for each kind in r, the
 // changes after the position in r.
 func (e *Edge) deltasFor(r heartbeater.CopyRequest) heartbeater.CopyResponse {
--- a/seamedge/edger/copies_test.go
+++ b/seamedge/edger/copies_test.go
@@ -22,6 +22,8 @@
 	address      string
 	requestTimes map[string][]time.Time
 	deltas       map[string]follower.Delta
+	// whole holds what is returned for the position 0, if it is there.
+	whole map[string]follower.Delta
 }
 
 // peerDelay is how long a fake peer takes to answer a call, as if it were in another
@@ -50,7 +52,9 @@
 	var a heartbeater.CopyResponse
 	for kind, from := range r.Positions {
 		p.requestTimes[kind] = append(p.requestTimes[kind], time.Now())
-		if d, ok := p.deltas[kind]; ok && d.Changed > from {
+		if d, ok := p.whole[kind]; ok && from == 0 {
+			a.Deltas = append(a.Deltas, d)
+		} else if d, ok := p.deltas[kind]; ok && d.Changed > from {
 			a.Deltas = append(a.Deltas, d)
 		}
 	}
@@ -109,7 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	endpoints := follower.Delta{Kind: platform.KindEndpoints, Position: position, Changed: position}
+	endpoints := follower.Delta{Kind: platform.KindEndpoints, Position: position, Changed: position, Complete: true}
 	peer := newFakePeer(t, endpoints)
 	sender := newHeartbeatSender(t, run.settings.Listen.Peers)
 	for i := range 24 {
@@ -125,3 +129,34 @@
 		t.Errorf("the same change was fetched %d times", n)
 	}
 }
+
+// Guards against DRAIN while instances of an earlier version run beside this one: their changes
+// lack removals of endpoints that they never had, so the whole copy must be fetched instead.
+func TestChangesWithoutAllRemovalsAreRefused(t *testing.T) {
+	r := newTestEnv(t)
+	r.configure("key-1", "s")
+	r.endpoint("leaves", "s", nil)
+	stays := r.endpoint("stays", "s", nil)
+	logs := &logSink{}
+	run := r.start("one", logs)
+	run.waitFor(5*time.Second, "ready", run.ready)
+	run.waitFor(5*time.Second, "both endpoints", func() bool { return run.gauge("seam_edge_endpoints_known") == 2 })
+	position, err := follower.NewPosition(1, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := newFakePeer(t, follower.Delta{Kind: platform.KindEndpoints, From: 1, Position: position, Changed: position})
+	object := follower.Object{Name: "stays", Revision: position, Spec: r.endpointEntry("s", r.addresses["stays"], "ready")}
+	peer.whole = map[string]follower.Delta{platform.KindEndpoints: {
+		Kind: platform.KindEndpoints, Position: position, Changed: position, Whole: true, Objects: []follower.Object{object},
+	}}
+	newHeartbeatSender(t, run.settings.Listen.Peers).send(heartbeatAt(1, peer.address, platform.KindEndpoints, position))
+	run.waitFor(5*time.Second, "the whole copy", func() bool { return run.gauge("seam_edge_endpoints_known") == 1 })
+	before := stays.Load()
+	if a := run.post("/x/", "key-1", ""); a.status != http.StatusOK || stays.Load() != before+1 {
+		t.Errorf("got status %d, %v", a.status, a.err)
+	}
+	if !logs.contains("copy: changes refused") || peer.calls(platform.KindEndpoints) != 2 {
+		t.Errorf("%d calls, want 2; or the log has no line of the refusal", peer.calls(platform.KindEndpoints))
+	}
+}
