Give back the buffers of requests whose callers have left

Each request with a long body whose caller left before it was sent kept its room in the budget for ever, so that in time all long bodies would be streamed from 16 KiB on.

Cause: the handler of a request that is abandoned panics before the deferred call that gave the buffer back was registered.

Change: the call is registered first. seam_edge_buffer_bytes_left shows the room.

Measured: TestBuffersAreGivenBack fails before at "caller gone before the request was sent" and passes.

--- a/seamedge/bufferer/bufferer.go
+++ b/seamedge/bufferer/bufferer.go
@@ -38,6 +38,9 @@
 	return b
 }
 
+// Left returns the room in bytes. It is negative for a moment while a buffer is refused.
+func (b *Budget) Left() int64 { return b.left.Load() }
+
 // Start is the start of a body. More means that the body may go on.
 type Start struct {
 	Data []byte
--- a/seamedge/bufferer/bufferer_test.go
+++ b/seamedge/bufferer/bufferer_test.go
@@ -43,5 +43,9 @@
 	if _, err := b.Read(broken); err == nil {
 		t.Error("a body that broke off was read")
 	}
-	read(bufferer.LargeBytes, bufferer.LargeBytes, true)
+	last := read(bufferer.LargeBytes, bufferer.LargeBytes, true)
+	last.Release()
+	if left := b.Left(); left != bufferer.LargeBytes {
+		t.Errorf("%d bytes left when all is released, want %d", left, bufferer.LargeBytes)
+	}
 }
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -75,6 +75,10 @@
 		bodyLength: r.ContentLength,
 	}
 	defer func() { e.handlePanic(w, req, recover()) }()
+	defer func() {
+		req.body.Release()
+		closeAnswer(req.lastAnswer)
+	}()
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -93,10 +97,6 @@
 	if accepter.CallerDisconnected(ctx) {
 		e.abandon(req, disconnectedBeforeSend)
 	}
-	defer func() {
-		req.body.Release()
-		closeAnswer(req.lastAnswer)
-	}()
 	cmds := e.update(msg)
 	// The message must reach the model even if the handler panics, as it does to abort
 	// the connection.
@@ -117,11 +117,10 @@
 }
 
 // readRequest checks a request against the limits of the configuration and buffers the start
-// of its body. It refuses the request if it is invalid or exceeds a
-// limit, or if the instance refuses all requests because it is stopping. If the length of
-// the body isn't known, the limit on body bytes is checked only while the rest of the body
-// is streamed, and not for a body that is buffered as a whole. readRequest reports whether
-// it has refused the request.
+// of its body. It refuses the request if it is invalid or exceeds a limit, or if the instance
+// refuses all requests because it is stopping. If the length of the body isn't known, the
+// limit on body bytes is checked only while the rest of the body is streamed, and not for a
+// body that is buffered as a whole. readRequest reports whether it has refused the request.
 func (e *Edge) readRequest(w http.ResponseWriter, req *callerRequest) bool {
 	if e.refusingRequests.Load() {
 		e.refuse(w, req, conductor.Refuse{Status: http.StatusServiceUnavailable, Code: coder.Stopping, RetryAfter: conductor.StoppingRetryAfter})
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -165,6 +165,7 @@
 	stats := e.model.Stats(now)
 	e.mu.Unlock()
 	metrics.WriteCounterUint64(w, "seam_edge_log_lines_left_out_total", e.logs.OmittedLines())
+	metrics.WriteGaugeUint64(w, "seam_edge_buffer_bytes_left", uint64(max(e.buffers.Left(), 0)))
 	metrics.WriteGaugeUint64(w, "seam_edge_config_version", stats.ConfigVersion)
 	metrics.WriteGaugeUint64(w, "seam_edge_instances_heard", uint64(stats.LiveInstances))
 	metrics.WriteGaugeUint64(w, "seam_edge_instances_known", uint64(stats.KnownInstances))
--- a/seamedge/edger/slow_test.go
+++ b/seamedge/edger/slow_test.go
@@ -83,3 +83,44 @@
 		}
 	}
 }
+
+// Guards against a budget that shrinks: the buffers of each request must be given back, however
+// the request ends.
+func TestBuffersAreGivenBack(t *testing.T) {
+	body := strings.Repeat("a", 200<<10)
+	r := newTestEnv(t)
+	r.endpoint("i-1", "s", func(w http.ResponseWriter, q *http.Request) {
+		sent, _ := io.ReadAll(q.Body)
+		_, _ = w.Write(sent)
+	})
+	r.configure("key-1", "s")
+	run := r.start("one", &logSink{})
+	run.waitFor(5*time.Second, "ready", run.ready)
+	left := func() int { return run.gauge("seam_edge_buffer_bytes_left") }
+	whole := left()
+	head := strings.Replace(rawRequest("gone"), "GET", "POST", 1)
+	for name, send := range map[string]func(){
+		"answered": func() {
+			if a := run.post("/x/", "key-1", body); a.status != http.StatusOK || len(a.body) != len(body) {
+				t.Errorf("got status %d and %d bytes, %v", a.status, len(a.body), a.err)
+			}
+		},
+		"refused": func() { run.post("/x/", "unknown", body) },
+		"caller gone before the request was sent": func() {
+			conn := dialCaller(t, run)
+			write(t, conn, strings.TrimSuffix(head, "\r\n")+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body)
+			_ = conn.CloseWrite()
+			_, _ = io.ReadAll(conn)
+		},
+		"caller gone amid the request": func() {
+			conn := dialCaller(t, run)
+			write(t, conn, strings.TrimSuffix(head, "\r\n")+fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*len(body))+body)
+			_ = conn.Close()
+		},
+	} {
+		for range 10 {
+			send()
+		}
+		run.waitFor(3*time.Second, "the buffers, "+name, func() bool { return left() == whole })
+	}
+}
