Let endpoints start again at their addresses in the soak

Change: a fault lets the endpoints of a service start again at their addresses under other ids, while the old entries stay; each 421 is written once more before the next answer on its connection.

--- a/seam/follower/fleet_test.go
+++ b/seam/follower/fleet_test.go
@@ -62,9 +62,11 @@
 	return list, s.revision(), nil
 }
 
-func (s *historyStore) Create(context.Context, string, string, json.RawMessage) error  { return nil }
+func (s *historyStore) Create(context.Context, string, string, json.RawMessage) error { return nil }
+
 func (s *historyStore) Replace(context.Context, string, string, json.RawMessage) error { return nil }
-func (s *historyStore) Delete(context.Context, string, string) error                   { return nil }
+
+func (s *historyStore) Delete(context.Context, string, string) error { return nil }
 
 // fleet is a few instances that share the polling of a store.
 type fleet struct {
--- a/seamctl/soaker/endpoint.go
+++ b/seamctl/soaker/endpoint.go
@@ -35,13 +35,21 @@
 	namedLimit = 5.0
 )
 
-// requestCount is the context key of the number of requests on a connection.
-type requestCount struct{}
+// connKey is the context key of the state of a connection.
+type connKey struct{}
 
-// isFirst reports whether a request is the first one on its connection, and counts it.
-func isFirst(r *http.Request) bool {
-	n, ok := r.Context().Value(requestCount{}).(*atomic.Int32)
-	return ok && n.Add(1) == 1
+// connState is the state of a connection to an endpoint. refusal is the last refusal on it of
+// a request for another lifetime of the endpoint, of which a copy is still to be written.
+type connState struct {
+	requests atomic.Int32
+	refusal  atomic.Pointer[string]
+}
+
+func connStateOf(r *http.Request) *connState {
+	if c, ok := r.Context().Value(connKey{}).(*connState); ok {
+		return c
+	}
+	return &connState{}
 }
 
 // server is an HTTP server on a port of 127.0.0.1.
@@ -58,7 +66,7 @@
 	s := &server{address: listener.Addr().String(), http: &http.Server{
 		Handler: handler, ReadHeaderTimeout: time.Second,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, requestCount{}, new(atomic.Int32))
+			return context.WithValue(ctx, connKey{}, &connState{})
 		},
 	}}
 	go func() { _ = s.http.Serve(listener) }()
@@ -77,6 +85,10 @@
 	proxy   *disruptor.Proxy
 
 	mu sync.Mutex
+	// lifetime counts the starts of the endpoint after the first. Its entry in the store has
+	// another name in each. draining is what its entry says.
+	lifetime int
+	draining bool
 	// runningRequests is the number of requests that run now.
 	runningRequests int
 	// extraWork is the time that each request runs in addition to its random time.
@@ -113,11 +125,51 @@
 // writeEntry writes the endpoint's entry to the store, where instances read it. The entry
 // marks the endpoint as draining or not.
 func (e *endpoint) writeEntry(draining bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = draining
+	e.putEntry()
+}
+
+// putEntry writes the entry of the current lifetime to the store. The lock must be held.
+func (e *endpoint) putEntry() {
 	e.soak.fakeStore.PutEndpoint(objectkeeper.Endpoint{
-		ID: e.id, Address: e.proxy.Address(), Service: serviceName(e.service), Zone: e.zone, Slots: endpointSlots, Draining: draining,
+		ID: e.entryName(e.lifetime), Address: e.proxy.Address(), Service: serviceName(e.service), Zone: e.zone, Slots: endpointSlots, Draining: e.draining,
 	})
 }
 
+// entryName returns the name of the entry of one of the endpoint's lifetimes, which is the ID
+// that requests must name.
+func (e *endpoint) entryName(lifetime int) string {
+	if lifetime == 0 {
+		return e.id
+	}
+	return e.id + "." + strconv.Itoa(lifetime)
+}
+
+// startAgain begins another lifetime at the same address. The entry of the one before stays.
+func (e *endpoint) startAgain() {
+	e.proxy.Reset()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lifetime++
+	e.putEntry()
+}
+
+// removeOldEntry removes the entry of the lifetime before the current one.
+func (e *endpoint) removeOldEntry() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.soak.fakeStore.Remove(platform.KindEndpoints, e.entryName(e.lifetime-1))
+}
+
+// isMeant reports whether a request names the endpoint's current lifetime.
+func (e *endpoint) isMeant(r *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return r.Header.Get(platform.HeaderExpectInstance) == e.entryName(e.lifetime)
+}
+
 func serviceName(n int) string { return "service-" + strconv.Itoa(n) }
 
 func (e *endpoint) setExtraWork(d time.Duration) {
@@ -167,32 +219,43 @@
 	return true
 }
 
-// writeRepeatedRefusal writes a refusal without a request ID and then the response with the
+// notRunRefusal is a refusal without a request ID.
+const notRunRefusal = "HTTP/1.1 503 Service Unavailable\r\n" + platform.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+
+// misdirectedRefusal returns the refusal of a request that is meant for another endpoint.
+func misdirectedRefusal(id string) string {
+	return fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", platform.HeaderRequestID, id, platform.HeaderNotRun)
+}
+
+// writeRepeatedRefusal writes a copy of an earlier refusal and then the response with the
 // given body to the connection of a request.
-func writeRepeatedRefusal(w http.ResponseWriter, id, body string) {
+func writeRepeatedRefusal(w http.ResponseWriter, refusal, id, body string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = conn.Close() }()
 	// A write error means that the instance has closed the connection.
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n"+
-		"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\nContent-Length: %d\r\n\r\n%s",
-		platform.HeaderNotRun, platform.HeaderRequestID, id, platform.HeaderSignature, id, len(body), body)
+	_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\nContent-Length: %d\r\n\r\n%s",
+		refusal, platform.HeaderRequestID, id, platform.HeaderSignature, id, len(body), body)
 }
 
 // ServeHTTP implements http.Handler. It rejects a request that was meant for another
-// endpoint (421) or that exceeds the endpoint's capacity (503), and marks the response as
-// that of a request that didn't run. It records and runs every other request.
+// endpoint or lifetime (421) or that exceeds the endpoint's capacity (503), and marks the
+// response as that of a request that didn't run. It records and runs every other request, and
+// first writes a late copy of the last 421 response on the connection, if there was one.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
-	if expected := r.Header.Get(platform.HeaderExpectInstance); expected != e.id {
+	conn := connStateOf(r)
+	first := conn.requests.Add(1) == 1
+	if !e.isMeant(r) {
+		refusal := misdirectedRefusal(id)
+		conn.refusal.Store(&refusal)
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	first := isFirst(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		// The body is incomplete, so the request isn't run.
@@ -221,8 +284,12 @@
 	if dropsResponses {
 		panic(http.ErrAbortHandler)
 	}
+	if refusal := conn.refusal.Swap(nil); refusal != nil {
+		writeRepeatedRefusal(w, *refusal, id, id+" "+string(body))
+		return
+	}
 	if repeatsRefusals && !first {
-		writeRepeatedRefusal(w, id, id+" "+string(body))
+		writeRepeatedRefusal(w, notRunRefusal, id, id+" "+string(body))
 		return
 	}
 	w.Header().Set(platform.HeaderSignature, "s-"+id)
--- a/seamctl/soaker/faults.go
+++ b/seamctl/soaker/faults.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	series := [][]fault{{moveRoutes, withdrawKey, reload}, {drain, evacuate, plannedStop}}
 	bySeedBit := [][]fault{
-		{resetEndpoint, cutEndpoint, delayEndpoint, slowEndpoint, dropResponses, repeatRefusals, requestPause},
+		{resetEndpoint, cutEndpoint, delayEndpoint, slowEndpoint, dropResponses, repeatRefusals, requestPause, startAgain},
 		{pauseInstance, crash},
 		{resetStore, cutStore, delayStore, breakStore, compactHistory, goBack, writeOddEntry},
 		{nameLimits},
@@ -186,6 +186,24 @@
 	s.timedFault(ctx, rng, e, "refusals are repeated at "+e.id, func() { e.setRepeatRefusals(true) }, func() { e.setRepeatRefusals(false) })
 }
 
+// startAgain lets all endpoints of a service start again at their addresses under other IDs,
+// while their old entries stay for a while. They refuse requests for the old IDs, and write a
+// copy of each refusal late. It is recorded as a fault of an endpoint that doesn't exist, since
+// it concerns all.
+func startAgain(ctx context.Context, s *Soak, rng *rand.Rand) {
+	first := s.operator.currentService() * endpointsPerService
+	endpoints := s.endpoints[first : first+endpointsPerService]
+	each := func(do func(*endpoint)) func() {
+		return func() {
+			for _, e := range endpoints {
+				do(e)
+			}
+		}
+	}
+	what := serviceName(endpoints[0].service) + " starts again under other IDs"
+	s.timedFault(ctx, rng, &endpoint{}, what, each((*endpoint).startAgain), each((*endpoint).removeOldEntry))
+}
+
 // requestPause makes an endpoint refuse all requests and ask each instance for a pause.
 func requestPause(ctx context.Context, s *Soak, rng *rand.Rand) {
 	e := s.usedEndpoint(rng)
