Show in virtual time that two regions apart exceed a team's rate

An instance counts a majority of those that it hears itself; two regions that lose each other and both hear a third each have one.

Change: a test plays that with 3, 11 and 12 instances and heartbeats lost between two regions.

--- a/seam/conductor/load_test.go
+++ b/seam/conductor/load_test.go
@@ -224,6 +224,29 @@
 	}
 }
 
+// Guards against QUOTA: two regions lose each other while both still receive the third's
+// heartbeats. The two must not both use the whole rate.
+func TestRegionsApartKeepTeamWithinRate(t *testing.T) {
+	team := router.Team{Name: "hot", Keys: []string{"hot"}, Rate: 100, Burst: 100}
+	for _, instances := range [][3]int{{1, 1, 1}, {4, 4, 3}, {4, 4, 4}} {
+		t.Run(fmt.Sprintf("%d-%d-%d", instances[0], instances[1], instances[2]), func(t *testing.T) {
+			sim := newSimulation(t, 6, instances, [3]int{40, 40, 40}, 9, 400, []router.Team{team})
+			for _, i := range sim.instances {
+				sim.generateLoad(i, 400/float64(len(sim.instances)), 100, "hot", "/x", 20*time.Second)
+			}
+			sim.run(4 * time.Second)
+			sim.apart = func(from, to string) bool { return from != region(2) && to != region(2) && from != to }
+			sim.run(8 * time.Second)
+			sim.apart = nil
+			sim.run(9 * time.Second)
+			most := maxInWindow(sim.admitted["hot"], 5*time.Second)
+			if most > maxAdmitted(team) || most < int(team.Rate*5*0.8) {
+				t.Errorf("%d were admitted in 5 s; %d are allowed", most, maxAdmitted(team))
+			}
+		})
+	}
+}
+
 // When the load of a region grows far beyond the capacity of its endpoints, its
 // requests move to other regions gradually. Between two consecutive windows of 2 s, at
 // most 15% of them move.
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -22,17 +22,20 @@
 	// heartbeatLoss is the fraction of the heartbeats that are lost on the way.
 	heartbeatLoss  float64
 	heartbeatsSent int
-	t              *testing.T
-	rng            *rand.Rand
-	now            time.Time
-	events         events
-	sequence       int
-	zones          map[string]string
-	config         *router.Config
-	instances      []*instance
-	endpoints      map[string]*fakeEndpoint
-	requests       uint64
-	answers        []answer
+	// apart reports whether heartbeats from one region to another are lost. It is nil if
+	// none are.
+	apart     func(from, to string) bool
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Time
+	events    events
+	sequence  int
+	zones     map[string]string
+	config    *router.Config
+	instances []*instance
+	endpoints map[string]*fakeEndpoint
+	requests  uint64
+	answers   []answer
 	// admitted holds when the requests of each team reached an endpoint.
 	admitted map[string][]time.Time
 	arrivals []arrival
@@ -250,7 +253,7 @@
 			continue
 		}
 		sim.heartbeatsSent++
-		if sim.rng.Float64() < sim.heartbeatLoss {
+		if sim.rng.Float64() < sim.heartbeatLoss || sim.apart != nil && sim.apart(sim.zones[i.zone], sim.zones[other.zone]) {
 			continue
 		}
 		sim.after(sim.oneWayDelay(otherRegion), func() {
