--- a/seam/follower/fleet_test.go
+++ b/seam/follower/fleet_test.go
@@ -74,7 +74,7 @@
 	followers []*Follower
 }
 
-// exchange lets one instance hear another one's state, and fetch from it if it lacks changes.
+// exchange passes an instance another one's state, and lets it fetch what it lacks.
 func (f *fleet) exchange(to, from int) {
 	reader, giver := f.followers[to], f.followers[from]
 	if !reader.ObservePeer(giver.State(time.Now()), time.Now()) {
--- a/seamctl/soaker/endpoint.go
+++ b/seamctl/soaker/endpoint.go
@@ -86,7 +86,7 @@
 
 	mu sync.Mutex
 	// lifetime counts the starts of the endpoint after the first. Its entry in the store has
-	// another name in each. draining is what its entry says.
+	// another name in each. draining is set while its entry is marked as draining.
 	lifetime int
 	draining bool
 	// runningRequests is the number of requests that run now.
