--- a/seamedge/exchanger/attempts_test.go
+++ b/seamedge/exchanger/attempts_test.go
@@ -55,7 +55,7 @@
 				attempt, a.Status, a.Err, a.ConnectionReused, f.ran("1"))
 		}
 	}
-	// Another request tells the copies apart by its ID, so it may use these connections.
+	// The copies have another ID than a later request, which may use these connections.
 	a := x.Do(t.Context(), newCall(e, "2"))
 	if a.Err != nil || !a.ConnectionReused || a.Status != http.StatusOK || a.SkippedResponses != 1 || f.ran("2") != 1 {
 		t.Errorf("another request: got %+v, want its answer after one skipped response", a)
--- a/seamedge/exchanger/pool.go
+++ b/seamedge/exchanger/pool.go
@@ -126,7 +126,7 @@
 }
 
 // pop removes and returns the most recently used idle connection to an address that has not
-// carried a request with the same ID: responses are told apart by that ID alone, so a late
+// carried a request with the same ID: responses are matched by that ID alone, so a late
 // copy of the response to an earlier attempt would be taken for the response to this one.
 // pop returns nil if there is no such connection or, for a non-idempotent request, if it has
 // been idle for longer than nonIdempotentMaxIdle.
