Refuse keys that nobody holds also without a table of teams

Callers saw: after a version that drops the table of teams itself, requests with a dropped key and with a key that never was were run (ROUTE: "a request runs whose key no configuration ever held"; CONFIG: "run with a dropped key").

Cause: keys were looked at only if the version requires them.

Change: a key that is sent must be held by a team, with or without a table. Requests without a key are served as before where there is no table, and routes that are open to all serve any key.

Why it works: the lookup of a key knows only the version in force, so a key of an older one is always unknown.

--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -86,7 +86,9 @@
 	}
 	var homes []string
 	r := &request{id: msg.ID, digest: msg.Digest, route: route, arrivedAt: now, bodyStreamed: msg.BodyStreamed}
-	if m.config.RequiresKeys() {
+	// A key that no team holds is refused also without a table of teams: it may be one that
+	// a version before held.
+	if m.config.RequiresKeys() || msg.Key != "" {
 		team, ok := m.config.TeamOf(msg.Key)
 		switch {
 		case ok:
--- a/seam/router/router.go
+++ b/seam/router/router.go
@@ -116,7 +116,7 @@
 
 // WithTeams gives a configuration a table of teams. It may be empty: no request then has a
 // known key, and only routes that allow that serve any. Without this option, no request needs
-// a key.
+// a key, and no key is known.
 //
 // An empty key is nobody's, since a request without a key has it. If several teams hold a
 // key, it counts for the first of them by name, so that all instances agree.
--- a/seamedge/edger/keys_test.go
+++ b/seamedge/edger/keys_test.go
@@ -28,14 +28,15 @@
 }
 
 // Guards against ROUTE: when the last team or its last key goes, its key and all others stop
-// working. Only a configuration without a table of teams opens its routes to all.
+// working. Only a configuration without a table of teams opens its routes, and only to
+// requests without a key.
 func TestNoKeyIsAcceptedWithoutTeams(t *testing.T) {
 	r := newTestEnv(t)
 	r.endpoint("i-1", "s", nil)
 	run := (*runningEdge)(nil)
 	for _, c := range []struct {
-		table  string
-		status int
+		table         string
+		statusWithout int
 	}{
 		{`,"tenants":{}`, http.StatusUnauthorized},
 		{`,"tenants":null`, http.StatusUnauthorized},
@@ -56,7 +57,8 @@
 		run.expectStatus("with a team", http.StatusUnauthorized, "other", "")
 		r.configureTable(c.table, "s")
 		run.awaitVersion(r)
-		run.expectStatus(c.table, c.status, "key", "never", "")
+		run.expectStatus(c.table, http.StatusUnauthorized, "key", "never")
+		run.expectStatus(c.table, c.statusWithout, "")
 	}
 }
 
