--- a/seam/accepter/conn.go
+++ b/seam/accepter/conn.go
@@ -1,11 +1,10 @@
 package accepter
 
 import (
-	"container/list"
 	"context"
+	"io"
 	"net"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,16 +14,10 @@
 	*net.TCPConn
 	listener *Listener
 	raw      syscall.RawConn
+	// meter is informed of reads, writes and states, or nil.
+	meter Meter
 	// The fields below are protected by the listener's lock.
 
-	// countedAsOpen means that the connection is included in the listener's count of
-	// open connections.
-	countedAsOpen bool
-	// idleElement is the connection's element in the listener's list of idle
-	// connections, or nil if the connection isn't idle. idleSince is when the connection
-	// last became idle.
-	idleElement *list.Element
-	idleSince   time.Time
 	// requestInProgress means that the connection carries a request now. cancelRequest
 	// cancels the context of the last request for which WithDisconnectCancel was
 	// called, or is nil.
@@ -48,9 +41,26 @@
 // [Listener.CancelDisconnected] checks the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n == 1 && len(p) == 1 {
-		c.listener.recordReadAhead(c)
+	if n == 1 && len(p) == 1 && c.listener.recordReadAhead(c) {
+		if c.meter != nil {
+			c.meter.ReadAhead()
+		}
+		return n, err
+	}
+	if n > 0 && c.meter != nil && c.meter.Received(p[:n]) != nil {
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.meter == nil {
+		return c.TCPConn.Write(p)
 	}
+	c.meter.Sending()
+	n, err := c.TCPConn.Write(p)
+	c.meter.Sent(n)
 	return n, err
 }
 
@@ -59,9 +69,9 @@
 // sent earlier and that haven't been read yet make no difference.
 func (c *Conn) CallerDisconnected() bool { return c.hasEvents(unix.POLLRDHUP) }
 
-// readable reports whether a read would return at once, because there are unread bytes,
+// Readable reports whether a read would return at once, because there are unread bytes,
 // or because the connection is closed or has failed.
-func (c *Conn) readable() bool { return c.hasEvents(unix.POLLIN | unix.POLLRDHUP) }
+func (c *Conn) Readable() bool { return c.hasEvents(unix.POLLIN | unix.POLLRDHUP) }
 
 // hasEvents polls the socket without blocking. events is a mask of poll(2) events. It
 // reports whether at least one of the events has occurred. It also returns true if the
@@ -102,6 +112,15 @@
 	return context.WithValue(ctx, connKey{}, unwrap(conn))
 }
 
+// MeterOf returns the meter of the connection that a request came on, or nil if it has none.
+func MeterOf(ctx context.Context) Meter {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	if c == nil {
+		return nil
+	}
+	return c.meter
+}
+
 // unwrap returns the *Conn that a connection is or wraps, for instance as a TLS
 // connection does. It returns nil if there is none.
 func unwrap(conn net.Conn) *Conn {
--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -58,6 +58,10 @@
 	// RequestQuarantined means that several upstreams have ended while they ran such a
 	// request, so it isn't sent to more of them.
 	RequestQuarantined Code = 117
+	// NoRoom means that the instance holds too much for its clients to take the request.
+	NoRoom Code = 118
+	// CallerTooSlow means that the body of the request did not arrive in time.
+	CallerTooSlow Code = 119
 	// LinkCapReached means that the request would exceed the bandwidth limit of a link
 	// between regions.
 	LinkCapReached Code = 115
--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -21,6 +21,8 @@
 	_ = x[Stopping-114]
 	_ = x[NoConfiguration-116]
 	_ = x[RequestQuarantined-117]
+	_ = x[NoRoom-118]
+	_ = x[CallerTooSlow-119]
 	_ = x[LinkCapReached-115]
 	_ = x[UpstreamFailed-120]
 	_ = x[UpstreamTimeout-121]
@@ -46,23 +48,21 @@
 const (
 	_Code_name_0 = "OK"
 	_Code_name_1 = "KeyMissingKeyUnknownKeyEvidenceStaleRouteUnknownRequestMalformed"
-	_Code_name_2 = "TeamOverRateDeadlineUnreachableQueueFullNoUpstreamStoppingLinkCapReachedNoConfigurationRequestQuarantined"
-	_Code_name_3 = "UpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGoneInternalError"
-	_Code_name_4 = "ConfigInvalidConfigConflictConfigNotInForce"
-	_Code_name_5 = "SettingsInvalid"
-	_Code_name_6 = "ArgumentInvalid"
-	_Code_name_7 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
-	_Code_name_8 = "PeerUnauthenticated"
-	_Code_name_9 = "TraceInvalidOutcomeMissed"
+	_Code_name_2 = "TeamOverRateDeadlineUnreachableQueueFullNoUpstreamStoppingLinkCapReachedNoConfigurationRequestQuarantinedNoRoomCallerTooSlowUpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGoneInternalError"
+	_Code_name_3 = "ConfigInvalidConfigConflictConfigNotInForce"
+	_Code_name_4 = "SettingsInvalid"
+	_Code_name_5 = "ArgumentInvalid"
+	_Code_name_6 = "StoreUnavailableStoreConflictStoreNotFoundStoreCompactedStoreOutcomeUnknown"
+	_Code_name_7 = "PeerUnauthenticated"
+	_Code_name_8 = "TraceInvalidOutcomeMissed"
 )
 
 var (
 	_Code_index_1 = [...]uint8{0, 10, 20, 36, 48, 64}
-	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72, 87, 105}
-	_Code_index_3 = [...]uint8{0, 14, 29, 45, 59, 69, 82}
-	_Code_index_4 = [...]uint8{0, 13, 27, 43}
-	_Code_index_7 = [...]uint8{0, 16, 29, 42, 56, 75}
-	_Code_index_9 = [...]uint8{0, 12, 25}
+	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72, 87, 105, 111, 124, 138, 153, 169, 183, 193, 206}
+	_Code_index_3 = [...]uint8{0, 13, 27, 43}
+	_Code_index_6 = [...]uint8{0, 16, 29, 42, 56, 75}
+	_Code_index_8 = [...]uint8{0, 12, 25}
 )
 
 func (i Code) String() string {
@@ -72,27 +72,24 @@
 	case 100 <= i && i <= 104:
 		i -= 100
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
-	case 110 <= i && i <= 117:
+	case 110 <= i && i <= 125:
 		i -= 110
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
-	case 120 <= i && i <= 125:
-		i -= 120
-		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
 	case 200 <= i && i <= 202:
 		i -= 200
-		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
+		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
 	case i == 210:
-		return _Code_name_5
+		return _Code_name_4
 	case i == 220:
-		return _Code_name_6
+		return _Code_name_5
 	case 300 <= i && i <= 304:
 		i -= 300
-		return _Code_name_7[_Code_index_7[i]:_Code_index_7[i+1]]
+		return _Code_name_6[_Code_index_6[i]:_Code_index_6[i+1]]
 	case i == 400:
-		return _Code_name_8
+		return _Code_name_7
 	case 500 <= i && i <= 501:
 		i -= 500
-		return _Code_name_9[_Code_index_9[i]:_Code_index_9[i+1]]
+		return _Code_name_8[_Code_index_8[i]:_Code_index_8[i+1]]
 	default:
 		return "Code(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -75,28 +75,46 @@
 	return []Cmd{Refuse{ID: id, Status: status, Code: code, RetryAfter: retryAfter}}
 }
 
-// requestArrived validates a request and makes its first attempt, or refuses it.
-func (m *Model) requestArrived(now time.Time, msg RequestArrived) []Cmd {
+// CheckAccess reports whether a request with a host, path and key has a route and may use it.
+// If not, it returns the refusal. A request that passes may still be refused when it arrives.
+func (m *Model) CheckAccess(host, path, key string) (Refuse, bool) {
+	_, _, refused, ok := m.access(host, path, key)
+	return refused, ok
+}
+
+// access returns the route of a request, and the team that holds its key, or nil if it has
+// none. If the request may not use a route, access returns the refusal and false.
+func (m *Model) access(host, path, key string) (*router.Route, *router.Team, Refuse, bool) {
 	if m.config == nil {
-		return refuse(msg.ID, http.StatusServiceUnavailable, coder.NoConfiguration, unavailableRetryAfter)
+		return nil, nil, Refuse{Status: http.StatusServiceUnavailable, Code: coder.NoConfiguration, RetryAfter: unavailableRetryAfter}, false
 	}
-	route, ok := m.config.Route(msg.Host, msg.Path)
+	route, ok := m.config.Route(host, path)
 	if !ok {
-		return refuse(msg.ID, http.StatusNotFound, coder.RouteUnknown, 0)
+		return nil, nil, Refuse{Status: http.StatusNotFound, Code: coder.RouteUnknown}, false
 	}
-	var homes []string
-	r := &request{id: msg.ID, digest: msg.Digest, route: route, arrivedAt: now, bodyStreamed: msg.BodyStreamed}
 	// A key that no team holds is refused also without a table of teams: it may be one that
 	// a version before held.
-	if m.config.RequiresKeys() || msg.Key != "" {
-		team, ok := m.config.TeamOf(msg.Key)
-		switch {
-		case ok:
-			r.team = team
-			homes = team.HomeRegions
-		case !route.AllowAnonymous:
-			return refuse(msg.ID, http.StatusUnauthorized, coder.KeyUnknown, 0)
-		}
+	if !m.config.RequiresKeys() && key == "" {
+		return route, nil, Refuse{}, true
+	}
+	team, ok := m.config.TeamOf(key)
+	if !ok && !route.AllowAnonymous {
+		return nil, nil, Refuse{Status: http.StatusUnauthorized, Code: coder.KeyUnknown}, false
+	}
+	return route, team, Refuse{}, true
+}
+
+// requestArrived validates a request and makes its first attempt, or refuses it.
+func (m *Model) requestArrived(now time.Time, msg RequestArrived) []Cmd {
+	route, team, refused, ok := m.access(msg.Host, msg.Path, msg.Key)
+	if !ok {
+		refused.ID = msg.ID
+		return []Cmd{refused}
+	}
+	r := &request{id: msg.ID, digest: msg.Digest, route: route, team: team, arrivedAt: now, bodyStreamed: msg.BodyStreamed}
+	var homes []string
+	if team != nil {
+		homes = team.HomeRegions
 	}
 	m.setDeadlines(r, msg)
 	if !m.stopRequestedAt.IsZero() && r.deadline.After(m.stopEnd) {
--- a/seamedge/bufferer/bufferer.go
+++ b/seamedge/bufferer/bufferer.go
@@ -1,84 +1,110 @@
-// Package bufferer limits the memory that an instance of the edge daemon, seamedge, spends on
-// buffered bodies of requests and responses, all together.
+// Package bufferer buffers the starts of bodies, of requests and of responses, in memory that
+// is charged before it is used. The edge daemon, seamedge, uses it.
 //
 // The start of each body is buffered, so that a request can be sent again and a response that
-// breaks off is noticed before a caller gets a part of it. The rest is streamed. Without a
-// common limit, many long bodies at once would need more memory than a small instance has.
+// breaks off is noticed before a caller gets a part of it. The rest is streamed.
 //
 // # Usage
 //
-//	budget := bufferer.New(46 << 20)
-//	start, err := budget.Read(response.Body)
+//	start, err := bufferer.Read(room, response.Body, response.ContentLength)
 //	defer start.Release()
 //	if start.More { io.Copy(w, response.Body) }
 package bufferer
 
 import (
-	"bytes"
+	"errors"
 	"io"
-	"sync/atomic"
 )
 
 const (
-	// SmallBytes is how much of each body is buffered in any case.
-	SmallBytes = 16 << 10
+	// SmallBytes is how much of each body is buffered without charge.
+	SmallBytes = 4 << 10
 	// LargeBytes is how much of a body is buffered while there is room. A shorter body is
 	// buffered as a whole.
 	LargeBytes = 256 << 10
+	// growth is the factor by which a full buffer grows.
+	growth = 4
 )
 
-// Budget is the memory for all buffers beyond the first SmallBytes of each. It is safe for
-// concurrent use.
-type Budget struct{ left atomic.Int64 }
-
-// New returns a budget in bytes.
-func New(size int64) *Budget {
-	b := &Budget{}
-	b.left.Store(size)
-	return b
+// Room is memory for buffers.
+type Room interface {
+	// Reserve charges bytes. It returns false if there is no room.
+	Reserve(bytes int64) bool
+	// Release gives back bytes that Reserve has charged.
+	Release(bytes int64)
 }
 
-// Left returns the room in bytes. It is negative for a moment while a buffer is refused.
-func (b *Budget) Left() int64 { return b.left.Load() }
+// Unlimited is a Room without a limit.
+type Unlimited struct{}
+
+// Reserve implements Room.
+func (Unlimited) Reserve(int64) bool { return true }
+
+// Release implements Room.
+func (Unlimited) Release(int64) {}
 
-// Start is the start of a body. More means that the body may go on.
+// Start is the start of a body. More means that the body may go on. NoRoom means that it does
+// because there was no room to buffer more.
 type Start struct {
-	Data []byte
-	More bool
-	// budget is the budget from which reserved bytes were taken, or nil.
-	budget   *Budget
-	reserved int64
+	Data         []byte
+	More, NoRoom bool
+	room         Room
+	reserved     int64
 }
 
-// Read reads the start of a body: LargeBytes of it, or SmallBytes if the budget has no room.
-// If it returns no error, Release of the result must be called.
-func (b *Budget) Read(body io.Reader) (Start, error) {
-	data, err := io.ReadAll(io.LimitReader(body, SmallBytes))
-	if err != nil || len(data) < SmallBytes {
-		return Start{Data: data}, err
+// Read reads the start of a body: LargeBytes of it, or less if there is no room. length is the
+// size of the body, or negative if it isn't known. If Read returns no error, Release of the
+// result must be called.
+func Read(room Room, body io.Reader, length int64) (Start, error) {
+	s := Start{room: room}
+	limit := int64(LargeBytes)
+	if length >= 0 {
+		limit = min(limit, length)
 	}
-	s := Start{budget: b, reserved: LargeBytes - SmallBytes}
-	if b.left.Add(-s.reserved) < 0 {
-		s.Release()
-		return Start{Data: data, More: true}, nil
+	for {
+		if len(s.Data) == cap(s.Data) && !s.grow(limit) {
+			s.More = int64(len(s.Data)) != length
+			return s, nil
+		}
+		n, err := body.Read(s.Data[len(s.Data):cap(s.Data)])
+		s.Data = s.Data[:len(s.Data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return s, nil
+		case err != nil:
+			s.Release()
+			return Start{}, err
+		}
+	}
+}
+
+// grow enlarges a full buffer. It returns false if the buffer has the size limit or there is no
+// room.
+func (s *Start) grow(limit int64) bool {
+	size := int64(cap(s.Data))
+	if size >= limit {
+		return false
 	}
-	buffer := bytes.NewBuffer(data)
-	n, err := buffer.ReadFrom(io.LimitReader(body, s.reserved))
-	if err != nil {
-		s.Release()
-		return Start{}, err
+	next := min(max(size*growth, SmallBytes), limit)
+	more := max(next-SmallBytes, 0) - s.reserved
+	if more > 0 && !s.room.Reserve(more) {
+		s.NoRoom = true
+		return false
 	}
-	s.Data, s.More = buffer.Bytes(), n == s.reserved
-	return s, nil
+	s.reserved += more
+	data := make([]byte, len(s.Data), next)
+	copy(data, s.Data)
+	s.Data = data
+	return true
 }
 
-// Reserved reports whether the start takes room of the budget.
+// Reserved reports whether the start takes room.
 func (s *Start) Reserved() bool { return s.reserved > 0 }
 
-// Release gives back the room in the budget.
+// Release gives back the room. The data must not be used any longer.
 func (s *Start) Release() {
 	if s.reserved > 0 {
-		s.budget.left.Add(s.reserved)
+		s.room.Release(s.reserved)
 		s.reserved = 0
 	}
 }
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -16,8 +16,10 @@
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/placer"
+	"primroseseam.org/seam/router"
 	"primroseseam.org/seamedge/bufferer"
 	"primroseseam.org/seamedge/exchanger"
+	"primroseseam.org/seamedge/limiter"
 )
 
 // Requests that take slowRequestThreshold or longer are always logged when they are
@@ -42,6 +44,10 @@
 	body          bufferer.Start
 	bodyRemainder io.Reader
 	bodyLength    int64
+	// account is the account of the caller's connection, and limits are those of the
+	// configuration when the request was read.
+	account *limiter.Account
+	limits  router.Limits
 	// digest is the same for all requests that are alike; see digestOf. It is 0 until the
 	// request has been read.
 	digest uint64
@@ -72,7 +78,7 @@
 	defer cancel()
 	req := &callerRequest{
 		id: e.lastRequestID.Add(1), requestID: r.Header.Get(platform.HeaderRequestID), request: r, ctx: ctx, arrivedAt: time.Now(),
-		bodyLength: r.ContentLength,
+		bodyLength: r.ContentLength, account: accountOf(r),
 	}
 	defer func() { e.handlePanic(w, req, recover()) }()
 	defer func() {
@@ -82,6 +88,9 @@
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if req.account.AwaitTurn(ctx) != nil {
+		e.abandon(req, disconnectedBeforeSend)
+	}
 	if refused := e.readRequest(w, req); refused {
 		return
 	}
@@ -117,51 +126,114 @@
 }
 
 // readRequest checks a request against the limits of the configuration and buffers the start
-// of its body. It refuses the request if it is invalid or exceeds a limit, or if the instance
-// refuses all requests because it is stopping. If the length of the body isn't known, the
-// limit on body bytes is checked only while the rest of the body is streamed, and not for a
-// body that is buffered as a whole. readRequest reports whether it has refused the request.
+// of its body. It refuses the request if it is invalid or exceeds a limit, if there is no room
+// for it, or if the instance refuses all requests because it is stopping. If the length of the
+// body isn't known, the limit on body bytes is checked while the body is read. readRequest
+// reports whether it has refused the request.
 func (e *Edge) readRequest(w http.ResponseWriter, req *callerRequest) bool {
+	refused, ok := e.checkHead(req)
+	if ok && req.bodyLength != 0 {
+		refused, ok = e.readBody(w, req)
+	}
+	if ok {
+		refused, ok = e.checkRoom(req)
+	}
+	if !ok {
+		e.refuse(w, req, refused)
+	}
+	return !ok
+}
+
+// checkHead checks the head of a request. If the request is to be refused, it returns the
+// refusal and false.
+func (e *Edge) checkHead(req *callerRequest) (conductor.Refuse, bool) {
 	if e.refusingRequests.Load() {
-		e.refuse(w, req, conductor.Refuse{Status: http.StatusServiceUnavailable, Code: coder.Stopping, RetryAfter: conductor.StoppingRetryAfter})
-		return true
+		return conductor.Refuse{Status: http.StatusServiceUnavailable, Code: coder.Stopping, RetryAfter: conductor.StoppingRetryAfter}, false
 	}
 	if req.requestID == "" {
-		e.refuse(w, req, conductor.Refuse{Status: http.StatusBadRequest, Code: coder.RequestMalformed})
-		return true
+		return conductor.Refuse{Status: http.StatusBadRequest, Code: coder.RequestMalformed}, false
 	}
 	e.mu.Lock()
-	limits := e.model.Limits()
+	req.limits = e.model.Limits()
 	e.mu.Unlock()
-	if limits.HeaderBytes > 0 && headerBytes(req.request) > limits.HeaderBytes {
-		e.refuse(w, req, conductor.Refuse{Status: http.StatusRequestHeaderFieldsTooLarge, Code: coder.RequestMalformed})
-		return true
-	}
-	if limits.BodyBytes > 0 && req.bodyLength > limits.BodyBytes {
-		e.refuse(w, req, conductor.Refuse{Status: http.StatusRequestEntityTooLarge, Code: coder.RequestMalformed})
-		return true
+	fields, bytes := headSize(req.request)
+	switch {
+	case req.limits.HeaderBytes > 0 && bytes > req.limits.HeaderBytes:
+		return conductor.Refuse{Status: http.StatusRequestHeaderFieldsTooLarge, Code: coder.RequestMalformed}, false
+	case req.limits.BodyBytes > 0 && req.bodyLength > req.limits.BodyBytes:
+		return refuseLargeBody(), false
+	case !req.account.Begin(fields, bytes, req.arrivedAt.Add(bodyTimeout(req.request))):
+		return refuseForRoom(limiter.NoRoom), false
+	}
+	return conductor.Refuse{}, true
+}
+
+// readBody buffers the start of a request's body. A request whose route or key is unknown is
+// refused before its body is read. If the request is to be refused, readBody returns the
+// refusal and false.
+func (e *Edge) readBody(w http.ResponseWriter, req *callerRequest) (conductor.Refuse, bool) {
+	e.mu.Lock()
+	refused, ok := e.model.CheckAccess(hostWithoutPort(req.request.Host), req.request.URL.EscapedPath(), req.request.Header.Get(platform.HeaderKey))
+	e.mu.Unlock()
+	if !ok {
+		return refused, false
 	}
-	if req.bodyLength == 0 {
-		return false
+	body, err := bufferer.Read(req.account, req.request.Body, req.bodyLength)
+	if reason, leaving := req.account.Leaving(); leaving {
+		body.Release()
+		return refuseForRoom(reason), false
 	}
-	body, err := e.buffers.Read(req.request.Body)
 	if err != nil {
 		// The caller closed the connection early, or the body's framing is invalid.
-		e.refuse(w, req, conductor.Refuse{Status: http.StatusBadRequest, Code: coder.RequestMalformed, Detail: err.Error()})
-		return true
+		return conductor.Refuse{Status: http.StatusBadRequest, Code: coder.RequestMalformed, Detail: err.Error()}, false
 	}
 	req.body = body
 	buffered := int64(len(body.Data))
 	switch {
-	case body.More && req.bodyLength != buffered:
+	case req.limits.BodyBytes > 0 && buffered > req.limits.BodyBytes:
+		return refuseLargeBody(), false
+	case body.NoRoom:
+		// Without a buffer, a body that isn't finished would hold an endpoint.
+		return refuseForRoom(limiter.NoRoom), false
+	case body.More:
 		req.bodyRemainder = req.request.Body
-		if req.bodyLength < 0 && limits.BodyBytes > 0 {
-			req.bodyRemainder = http.MaxBytesReader(w, req.request.Body, max(limits.BodyBytes-buffered, 0))
+		if req.bodyLength < 0 && req.limits.BodyBytes > 0 {
+			req.bodyRemainder = http.MaxBytesReader(w, req.request.Body, max(req.limits.BodyBytes-buffered, 0))
 		}
 	default:
 		req.bodyLength = buffered
 	}
-	return false
+	return conductor.Refuse{}, true
+}
+
+// checkRoom marks the request as about to be sent to an endpoint. If the request must make
+// room for others instead, checkRoom returns the refusal and false.
+func (e *Edge) checkRoom(req *callerRequest) (conductor.Refuse, bool) {
+	phase := limiter.AtEndpoint
+	if req.bodyRemainder != nil {
+		phase = limiter.Streaming
+	}
+	if reason, ok := req.account.SetPhase(phase); !ok {
+		return refuseForRoom(reason), false
+	}
+	return conductor.Refuse{}, true
+}
+
+// noRoomRetryAfter is how long a caller should wait before it retries after a request for
+// which there was no room.
+const noRoomRetryAfter = 500 * time.Millisecond
+
+// refuseForRoom returns the refusal of a request that the limiter has given up. It has not run.
+func refuseForRoom(r limiter.Reason) conductor.Refuse {
+	if r == limiter.BodyTimeout || r == limiter.Stalled {
+		return conductor.Refuse{Status: http.StatusRequestTimeout, Code: coder.CallerTooSlow, Detail: r.String()}
+	}
+	return conductor.Refuse{Status: http.StatusServiceUnavailable, Code: coder.NoRoom, RetryAfter: noRoomRetryAfter, Detail: r.String()}
+}
+
+// refuseLargeBody returns the refusal of a request whose body exceeds the limit.
+func refuseLargeBody() conductor.Refuse {
+	return conductor.Refuse{Status: http.StatusRequestEntityTooLarge, Code: coder.RequestMalformed}
 }
 
 // execute executes the model's commands for a request. It returns true when the caller has
@@ -205,7 +277,7 @@
 		Address: cmd.Address, Method: req.request.Method, URI: req.request.RequestURI, Host: req.request.Host,
 		Header: req.header, Body: req.body.Data, BodyRemainder: req.bodyRemainder, BodyLength: req.bodyLength,
 		RequestID: req.requestID, IDHeader: platform.HeaderRequestID,
-		NonIdempotent: !cmd.Idempotent, Deadline: cmd.Deadline,
+		NonIdempotent: !cmd.Idempotent, Deadline: cmd.Deadline, Room: req.account.Spare(),
 	})
 	outcome := e.classify(req, answer)
 	// If the outcome is acceptable, the answer is delivered, so the caller's connection
@@ -288,6 +360,7 @@
 // deliver sends an endpoint's answer to the caller. It panics to abort the connection if
 // the answer can't be sent completely.
 func (e *Edge) deliver(w http.ResponseWriter, req *callerRequest, answer *exchanger.Result) {
+	req.account.SetPhase(limiter.Responding)
 	header := w.Header()
 	for name, values := range endToEndHeader(answer.Header) {
 		header[name] = values
@@ -319,9 +392,15 @@
 }
 
 // refuse answers the caller with an error of this instance instead of an endpoint's
-// answer.
+// answer. What is left of the body is discarded, for a limited time.
 func (e *Edge) refuse(w http.ResponseWriter, req *callerRequest, cmd conductor.Refuse) {
+	req.account.SetPhase(limiter.Responding)
 	header := w.Header()
+	if endsConnection(cmd) {
+		header.Set("Connection", "close")
+	} else if req.bodyLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+	}
 	if cmd.RetryAfter > 0 {
 		header.Set(platform.HeaderRetryAfter, strconv.FormatFloat(cmd.RetryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -333,6 +412,10 @@
 	w.WriteHeader(cmd.Status)
 	// A write error means that the caller has disconnected and needs no answer.
 	_, _ = io.WriteString(w, body)
+	if endsConnection(cmd) {
+		// net/http waits a moment before it closes the connection, and keeps the request.
+		req.request.Header = nil
+	}
 	req.progress = answerWritten
 	took := time.Since(req.arrivedAt)
 	e.metrics.recordAnswer(cmd.Code.String(), cmd.Status, req.team, took.Seconds())
@@ -342,6 +425,16 @@
 		zap.Int("attempts", req.lastSend.Attempt), zap.String("digest", formatDigest(req.digest)))
 }
 
+// discardTimeout limits the time in which the rest of the body of a refused request must
+// arrive. After it, the connection is closed.
+const discardTimeout = time.Second
+
+// endsConnection reports whether the connection is closed after a refusal, without reading the
+// rest of the request: it was refused for what it sends, or for lack of room.
+func endsConnection(cmd conductor.Refuse) bool {
+	return cmd.Code == coder.NoRoom || cmd.Code == coder.CallerTooSlow || cmd.Status == http.StatusRequestEntityTooLarge
+}
+
 // logSend logs to which endpoint a request is sent and the estimates behind the choice.
 // First attempts count against the limit on routine log lines and are omitted above it.
 // Retries are always logged.
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -41,9 +41,9 @@
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/dialer"
 	"primroseseam.org/seam/follower"
-	"primroseseam.org/seamedge/bufferer"
 	"primroseseam.org/seamedge/exchanger"
 	"primroseseam.org/seamedge/heartbeater"
+	"primroseseam.org/seamedge/limiter"
 )
 
 const (
@@ -56,21 +56,22 @@
 	// pruneInterval is the time between two checks for connections to endpoints that
 	// have been idle for too long. These connections are closed.
 	pruneInterval = time.Second
-	// headerTimeout limits the time to read the header of a request, and maxHeaderBytes
-	// limits the size of the header. Both apply to all sockets. For callers' requests,
-	// readRequest also checks the configuration's limit on header bytes. The
-	// configuration's header timeout is not applied.
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
+	// defaultHeaderTimeout limits the time to read the header of a request if the
+	// configuration sets no limit. longestHeaderTimeout applies whatever the configuration
+	// sets, and so does maxHeaderBytes, the limit on the size of the header.
+	defaultHeaderTimeout = 10 * time.Second
+	longestHeaderTimeout = 60 * time.Second
+	maxHeaderBytes       = 64 << 10
 	// idleTimeout is how long a connection may be idle if the configuration sets no
 	// limit. Callers close idle connections earlier than this.
 	idleTimeout = 75 * time.Second
 	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of
 	// the instance's memory. Near this limit the garbage collector runs more often.
-	memoryLimitFraction = 0.7
-	// bufferFraction is the part of the instance's memory for bodies that are buffered
-	// beyond their first bytes; see package bufferer.
-	bufferFraction = 0.25
+	memoryLimitFraction = 0.6
+	// callersShare is the share of the callers' socket in the memory for what clients make the
+	// instance hold, and otherShare that of each other socket; see package limiter.
+	callersShare = 0.75
+	otherShare   = 0.0625
 )
 
 // Edge is an edge instance.
@@ -82,13 +83,11 @@
 	log          *zap.Logger
 	metrics      *edgeMetrics
 	exchanger    *exchanger.Exchanger
-	// buffers is the memory for the buffered bodies of requests and answers.
-	buffers    *bufferer.Budget
-	heartbeats *heartbeater.Heartbeater
-	store      *platform.Store
-	followers  map[string]*follower.Follower
-	copyClient *http.Client
-	fetchQueue *fetchQueue
+	heartbeats   *heartbeater.Heartbeater
+	store        *platform.Store
+	followers    map[string]*follower.Follower
+	copyClient   *http.Client
+	fetchQueue   *fetchQueue
 	// announceAll and announceSameRegion make runHeartbeats send the positions of this
 	// instance's copies at once. announceAll sends them to the instances of all regions,
 	// announceSameRegion only to those of this instance's region.
@@ -135,8 +134,7 @@
 func New(settings Settings, output io.Writer, opts ...Option) *Edge {
 	startedAtMs := time.Now().UnixMilli()
 	logs := NewLogs(output, settings.Log.LinesPerSecond)
-	buffers := bufferer.New(int64(bufferFraction * float64(settings.Memory.LimitMB) * (1 << 20)))
-	exchange := exchanger.New(exchanger.WithBuffers(buffers))
+	exchange := exchanger.New()
 	e := &Edge{
 		settings:    settings,
 		startedAtMs: startedAtMs,
@@ -144,7 +142,6 @@
 		log:         logs.logger.With(zap.String("instance", settings.Instance.ID)),
 		metrics:     newMetrics(),
 		exchanger:   exchange,
-		buffers:     buffers,
 		store:       platform.NewStore(settings.Store),
 		followers:   map[string]*follower.Follower{},
 		copyClient: &http.Client{Transport: &http.Transport{
@@ -238,11 +235,13 @@
 // socketCallers is the name of the callers' socket in logs and metrics.
 const socketCallers = "callers"
 
-// server is an HTTP server and the listener of its socket.
+// server is an HTTP server and the listener of its socket. budget bounds what its clients make
+// the instance hold.
 type server struct {
 	name     string
 	http     *http.Server
 	listener *accepter.Listener
+	budget   *limiter.Budget
 	// serveEnded is closed when the server no longer accepts connections.
 	serveEnded chan struct{}
 }
@@ -272,16 +271,16 @@
 		handler http.Handler
 	}{
 		{socketCallers, e.settings.Listen.Callers, http.HandlerFunc(e.serveCaller)},
-		{"ready", e.settings.Listen.Ready, http.HandlerFunc(e.serveReady)},
-		{"lookups", e.settings.Listen.Lookups, http.HandlerFunc(e.serveLookup)},
+		{"ready", e.settings.Listen.Ready, withoutBody(e.serveReady)},
+		{"lookups", e.settings.Listen.Lookups, withoutBody(e.serveLookup)},
 		{"peers", e.settings.Listen.Peers, peers},
-		{"metrics", e.settings.Listen.Metrics, http.HandlerFunc(e.serveMetrics)},
+		{"metrics", e.settings.Listen.Metrics, withoutBody(e.serveMetrics)},
 	}
 	for _, h := range handlers {
 		if h.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp4", h.address)
+		l, err := listenConfig.Listen(context.Background(), "tcp4", h.address)
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
@@ -292,14 +291,44 @@
 
 // newServer returns a server for the socket of a listener. It doesn't start the server.
 func (e *Edge) newServer(name string, l net.Listener, handler http.Handler) server {
-	listener := accepter.New(l, accepter.WithReport(func(err error) { e.handleAccept(name, err) }))
-	return server{name: name, listener: listener, serveEnded: make(chan struct{}), http: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	share := otherShare
+	if name == socketCallers {
+		share = callersShare
+	}
+	for _, r := range limiter.Reasons() {
+		e.metrics.closings(name, r)
+	}
+	clientMB := float64(e.settings.Memory.LimitMB*e.settings.Memory.ClientsPercent) / 100
+	budget := limiter.New(int64(share*clientMB*(1<<20)), limiter.WithReport(func(c limiter.Closing) { e.handleClosing(name, c) }))
+	listener := accepter.New(l, accepter.WithReport(func(err error) { e.handleAccept(name, err) }),
+		accepter.WithFreeOne(budget.CloseOldestIdle),
+		accepter.WithMeter(func(c *accepter.Conn) (accepter.Meter, bool) { return budget.Open(c) }))
+	return server{name: name, listener: listener, budget: budget, serveEnded: make(chan struct{}), http: &http.Server{
+		Handler: handler, ReadHeaderTimeout: longestHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log),
 		ConnState: listener.Track, ConnContext: accepter.Context,
 	}}
 }
 
+// accountOf returns the account of the connection that a request came on.
+func accountOf(r *http.Request) *limiter.Account {
+	return accepter.MeterOf(r.Context()).(*limiter.Account)
+}
+
+// withoutBody returns a handler for requests that need no body. If a request has one, its
+// connection is closed after the response, and the body isn't read.
+func withoutBody(handler http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if accountOf(r).AwaitTurn(r.Context()) != nil {
+			return
+		}
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+		}
+		handler(w, r)
+	})
+}
+
 // recordTick records how late a tick is. elapsed is the time since the previous tick; the
 // tick is late by the part of it that exceeds tickInterval. A late tick means that the
 // process had to wait for the CPU.
--- a/seamedge/edger/headers.go
+++ b/seamedge/edger/headers.go
@@ -10,15 +10,17 @@
 	"primroseseam.org/platform"
 )
 
-// headerBytes returns the approximate size of a request line and header on the wire.
-func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("HTTP/1.1 Host: ")
+// headSize returns the number of fields of a request's head, and the least size in bytes that
+// the head can have had on the wire.
+func headSize(r *http.Request) (fields, bytes int) {
+	bytes = len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost:\r\n\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
-			size += len(name) + len(v) + len(": \r\n")
+			fields++
+			bytes += len(name) + len(v) + len(":\r\n")
 		}
 	}
-	return size
+	return fields, bytes
 }
 
 // hostWithoutPort returns the value of a Host header without the port, if it has one.
@@ -40,6 +42,18 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// defaultBodyTimeout limits the time for the body of a request that sets no timeout.
+const defaultBodyTimeout = 30 * time.Second
+
+// bodyTimeout returns how long the body of a request may take to arrive. Its caller doesn't
+// wait for the answer any longer.
+func bodyTimeout(r *http.Request) time.Duration {
+	if timeout := callerTimeout(r); timeout > 0 {
+		return timeout
+	}
+	return defaultBodyTimeout
+}
+
 // hopByHopHeaders lists the headers that apply to a single connection only and are
 // therefore not forwarded.
 var hopByHopHeaders = map[string]bool{
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -12,6 +12,7 @@
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/labeler"
 	"primroseseam.org/seam/router"
+	"primroseseam.org/seamedge/limiter"
 )
 
 // metricTeamRequests is the name of the counters of answers to each team.
@@ -150,6 +151,13 @@
 	m.set.GetOrCreateCounter(labeled("seam_edge_accept_errors_total", "socket", socket)).Inc()
 }
 
+// closings returns the counter of connections that the limits on a socket's clients closed, and
+// of requests that they refused, for a reason.
+func (m *edgeMetrics) closings(socket string, reason limiter.Reason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(labeler.Name("seam_edge_clients_cut_off_total",
+		labeler.Label{Name: "socket", Value: socket}, labeler.Label{Name: "reason", Value: reason.String()}))
+}
+
 // serveMetrics serves all metrics in the Prometheus text format.
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	e.metrics.set.WritePrometheus(w)
@@ -165,7 +173,6 @@
 	stats := e.model.Stats(now)
 	e.mu.Unlock()
 	metrics.WriteCounterUint64(w, "seam_edge_log_lines_left_out_total", e.logs.OmittedLines())
-	metrics.WriteGaugeUint64(w, "seam_edge_buffer_bytes_left", uint64(max(e.buffers.Left(), 0)))
 	metrics.WriteGaugeUint64(w, "seam_edge_config_version", stats.ConfigVersion)
 	metrics.WriteGaugeUint64(w, "seam_edge_instances_heard", uint64(stats.LiveInstances))
 	metrics.WriteGaugeUint64(w, "seam_edge_instances_known", uint64(stats.KnownInstances))
--- a/seamedge/edger/settings.go
+++ b/seamedge/edger/settings.go
@@ -78,17 +78,25 @@
 	// CollectPercent is how much the heap may grow, in percent, before the garbage
 	// collector runs again.
 	CollectPercent int `json:"collectPercent"`
+	// ClientsPercent is the part of LimitMB, in percent, for what clients make the instance
+	// hold.
+	ClientsPercent int `json:"clientsPercent"`
 }
 
 // Defaults of settings that are omitted or 0.
 const (
 	defaultLinesPerSecond = 200
 	defaultCollectPercent = 60
+	defaultClientsPercent = 25
 	defaultLimitMB        = 256
 	defaultGrace          = 6.0
 	defaultLookupTTL      = 5.0
 )
 
+// maxClientsPercent is the largest valid part of the memory for what clients make the instance
+// hold. The rest is for everything else and for garbage.
+const maxClientsPercent = 50
+
 // minDescriptors is the smallest valid number of file descriptors. With fewer, none would
 // be left for callers after those that the instance needs itself.
 const minDescriptors = 512
@@ -123,6 +131,9 @@
 	if s.Memory.CollectPercent == 0 {
 		s.Memory.CollectPercent = defaultCollectPercent
 	}
+	if s.Memory.ClientsPercent == 0 {
+		s.Memory.ClientsPercent = defaultClientsPercent
+	}
 	if s.Memory.LimitMB == 0 {
 		s.Memory.LimitMB = defaultLimitMB
 	}
@@ -177,6 +188,9 @@
 			return invalid(path, "must not be negative")
 		}
 	}
+	if s.Memory.ClientsPercent < 1 || s.Memory.ClientsPercent > maxClientsPercent {
+		return invalid("memory.clientsPercent", "must be from 1 to %d", maxClientsPercent)
+	}
 	if s.Descriptors < minDescriptors {
 		return invalid("descriptors", "must be at least %d", minDescriptors)
 	}
--- a/seamedge/edger/sockets.go
+++ b/seamedge/edger/sockets.go
@@ -1,14 +1,19 @@
 package edger
 
 import (
+	"cmp"
+	"errors"
 	"io"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"primroseseam.org/seam/accepter"
+	"primroseseam.org/seamedge/limiter"
 )
 
 const (
@@ -33,8 +38,29 @@
 	shortageEndDelay = time.Second
 )
 
-// connectionLimits holds limits on connections. Connections beyond a limit are closed only
-// if they are idle.
+const (
+	// receiveBufferBytes is the size of the kernel's receive buffer of a client's connection.
+	// It bounds what clients make the kernel hold that isn't read, for instance requests that
+	// are sent ahead. Linux doubles it for its own bookkeeping.
+	receiveBufferBytes = 16 << 10
+	// sendBufferBytes is the same for bytes of answers that clients don't take.
+	sendBufferBytes = 64 << 10
+)
+
+// listenConfig opens the sockets on which the instance listens. The connections inherit the
+// sizes of their buffers.
+var listenConfig = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes),
+		)
+	})
+	return errors.Join(controlErr, err)
+}}
+
+// connectionLimits holds limits on connections.
 type connectionLimits struct {
 	// callers limits the open connections of callers.
 	callers int
@@ -56,37 +82,64 @@
 	}
 }
 
-// limitConnections closes connections that have been idle for too long, and idle
-// connections that exceed a limit. It also cancels requests whose callers sent further
-// bytes after the request and then disconnected, which net/http doesn't notice.
+// limitConnections closes the connections that exceed a limit. It also cancels requests whose
+// callers sent further bytes after the request and then disconnected, which net/http doesn't
+// notice.
 func (e *Edge) limitConnections() {
-	e.mu.Lock()
-	maxIdle := e.model.Limits().IdleTimeout
-	e.mu.Unlock()
-	if maxIdle <= 0 {
-		maxIdle = idleTimeout
-	}
 	nonCallerConns, _ := e.exchanger.Connections()
 	for _, s := range e.servers {
-		open, _ := s.listener.Connections()
 		if s.name != socketCallers {
-			nonCallerConns += open
+			nonCallerConns += s.budget.Usage().Open
 		}
 	}
 	limits := divideSockets(e.settings.Descriptors, nonCallerConns)
 	e.exchanger.TrimIdle(limits.endpointsIdle)
 	for _, s := range e.servers {
 		s.listener.CancelDisconnected()
-		s.listener.CloseIdle(maxIdle)
+		s.budget.SetLimits(e.clientLimits(s.name))
+		s.budget.Sweep()
 		if s.name == socketCallers {
-			s.listener.SetMaxOpen(limits.callers)
+			s.budget.SetMaxConnections(limits.callers)
 			continue
 		}
-		s.listener.SetMaxOpen(limits.others)
+		s.budget.SetMaxConnections(limits.others)
 	}
 	e.checkShortageEnd(time.Now())
 }
 
+// minOtherHeaderBytes is the least limit on the size of heads at other sockets than the
+// callers'. The configuration's limit, which is for callers, applies there if it is greater.
+const minOtherHeaderBytes = 16 << 10
+
+// clientLimits returns the limits on the clients of a socket. They are those of the
+// configuration or, where it sets none, defaults.
+func (e *Edge) clientLimits(socket string) limiter.Limits {
+	e.mu.Lock()
+	configured := e.model.Limits()
+	e.mu.Unlock()
+	limits := limiter.Limits{
+		HeadBytes:   cmp.Or(configured.HeaderBytes, maxHeaderBytes),
+		HeadTimeout: cmp.Or(configured.HeaderTimeout, defaultHeaderTimeout),
+		Idle:        cmp.Or(configured.IdleTimeout, idleTimeout),
+	}
+	limits.Stall = limits.Idle
+	if socket != socketCallers {
+		limits.HeadBytes = max(limits.HeadBytes, minOtherHeaderBytes)
+	}
+	return limits
+}
+
+// handleClosing processes a connection that a socket's budget has closed, or a request that it
+// has refused. Idle connections that are closed aren't logged.
+func (e *Edge) handleClosing(socket string, c limiter.Closing) {
+	e.metrics.closings(socket, c.Reason).Inc()
+	if c.Phase == limiter.Idle && c.Reason != limiter.NoConnection || !e.logs.AllowRoutine(time.Now()) {
+		return
+	}
+	e.log.Info("client: cut off", zap.String("socket", socket), zap.Stringer("reason", c.Reason), zap.Stringer("phase", c.Phase),
+		zap.Stringer("address", c.Address), zap.Int64("held", c.Held), zap.Duration("age", c.Age))
+}
+
 // descriptorShortage records the current period in which connections can't be accepted
 // because the process has no free descriptors. since is when the period began; it is zero
 // if there is no shortage now.
@@ -139,14 +192,14 @@
 	open, idle := e.exchanger.Connections()
 	fields := []zap.Field{zap.Int("endpoints", open), zap.Int("endpointsIdle", idle)}
 	for _, s := range e.servers {
-		open, idle := s.listener.Connections()
-		fields = append(fields, zap.Int(s.name, open), zap.Int(s.name+"Idle", idle))
+		u := s.budget.Usage()
+		fields = append(fields, zap.Int(s.name, u.Open), zap.Int(s.name+"Idle", u.Idle))
 	}
 	return fields
 }
 
 // writeConnectionMetrics writes gauges with the numbers of open and idle connections, for
-// endpoints and for each server.
+// endpoints and for each server, and with the memory that the clients of each server hold.
 func (e *Edge) writeConnectionMetrics(w io.Writer) {
 	write := func(kind string, open, idle int) {
 		metrics.WriteGaugeUint64(w, labeled("seam_edge_connections_open", "kind", kind), uint64(open))
@@ -155,7 +208,10 @@
 	open, idle := e.exchanger.Connections()
 	write("endpoints", open, idle)
 	for _, s := range e.servers {
-		open, idle := s.listener.Connections()
-		write(s.name, open, idle)
+		u := s.budget.Usage()
+		write(s.name, u.Open, u.Idle)
+		metrics.WriteGaugeUint64(w, labeled("seam_edge_client_bytes", "socket", s.name), uint64(u.Held))
+		metrics.WriteGaugeUint64(w, labeled("seam_edge_client_bytes_limit", "socket", s.name), uint64(u.Size))
+		metrics.WriteGaugeUint64(w, labeled("seam_edge_client_addresses", "socket", s.name), uint64(u.Addresses))
 	}
 }
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -34,9 +34,6 @@
 	"primroseseam.org/seamedge/bufferer"
 )
 
-// defaultBufferBytes is the budget for buffered response bodies if none is set.
-const defaultBufferBytes = 64 << 20
-
 // maxHeadBytes limits the bytes that are read for the head of a response.
 const maxHeadBytes = 64 << 10
 
@@ -83,6 +80,9 @@
 	// nonIdempotentMaxIdle, since the endpoint may have dropped the connection.
 	NonIdempotent bool
 	Deadline      time.Time
+	// Room is the memory for the buffered part of the response body, or nil if there is no
+	// limit.
+	Room bufferer.Room
 }
 
 // Result is the outcome of a call: a response, or an error.
@@ -121,27 +121,13 @@
 type Exchanger struct {
 	pool       pool
 	seed       maphash.Seed
-	buffers    *bufferer.Budget
 	openConns  atomic.Int64
 	lastConnID atomic.Uint64
 }
 
-// Option configures an Exchanger in New.
-type Option func(*Exchanger)
-
-// WithBuffers sets the budget for buffered response bodies, which may be shared.
-func WithBuffers(b *bufferer.Budget) Option { return func(x *Exchanger) { x.buffers = b } }
-
 // New returns an exchanger without connections.
-func New(opts ...Option) *Exchanger {
-	x := &Exchanger{seed: maphash.MakeSeed(), pool: pool{idle: map[string][]*conn{}}}
-	for _, opt := range opts {
-		opt(x)
-	}
-	if x.buffers == nil {
-		x.buffers = bufferer.New(defaultBufferBytes)
-	}
-	return x
+func New() *Exchanger {
+	return &Exchanger{seed: maphash.MakeSeed(), pool: pool{idle: map[string][]*conn{}}}
 }
 
 // Connections returns two counts. openConns counts all connections, including the idle
@@ -193,6 +179,9 @@
 	if err := validate(call); err != nil {
 		return Result{Err: err}
 	}
+	if call.Room == nil {
+		call.Room = bufferer.Unlimited{}
+	}
 	id := maphash.String(x.seed, call.RequestID)
 	c := x.pool.take(call.Address, poolRequest{id: id, nonIdempotent: call.NonIdempotent}, time.Now())
 	reused := c != nil
@@ -313,7 +302,7 @@
 		if response.StatusCode/100 == 1 {
 			continue
 		}
-		body, err = x.buffers.Read(response.Body)
+		body, err = bufferer.Read(call.Room, response.Body, bodyLength(response, call))
 		if err != nil {
 			return nil, bufferer.Start{}, 0, fmt.Errorf("read response body: %w", err)
 		}
@@ -339,6 +328,14 @@
 	return nil, bufferer.Start{}, 0, ErrUnexpectedResponse
 }
 
+// bodyLength returns the size of a response's body, or -1 if it isn't known.
+func bodyLength(response *http.Response, call Call) int64 {
+	if call.Method == http.MethodHead {
+		return 0
+	}
+	return response.ContentLength
+}
+
 // isForeign reports whether a response with the given request ID, or "", can't be
 // attributed to the call. Endpoints return the ID of the request. A response without an ID
 // may be a late copy of one to an earlier request if the connection has carried other
--- /dev/null
+++ b/seamedge/limiter/limiter_test.go
@@ -0,0 +1,454 @@
+package limiter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"primroseseam.org/seamedge/limiter"
+)
+
+// fakeConn is a connection of a client.
+type fakeConn struct {
+	address  string
+	written  strings.Builder
+	closed   bool
+	refused  bool
+	readable bool
+	account  *limiter.Account
+	phase    limiter.Phase
+}
+
+func (c *fakeConn) RemoteAddr() net.Addr {
+	return &net.TCPAddr{IP: net.ParseIP(c.address), Port: 1}
+}
+func (c *fakeConn) Write(p []byte) (int, error)        { return c.written.Write(p) }
+func (c *fakeConn) SetReadDeadline(t time.Time) error  { c.refused = true; return nil }
+func (c *fakeConn) SetWriteDeadline(t time.Time) error { return nil }
+func (c *fakeConn) Close() error                       { c.closed = true; return nil }
+func (c *fakeConn) Readable() bool                     { return c.readable }
+
+// crowd is a budget with its clock and the closings that it reported.
+type crowd struct {
+	t        testing.TB
+	clock    *clockwork.FakeClock
+	budget   *limiter.Budget
+	closings []limiter.Closing
+	conns    []*fakeConn
+}
+
+func newCrowd(t testing.TB, size int64, opts ...limiter.Option) *crowd {
+	c := &crowd{t: t, clock: clockwork.NewFakeClock()}
+	opts = append(opts, limiter.WithClock(c.clock), limiter.WithReport(func(cl limiter.Closing) { c.closings = append(c.closings, cl) }))
+	c.budget = limiter.New(size, opts...)
+	return c
+}
+
+// open opens a connection, which must find room. Before that, the server notices which ones
+// were closed.
+func (c *crowd) open(address string) *fakeConn {
+	c.t.Helper()
+	for _, conn := range c.conns {
+		if conn.closed {
+			conn.account.Close()
+		}
+	}
+	conn := &fakeConn{address: address}
+	c.conns = append(c.conns, conn)
+	account, ok := c.budget.Open(conn)
+	if !ok {
+		c.t.Fatal("no room for a connection")
+	}
+	conn.account = account
+	return conn
+}
+
+// begin receives a request's head and begins to receive its body.
+func (c *crowd) begin(conn *fakeConn) bool {
+	c.t.Helper()
+	if err := conn.account.Received([]byte("POST / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		c.t.Fatal(err)
+	}
+	return conn.account.Begin(1, 30, time.Time{})
+}
+
+const (
+	local = "192.0.2.1"
+	other = "192.0.2.2"
+)
+
+// closedOf returns which of the connections were closed or refused.
+func closedOf(conns []*fakeConn) []int {
+	var list []int
+	for i, conn := range conns {
+		if conn.closed || conn.refused {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Idle connections make room before any that carries a request, the longest idle first, but
+// not if a request may have arrived on them.
+func TestIdleConnectionsMakeRoomFirst(t *testing.T) {
+	c := newCrowd(t, 1<<20, limiter.WithMaxConnections(16))
+	var conns []*fakeConn
+	for n := range 15 {
+		conn := c.open(fmt.Sprint("192.0.2.", n))
+		conn.readable = n == 1
+		conns = append(conns, conn)
+		c.clock.Advance(time.Second)
+	}
+	if !c.begin(conns[0]) {
+		t.Fatal("no room for a request")
+	}
+	c.open(local)
+	c.open(local)
+	// The first one is busy, and a request may wait on the second one.
+	if got := closedOf(conns); !slices.Equal(got, []int{2, 3}) {
+		t.Errorf("closed connections: %v, want the longest idle ones", got)
+	}
+}
+
+// Of the connections that send or receive, those that have moved the least lately make room.
+// Requests that are with an endpoint stay.
+func TestLeastProgressMakesRoom(t *testing.T) {
+	c := newCrowd(t, 1<<20, limiter.WithMaxConnections(16))
+	var conns []*fakeConn
+	for n := range 15 {
+		conn := c.open(fmt.Sprint("192.0.2.", n))
+		c.begin(conn)
+		conns = append(conns, conn)
+		c.clock.Advance(time.Millisecond)
+	}
+	for n, conn := range conns {
+		switch {
+		case n < 5:
+			conn.account.SetPhase(limiter.AtEndpoint)
+		case n < 10:
+			c.clock.Advance(10 * time.Millisecond)
+			_ = conn.account.Received([]byte("some bytes"))
+		case n == 10:
+			conn.account.SetPhase(limiter.Streaming)
+		}
+	}
+	c.clock.Advance(time.Second)
+	for range 2 {
+		c.begin(c.open(local))
+	}
+	if got := closedOf(conns); !slices.Equal(got, []int{11, 12}) {
+		t.Errorf("connections that made room: %v", got)
+	}
+	c.clock.Advance(5 * time.Second)
+	for _, n := range []int{13, 14, 5} {
+		_ = conns[n].account.Received([]byte("late bytes"))
+	}
+	for _, conn := range c.conns[15:] {
+		_ = conn.account.Received([]byte("late bytes"))
+	}
+	for range 3 {
+		c.begin(c.open(local))
+	}
+	if got := closedOf(conns); !slices.Equal(got, []int{6, 7, 8, 11, 12}) {
+		t.Errorf("connections that made room later: %v", got)
+	}
+}
+
+// A client address that holds more than half makes room before others do.
+func TestClientThatHoldsMostMakesRoomFirst(t *testing.T) {
+	c := newCrowd(t, 1<<20, limiter.WithMaxConnections(32))
+	var slow, crowd []*fakeConn
+	for range 8 {
+		conn := c.open(other)
+		c.begin(conn)
+		slow = append(slow, conn)
+	}
+	c.clock.Advance(10 * time.Second)
+	for range 22 {
+		conn := c.open(local)
+		c.begin(conn)
+		_ = conn.account.Received(make([]byte, 1000))
+		crowd = append(crowd, conn)
+	}
+	for range 2 {
+		c.open("192.0.2.3")
+	}
+	if got := closedOf(slow); got != nil {
+		t.Errorf("connections of the smaller client made room: %v", got)
+	}
+	if got := closedOf(crowd); len(got) == 0 {
+		t.Error("no connection of the larger client made room")
+	}
+}
+
+// However many large requests there are, ordinary ones find room, and what is held stays within
+// the budget, also while connections are leaving.
+func TestSmallRequestsFindRoomBesideLargeOnes(t *testing.T) {
+	const size = 4 << 20
+	c := newCrowd(t, size)
+	taken := 0
+	for n := range 40 {
+		conn := c.open(local)
+		if !c.begin(conn) {
+			t.Fatalf("request %d: no room", n)
+		}
+		if conn.account.Reserve(256 << 10) {
+			taken++
+			conn.account.SetPhase(limiter.AtEndpoint)
+		}
+		if held := c.budget.Usage().Held; held > size {
+			t.Fatalf("%d bytes held, the budget has %d", held, size)
+		}
+	}
+	if taken < 5 || taken > 12 {
+		t.Errorf("%d large requests were taken", taken)
+	}
+	if !c.begin(c.open(other)) {
+		t.Error("no room for an ordinary request")
+	}
+}
+
+// A request whose body is being received is refused to make room; its memory counts until the
+// handler has ended. Meanwhile nothing more can be charged to it.
+func TestEvictedRequestsAreRefused(t *testing.T) {
+	const size = 1 << 20
+	c := newCrowd(t, size)
+	var conns []*fakeConn
+	for range 12 {
+		conn := c.open(local)
+		c.begin(conn)
+		conn.account.Reserve(40 << 10)
+		conns = append(conns, conn)
+		c.clock.Advance(time.Second)
+	}
+	for conns[0].refused == false {
+		conn := c.open(other)
+		c.begin(conn)
+	}
+	if conns[0].closed {
+		t.Error("the connection was closed, so that it gets no refusal")
+	}
+	first := conns[0].account
+	if _, leaving := first.Leaving(); !leaving || first.Reserve(1) {
+		t.Error("the request isn't marked as leaving, or may hold more")
+	}
+	if reason, ok := first.SetPhase(limiter.AtEndpoint); ok || reason != limiter.NoRoom {
+		t.Errorf("the request goes on to an endpoint: %v", reason)
+	}
+	before := c.budget.Usage().Held
+	first.SetPhase(limiter.Responding)
+	first.Close()
+	if after := c.budget.Usage().Held; before-after < 40<<10 {
+		t.Errorf("held %d before and %d after the end of the request", before, after)
+	}
+}
+
+// Heads are charged by their fields while they are read, and refused with an answer that says
+// that nothing has run.
+func TestHeadsAreRefusedWhileTheyAreRead(t *testing.T) {
+	c := newCrowd(t, 1<<20)
+	c.budget.SetLimits(limiter.Limits{HeadBytes: 16 << 10})
+	fields := []byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 1000))
+	small := c.open(local)
+	if err := small.account.Received(fields); err != nil {
+		t.Errorf("a head within the limit: %v", err)
+	}
+	if held := c.budget.Usage().Held; held < 200*1000 {
+		t.Errorf("%d bytes held for 1,000 fields", held)
+	}
+	large := c.open(other)
+	if err := large.account.Received(make([]byte, 21<<10)); !errors.Is(err, limiter.ErrHeadTooLarge) || !strings.HasPrefix(large.written.String(), "HTTP/1.1 431 ") {
+		t.Errorf("a head over the limit: %v, %q", err, large.written.String())
+	}
+	last := error(nil)
+	for n := 0; n < 10 && last == nil; n++ {
+		conn := c.open(fmt.Sprint("192.0.2.", 10+n))
+		if last = conn.account.Received(fields); last != nil && !strings.HasPrefix(conn.written.String(), "HTTP/1.1 503 ") {
+			t.Errorf("a head without room: %v, %q", last, conn.written.String())
+		}
+	}
+	if !errors.Is(last, limiter.ErrNoRoom) {
+		t.Errorf("ten heads of 1,000 fields: %v", last)
+	}
+}
+
+// Connections are closed when a time limit is exceeded, and not before.
+func TestSweepKeepsTheTimeLimits(t *testing.T) {
+	limits := limiter.Limits{HeadTimeout: 3 * time.Second, Stall: 5 * time.Second, Idle: 10 * time.Second}
+	for _, test := range []struct {
+		name   string
+		within time.Duration
+		beyond time.Duration
+		reason limiter.Reason
+		set    func(c *crowd, conn *fakeConn)
+	}{
+		{"head", 3900 * time.Millisecond, 4100 * time.Millisecond, limiter.HeadTimeout, func(_ *crowd, conn *fakeConn) {
+			_ = conn.account.Received([]byte("GET"))
+		}},
+		{"idle", 10 * time.Second, 10100 * time.Millisecond, limiter.IdleTimeout, func(*crowd, *fakeConn) {}},
+		{"body", 5 * time.Second, 5100 * time.Millisecond, limiter.Stalled, func(c *crowd, conn *fakeConn) { c.begin(conn) }},
+		{"body deadline", 2 * time.Second, 2100 * time.Millisecond, limiter.BodyTimeout, func(c *crowd, conn *fakeConn) {
+			_ = conn.account.Received([]byte("POST / HTTP/1.1\r\n\r\n"))
+			conn.account.Begin(0, 20, c.clock.Now().Add(2*time.Second))
+		}},
+		{"response", 5 * time.Second, 5100 * time.Millisecond, limiter.Stalled, func(c *crowd, conn *fakeConn) {
+			c.begin(conn)
+			conn.account.SetPhase(limiter.Responding)
+			conn.account.Sending()
+		}},
+		{"endpoint", time.Hour, 0, 0, func(c *crowd, conn *fakeConn) {
+			c.begin(conn)
+			conn.account.SetPhase(limiter.AtEndpoint)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCrowd(t, 1<<20)
+			c.budget.SetLimits(limits)
+			conn := c.open(local)
+			test.set(c, conn)
+			c.clock.Advance(test.within)
+			c.budget.Sweep()
+			if conn.closed || conn.refused {
+				t.Fatal("closed within the limit")
+			}
+			if test.beyond == 0 {
+				return
+			}
+			c.clock.Advance(test.beyond - test.within)
+			c.budget.Sweep()
+			if !conn.closed && !conn.refused || len(c.closings) != 1 || c.closings[0].Reason != test.reason {
+				t.Errorf("beyond the limit: %+v", c.closings)
+			}
+		})
+	}
+}
+
+// Requests that were sent ahead wait for a turn, in order; others don't.
+func TestRequestsSentAheadWaitForATurn(t *testing.T) {
+	c := newCrowd(t, 8<<20)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	ahead := func() *fakeConn {
+		conn := c.open(local)
+		c.begin(conn)
+		conn.account.ReadAhead()
+		conn.account.End()
+		_ = conn.account.Received([]byte("ET / HTTP/1.1\r\n\r\n"))
+		return conn
+	}
+	var holders []*fakeConn
+	for {
+		conn := ahead()
+		if conn.account.AwaitTurn(ctx) != nil {
+			break
+		}
+		holders = append(holders, conn)
+	}
+	if len(holders) != 16 {
+		t.Errorf("%d requests sent ahead are handled at the same time", len(holders))
+	}
+	ordinary := c.open(other)
+	c.begin(ordinary)
+	if err := ordinary.account.AwaitTurn(t.Context()); err != nil {
+		t.Errorf("an ordinary request had to wait: %v", err)
+	}
+	// A turn ends with the response, with the request and with the connection.
+	holders[0].account.SetPhase(limiter.Responding)
+	holders[1].account.End()
+	holders[2].account.Close()
+	for range 3 {
+		if err := ahead().account.AwaitTurn(t.Context()); err != nil {
+			t.Errorf("no turn was free: %v", err)
+		}
+	}
+}
+
+// Whatever connections do, the budget and the number of connections are never exceeded, and no
+// request at an endpoint is cut off. All is given back in the end.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const size, most = 2 << 20, 40
+		c := newCrowd(t, size, limiter.WithMaxConnections(most))
+		c.budget.SetLimits(limiter.Limits{HeadBytes: 16 << 10, HeadTimeout: time.Second, Stall: 2 * time.Second, Idle: 4 * time.Second})
+		var conns []*fakeConn
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			step(rt, c, &conns)
+			u := c.budget.Usage()
+			if u.Held > size || u.Open > most || u.Held < 0 || u.Idle > u.Open {
+				rt.Fatalf("usage %+v", u)
+			}
+			conns = slices.DeleteFunc(conns, func(conn *fakeConn) bool {
+				if !conn.closed && !conn.refused {
+					return false
+				}
+				if conn.phase == limiter.AtEndpoint {
+					rt.Fatal("a request at an endpoint was cut off")
+				}
+				// The handler notices later.
+				if !rapid.Bool().Draw(rt, "noticed") {
+					return false
+				}
+				conn.account.Close()
+				return true
+			})
+		}
+		for _, conn := range conns {
+			conn.account.Close()
+		}
+		if u := c.budget.Usage(); u.Held != 0 || u.Open != 0 || u.Addresses != 0 || u.Idle != 0 {
+			rt.Fatalf("not given back: %+v", u)
+		}
+	})
+}
+
+// step lets a connection do something that the server would do.
+func step(rt *rapid.T, c *crowd, conns *[]*fakeConn) {
+	c.clock.Advance(time.Duration(rapid.IntRange(0, 300).Draw(rt, "ms")) * time.Millisecond)
+	if len(*conns) == 0 || rapid.IntRange(0, 3).Draw(rt, "open") == 0 {
+		conn := &fakeConn{address: fmt.Sprint("192.0.2.", rapid.IntRange(1, 4).Draw(rt, "address"))}
+		if account, ok := c.budget.Open(conn); ok {
+			conn.account = account
+			*conns = append(*conns, conn)
+		}
+		return
+	}
+	conn := rapid.SampledFrom(*conns).Draw(rt, "conn")
+	a := conn.account
+	bytes := rapid.IntRange(1, 200<<10).Draw(rt, "bytes")
+	switch action := rapid.IntRange(0, 8).Draw(rt, "action"); {
+	case action == 0 && conn.phase == limiter.Idle:
+		_ = a.Received([]byte(strings.Repeat("a:\n", min(bytes, 4000)/3)))
+	case action == 1 && conn.phase == limiter.Idle:
+		if a.Begin(10, 500, c.clock.Now().Add(time.Second)) {
+			conn.phase = limiter.ReceivingBody
+		}
+	case action == 2 && conn.phase != limiter.Idle:
+		if a.Reserve(int64(bytes)) && rapid.Bool().Draw(rt, "release") {
+			a.Release(int64(bytes))
+		}
+	case action == 3 && conn.phase == limiter.ReceivingBody:
+		if _, ok := a.SetPhase(limiter.AtEndpoint); ok {
+			conn.phase = limiter.AtEndpoint
+		}
+	case action == 4 && conn.phase != limiter.Idle:
+		a.SetPhase(limiter.Responding)
+		conn.phase = limiter.Responding
+	case action == 5 && conn.phase == limiter.Responding:
+		a.End()
+		conn.phase = limiter.Idle
+	case action == 6:
+		conn.readable = !conn.readable
+	case action == 7:
+		c.budget.Sweep()
+	case action == 8:
+		c.budget.SetMaxConnections(40)
+	}
+}
