--- a/seamedge/edger/disconnect_test.go
+++ b/seamedge/edger/disconnect_test.go
@@ -1,6 +1,7 @@
 package edger_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -119,6 +120,22 @@
 	}
 }
 
+// Guards against MIXED: only an endpoint's answer is a success, also for a request about no
+// path.
+func TestNoSuccessWithoutAnEndpoint(t *testing.T) {
+	r := newTestEnv(t)
+	r.configure("key-1", "a")
+	r.endpoint("i-1", "a", nil)
+	e := r.start("edge-1", &logSink{})
+	e.waitFor(3*time.Second, "ready", e.ready)
+	conn := dialCaller(t, e)
+	write(t, conn, strings.Replace(rawRequest("one"), "GET /x/1 ", "OPTIONS * ", 1))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusNotFound {
+		t.Errorf("got %+v, %v", resp, err)
+	}
+}
+
 func TestIdleCallersDoNotUseUpTheDescriptors(t *testing.T) {
 	const callers, maxOpen = 300, 224
 	r := newTestEnv(t)
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -307,6 +307,8 @@
 		Handler: handler, ReadHeaderTimeout: longestHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log),
 		ConnState: listener.Track, ConnContext: accepter.Context,
+		// Otherwise net/http answers "OPTIONS *" by itself, as if an endpoint had.
+		DisableGeneralOptionsHandler: true,
 	}}
 }
 
