Let all simulated instances know all endpoints

Cause: newSimulation started the instances of each region before the endpoints of the later regions were there, and told them of none afterwards. So the first region's instances used only their own region's endpoints, the second's only those of two, and no request of theirs could cross regions: the tests of load and of shifts played another deployment than they say.

Change: the endpoints of all regions are there before the first instance.

--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -165,6 +165,8 @@
 				region: region(r), warmCapacity: warmCapacity,
 			}
 		}
+	}
+	for r := range 3 {
 		for i := range instances[r] {
 			sim.addInstance(fmt.Sprintf("edge-%d-%d", r, i), zone(r))
 		}
