Keep connections to far endpoints open with probes

Callers saw: requests that a region has no room for are late.

Cause: an instance sends few requests to each far endpoint, endpoints close connections after 10 s without a request, and a new connection costs a round trip of 110 ms of the 500 ms in which the answer is due.

Responses to probes and to requests can't be taken for each other.

--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -215,6 +215,7 @@
 	startWorker(e.heartbeats.Run)
 	startWorker(e.runHeartbeats)
 	startWorker(e.runTicks)
+	startWorker(e.runProbes)
 	startWorker(e.register)
 	for _, kind := range followedKinds {
 		startWorker(func(ctx context.Context) { e.runFetches(ctx, kind) })
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -30,6 +30,10 @@
 	// endpointChecks counts the connections that were opened, or not, to find out whether an
 	// endpoint has ended.
 	endpointChecks *metrics.Counter
+	// probes counts the probes that keep connections open, and probesFailed those without a
+	// response.
+	probes       *metrics.Counter
+	probesFailed *metrics.Counter
 	// skippedResponses counts responses of endpoints that couldn't be attributed to the
 	// request at hand and were skipped.
 	skippedResponses *metrics.Counter
@@ -68,6 +72,8 @@
 		retries:              set.NewCounter("seam_edge_retries_total"),
 		endpointConnections:  set.NewCounter("seam_edge_endpoint_connections_total"),
 		endpointChecks:       set.NewCounter("seam_edge_endpoint_checks_total"),
+		probes:               set.NewCounter("seam_edge_probes_total"),
+		probesFailed:         set.NewCounter("seam_edge_probes_failed_total"),
 		limitedAttempts:      set.NewCounter("seam_edge_limited_attempts_total"),
 		skippedResponses:     set.NewCounter("seam_edge_skipped_responses_total"),
 		invalidEntries:       set.NewCounter("seam_edge_invalid_entries_total"),
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -123,11 +123,27 @@
 	seed       maphash.Seed
 	openConns  atomic.Int64
 	lastConnID atomic.Uint64
+	// lastProbeID numbers the probes.
+	lastProbeID     atomic.Uint64
+	minKeptDialTime time.Duration
+}
+
+// Option configures an Exchanger in New.
+type Option func(*Exchanger)
+
+// WithMinKeptDialTime sets the dial time from which on a connection is worth probes that keep it
+// open.
+func WithMinKeptDialTime(d time.Duration) Option {
+	return func(x *Exchanger) { x.minKeptDialTime = d }
 }
 
 // New returns an exchanger without connections.
-func New() *Exchanger {
-	return &Exchanger{seed: maphash.MakeSeed(), pool: pool{idle: map[string][]*conn{}}}
+func New(opts ...Option) *Exchanger {
+	x := &Exchanger{seed: maphash.MakeSeed(), pool: pool{idle: map[string][]*conn{}}, minKeptDialTime: defaultMinKeptDialTime}
+	for _, opt := range opts {
+		opt(x)
+	}
+	return x
 }
 
 // Connections returns two counts. openConns counts all connections, including the idle
@@ -179,9 +195,7 @@
 	if err := validate(call); err != nil {
 		return Result{Err: err}
 	}
-	if call.Room == nil {
-		call.Room = bufferer.Unlimited{}
-	}
+	call = call.withDefaults()
 	id := maphash.String(x.seed, call.RequestID)
 	c := x.pool.take(call.Address, poolRequest{id: id, nonIdempotent: call.NonIdempotent}, time.Now())
 	reused := c != nil
@@ -194,6 +208,7 @@
 		}
 	}
 	c.requests = append(c.requests, id)
+	c.lastRequest = time.Now()
 	result := x.roundTrip(ctx, c, call)
 	result.ConnectionReused = reused
 	result.ConnectionID = c.id
@@ -203,6 +218,14 @@
 	return result
 }
 
+// withDefaults returns the call with the values that stand for fields that aren't set.
+func (c Call) withDefaults() Call {
+	if c.Room == nil {
+		c.Room = bufferer.Unlimited{}
+	}
+	return c
+}
+
 // validate returns an error that wraps ErrInvalidCall if the head of a call's request would
 // not arrive as it is. It is the only check between text from outside and endpoints.
 func validate(call Call) error {
--- a/seamedge/exchanger/pool.go
+++ b/seamedge/exchanger/pool.go
@@ -51,8 +51,10 @@
 	input *io.LimitedReader
 	// maxIdle is how long the connection may be idle and still be reused. lastUsed is
 	// when the last response on it was read, or when it was opened.
-	maxIdle  time.Duration
-	lastUsed time.Time
+	// lastRequest is when the last request other than a probe was sent.
+	maxIdle     time.Duration
+	lastUsed    time.Time
+	lastRequest time.Time
 	// requests holds the hashes of the IDs of all requests that were sent on the connection.
 	requests []uint64
 	// dialTime is how long it took to open the connection.
