Make busy objects warm at one more endpoint when a request would be late anyway

Cause: an object got a further copy only when the queue where it is warm was longer than a cold run, and by then its callers were refused, since they would be late.

--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -327,9 +327,8 @@
 func (b *Balancer) Pick(now time.Time, r Request) (Choice, bool) {
 	s := b.service(r.Service)
 	enoughCopies := b.warmCopies(now, r, s) >= copiesWithoutPenalty
-	best, bestCost := -1, math.Inf(1)
-	var bestChoice Choice
-	for i, e := range s.endpoints {
+	best := newCandidate()
+	for _, e := range s.endpoints {
 		if !b.mayReceive(now, r, e) {
 			continue
 		}
@@ -337,14 +336,14 @@
 		if enoughCopies && !choice.ObjectWarm && !e.isUnderused() {
 			cost += extraCopyCost
 		}
-		if cost < bestCost {
-			best, bestCost, bestChoice = i, cost, choice
-		}
+		best.offer(choice, cost)
 	}
-	if best < 0 {
-		return Choice{}, false
+	if r.wantsCopy(best.choice) {
+		if choice, ok := b.pickForCopy(now, r, s, best.choice.Region); ok {
+			return choice, true
+		}
 	}
-	return bestChoice, true
+	return best.choice, best.found()
 }
 
 // warmCopies returns the number of endpoints at which the request's object is warm.
