Use what endpoints state of how long work takes there

Cause: the fourth figure of the load that endpoints state was removed and not read.

Change: it is parsed (three or four whole numbers; others are ignored and counted), multiplies the expected run time while it is fresh, and is passed on within the region when it is unusual.

--- a/seam/conductor/heartbeats.go
+++ b/seam/conductor/heartbeats.go
@@ -100,6 +100,7 @@
 	hb.WarmObjects = m.takeWarmObjects(to)
 	if to == SameRegion {
 		hb.Sightings = m.takeSightings(now)
+		hb.WorkTimes = m.balancer.TakeWorkTimeReports(now)
 	}
 	m.heartbeatCounts[to]++
 	for _, t := range m.teams {
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -115,8 +115,10 @@
 	// endpoint asked this instance to send no requests, or 0.
 	Leaving bool
 	Pause   time.Duration
-	// Limit is what the response states of the endpoint's rate limit.
+	// Limit is what the response states of the endpoint's rate limit, and Load what it states
+	// of its load.
 	Limit router.RateLimit
+	Load  router.ReportedLoad
 }
 
 // Acceptable reports whether the attempt brought a response that is delivered without
@@ -208,6 +210,9 @@
 	// Without FullDemand, the last reported demand still applies to teams that are not
 	// listed.
 	FullDemand bool
+	// WorkTimes holds what endpoints stated of how long work takes there. Only heartbeats within
+	// the region contain it.
+	WorkTimes []placer.WorkTimeReport
 	// ReachabilityReports reports endpoints that the sender can't reach, or can reach
 	// again.
 	ReachabilityReports []placer.ReachabilityReport
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -280,7 +280,7 @@
 	m.balancer.RecordOutcome(now, r.choice.ID, placer.Outcome{
 		SentAt: r.sentAt, Object: r.placement.Object, Choice: r.choice,
 		Answered: o.Answered, SuccessStatus: o.Status/100 == 2, NotRun: o.NotRun && !o.Unreachable, Unreachable: o.Unreachable,
-		ConnectionRefused: o.ConnectionRefused, CallerDisconnected: o.CallerDisconnected, DialTime: o.DialTime,
+		ConnectionRefused: o.ConnectionRefused, CallerDisconnected: o.CallerDisconnected, DialTime: o.DialTime, Load: o.Load,
 		TargetLatency: r.route.TargetLatency, Timeout: r.placement.Timeout,
 	})
 	took := now.Sub(r.sentAt)
--- a/seam/conductor/simulation_endpoint_test.go
+++ b/seam/conductor/simulation_endpoint_test.go
@@ -1,10 +1,12 @@
 package conductor_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
 
+	"primroseseam.org/seam/placer"
 	"primroseseam.org/seam/router"
 )
 
@@ -82,6 +84,7 @@
 	if sim.now.Before(e.coldUntil) {
 		duration *= 2
 	}
+	duration *= e.workTime(sim)
 	generation := e.generation
 	if a.digest == sim.deadly && sim.deadly != 0 {
 		sim.after(crashDelay, func() {
@@ -109,6 +112,27 @@
 	})
 }
 
+// workTime returns how long work takes at the endpoint at the moment, as a multiple of the usual
+// time.
+func (e *fakeEndpoint) workTime(sim *simulation) float64 {
+	if sim.slowShare == 0 {
+		return 1
+	}
+	period := sim.now.UnixNano() / int64(sim.slowPeriod)
+	if float64(placer.Hash32(fmt.Sprint(period, e.spec.ID))%1000) < 1000*sim.slowShare {
+		return sim.slowFactor
+	}
+	return 1
+}
+
+// load returns what the endpoint's answers state of its load.
+func (e *fakeEndpoint) load(sim *simulation) router.ReportedLoad {
+	if !sim.slownessReported {
+		return router.ReportedLoad{}
+	}
+	return router.ReportedLoad{WorkTimePercent: int(100 * e.workTime(sim))}
+}
+
 // crash stops the endpoint; its attempts get no response.
 func (e *fakeEndpoint) crash() {
 	e.down = true
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -22,6 +22,11 @@
 	// heartbeatLoss is the fraction of the heartbeats that are lost on the way.
 	heartbeatLoss  float64
 	heartbeatsSent int
+	// slowShare is the share of the endpoints at which work takes slowFactor times as long at
+	// any time, others after each slowPeriod. slownessReported means that answers state that.
+	slowShare, slowFactor float64
+	slowPeriod            time.Duration
+	slownessReported      bool
 	// apart reports whether heartbeats from one region to another are lost. It is nil if
 	// none are.
 	apart     func(from, to string) bool
@@ -362,7 +367,7 @@
 		sim.admitted[team] = append(sim.admitted[team], sim.now)
 		sim.arrivals = append(sim.arrivals, arrival{at: sim.now, from: sim.zones[i.zone], in: e.region})
 		e.arrive(sim, attempt{object: object, digest: sim.digestOf[cmd.ID], done: func(status int, notRun bool) {
-			finish(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun, Limit: e.limit, Broken: status == 0})
+			finish(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun, Limit: e.limit, Broken: status == 0, Load: e.load(sim)})
 		}})
 	})
 }
--- a/seam/placer/endpoint.go
+++ b/seam/placer/endpoint.go
@@ -116,6 +116,8 @@
 	withdrawal      withdrawal
 	announceLeaving bool
 	limit           rateLimit
+	// report is what the endpoint last stated of its load.
+	report report
 	// untried means that the endpoint is new, this instance has sent it no request, and
 	// no other instance has reported a warm object there.
 	untried bool
--- a/seam/placer/estimates.go
+++ b/seam/placer/estimates.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"primroseseam.org/seam/router"
 )
 
 // Outcome describes how an attempt ended.
@@ -26,6 +28,8 @@
 	CallerDisconnected bool
 	// DialTime is how long opening a new connection took, or 0 if none was opened.
 	DialTime time.Duration
+	// Load is what the answer states of the endpoint's load.
+	Load router.ReportedLoad
 	// TargetLatency and Timeout are copied from the [Request].
 	TargetLatency time.Duration
 	Timeout       time.Duration
@@ -62,6 +66,7 @@
 	if o.DialTime > 0 {
 		b.updateRoundTrip(e.region, o.DialTime)
 	}
+	e.recordReport(now, o.Load)
 	s := b.service(e.spec.Service)
 	switch {
 	case o.CallerDisconnected:
@@ -102,7 +107,9 @@
 	took := now.Sub(o.SentAt) - o.DialTime
 	warmRunTime, coldRunTime := s.runTimes(o.TargetLatency, o.Timeout)
 	expected := o.Choice.ExpectedLatency - o.Choice.DialTime
-	runTime := took - b.roundTripTo(e.region)
+	workTime := workTimeOf(o.Load)
+	// As if the endpoint had been as fast as usual.
+	runTime := time.Duration(float64(took-b.roundTripTo(e.region)) / workTime)
 	unexpectedlyCold := o.Choice.ObjectWarm && float64(runTime-o.Choice.QueueTime) > o.Choice.Slowdown*float64(warmRunTime+coldRunTime)/2
 	if unexpectedlyCold {
 		// The object was no longer warm. That doesn't make the endpoint slow.
@@ -115,7 +122,8 @@
 	// request was expected to queue, only a much longer time than expected shows that
 	// the endpoint is slow.
 	if ratio := float64(took) / float64(expected); o.Choice.QueueTime == 0 || ratio > slowDespiteQueue {
-		e.recordSlowdown(now, o.Choice.Slowdown*ratio)
+		// The reported work time explains a part of it, which will soon have passed.
+		e.recordSlowdown(now, o.Choice.Slowdown*ratio/workTime)
 	}
 	mayHaveQueued := o.Choice.QueueTime > 0 || e.attemptsInFlight() >= e.spec.Slots
 	if e.isCold(now) || !o.SuccessStatus {
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -378,6 +378,7 @@
 	if e.isCold(now) {
 		slowdown = max(slowdown, coldSlowdown)
 	}
+	slowdown *= e.currentWorkTime(now)
 	c.Slowdown = slowdown
 	meanRun := (3*warmRunTime + coldRunTime) / 4
 	if waiting := c.AttemptsInFlight - c.Slots + 1; waiting > 0 {
--- a/seam/router/router.go
+++ b/seam/router/router.go
@@ -54,6 +54,13 @@
 	TrafficSplit []WeightedService
 }
 
+// ReportedLoad is what an endpoint states of its load in a response.
+type ReportedLoad struct {
+	// WorkTimePercent is how long work takes on the endpoint's machine at the moment, in percent
+	// of the usual time, or 0 if that isn't stated.
+	WorkTimePercent int
+}
+
 // Service is a group of interchangeable endpoints.
 type Service struct {
 	Name           string
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -361,6 +361,10 @@
 	outcome.Leaving = platform.IsLeaving(answer.Header)
 	outcome.Pause = platform.PauseOf(answer.Status, answer.Header, time.Now())
 	outcome.Limit = platform.LimitOf(answer.Header)
+	var valid bool
+	if outcome.Load, valid = platform.LoadOf(answer.Header); !valid {
+		e.metrics.invalidLoads.Inc()
+	}
 	outcome.NotRun = answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(platform.HeaderNotRun) != ""
 	// A 2xx answer without the endpoint's signature is not accepted.
 	outcome.Answered = answer.Status/100 != 2 || answer.Header.Get(platform.HeaderSignature) != ""
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -37,6 +37,8 @@
 	// skippedResponses counts responses of endpoints that couldn't be attributed to the
 	// request at hand and were skipped.
 	skippedResponses *metrics.Counter
+	// invalidLoads counts responses that state a load in a form that can't be read.
+	invalidLoads *metrics.Counter
 	// invalidEntries counts entries of endpoints that can't be used, and refusedConfigs
 	// configurations.
 	invalidEntries *metrics.Counter
@@ -76,6 +78,7 @@
 		probesFailed:         set.NewCounter("seam_edge_probes_failed_total"),
 		limitedAttempts:      set.NewCounter("seam_edge_limited_attempts_total"),
 		skippedResponses:     set.NewCounter("seam_edge_skipped_responses_total"),
+		invalidLoads:         set.NewCounter("seam_edge_invalid_loads_total"),
 		invalidEntries:       set.NewCounter("seam_edge_invalid_entries_total"),
 		refusedConfigs:       set.NewCounter("seam_edge_configs_refused_total"),
 		expectedWait:         set.NewHistogram("seam_edge_expected_wait_seconds"),
