Leave a region that is small for its bound requests to these from the start

Requests that may go anywhere fill that region in the first second, find it full and leave it at once.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -229,6 +229,7 @@
 	}
 	m.config = c
 	m.balancer.SetServices(c)
+	m.balancer.SetBound(c.BoundParts())
 	for name, t := range m.teams {
 		if _, ok := c.Teams()[name]; !ok {
 			delete(m.teams, name)
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -365,7 +365,7 @@
 			return
 		}
 		sim.admitted[team] = append(sim.admitted[team], sim.now)
-		sim.arrivals = append(sim.arrivals, arrival{at: sim.now, from: sim.zones[i.zone], in: e.region})
+		sim.arrivals = append(sim.arrivals, arrival{at: sim.now, from: sim.zones[i.zone], in: e.region, team: team})
 		e.arrive(sim, attempt{object: object, digest: sim.digestOf[cmd.ID], done: func(status int, notRun bool) {
 			finish(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun, Limit: e.limit, Broken: status == 0, Load: e.load(sim)})
 		}})
@@ -386,12 +386,29 @@
 // after since: those that were delivered within their target latency, and those that
 // were refusals or failures.
 func (sim *simulation) outcomeRatios(since time.Time) (onTime, failed float64) {
-	total := 0
+	answers := sim.answersOf("", since)
+	if len(answers) == 0 {
+		sim.t.Fatal("no answers")
+	}
+	return ratiosOf(answers)
+}
+
+// answersOf returns the answers to a team's requests first sent at or after since. An empty team
+// stands for all.
+func (sim *simulation) answersOf(team string, since time.Time) []answer {
+	var answers []answer
 	for _, a := range sim.answers {
-		if a.at.Before(since) {
-			continue
+		if !a.at.Before(since) && (team == "" || a.team == team) {
+			answers = append(answers, a)
 		}
-		total++
+	}
+	return answers
+}
+
+// ratiosOf returns the fractions of answers that were delivered within their target latency,
+// and that were refusals or failures.
+func ratiosOf(answers []answer) (onTime, failed float64) {
+	for _, a := range answers {
 		switch {
 		case a.status != http.StatusOK:
 			failed++
@@ -399,10 +416,8 @@
 			onTime++
 		}
 	}
-	if total == 0 {
-		sim.t.Fatal("no answers")
-	}
-	return onTime / float64(total), failed / float64(total)
+	total := float64(max(len(answers), 1))
+	return onTime / total, failed / total
 }
 
 // maxInWindow returns the largest number of times in the list that fall within any
@@ -425,10 +440,22 @@
 }
 
 // arrival records when a request reached an endpoint, the region of the instance that
-// sent it, and the region of the endpoint.
+// sent it, the region of the endpoint, and the request's team.
 type arrival struct {
 	at       time.Time
 	from, in string
+	team     string
+}
+
+// arrivalsOf returns the arrivals of a team's requests.
+func (sim *simulation) arrivalsOf(team string) []arrival {
+	var arrivals []arrival
+	for _, a := range sim.arrivals {
+		if a.team == team {
+			arrivals = append(arrivals, a)
+		}
+	}
+	return arrivals
 }
 
 // maxRegionShift considers the requests sent by instances of one region, and the split
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -102,6 +102,9 @@
 type service struct {
 	endpoints []*endpoint
 	spec      router.Service
+	// excess is how far the part of the requests that only this instance's region may serve
+	// exceeds the region's part of the slots, from 0 to 1.
+	excess float64
 	// warmRunTime is the mean run time of requests whose object is warm, coldRunTime that
 	// of all other requests. Each is 0 before its first measurement.
 	warmRunTime time.Duration
@@ -129,6 +132,8 @@
 	byHash         map[uint32]*endpoint
 	services       map[string]*service
 	evacuatedZones map[string]bool
+	// bound is the expected part of all requests that only this instance's region may serve.
+	bound float64
 	// roundTrip is the round-trip time to each region, measured when dialing.
 	roundTrip map[string]time.Duration
 	// peerAttempts holds the numbers of attempts in flight that each other instance
@@ -260,6 +265,7 @@
 	for _, s := range b.services {
 		slices.SortFunc(s.endpoints, func(x, y *endpoint) int { return int(int64(x.hash) - int64(y.hash)) })
 	}
+	b.refreshExcess()
 	b.endpointsListed = true
 }
 
@@ -407,6 +413,7 @@
 	if !c.ObjectWarm {
 		cost += placementSpread * coldRunTime.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
 	}
+	cost += b.costOfBound(r, s, e) * coldRunTime.Seconds()
 	if e.isEjected(now) {
 		cost += ejectedCost
 	}
--- a/seam/router/router.go
+++ b/seam/router/router.go
@@ -185,6 +185,25 @@
 // Teams returns all teams by name.
 func (c *Config) Teams() map[string]*Team { return c.teams }
 
+// BoundParts returns, for each region, the part of all requests that only this region may serve,
+// if teams send in proportion to their rates. Teams without a rate are left out.
+func (c *Config) BoundParts() map[string]float64 {
+	total := 0.0
+	parts := map[string]float64{}
+	for _, t := range c.teams {
+		total += max(t.Rate, 0)
+		if len(t.HomeRegions) == 1 {
+			parts[t.HomeRegions[0]] += max(t.Rate, 0)
+		}
+	}
+	for region, rate := range parts {
+		if rate > 0 {
+			parts[region] = rate / total
+		}
+	}
+	return parts
+}
+
 // RequiresKeys reports whether the configuration has a table of teams, be it empty. If so,
 // requests need the key of a team, except on routes with AllowAnonymous.
 func (c *Config) RequiresKeys() bool { return c.requiresKeys }
