--- a/seam/conductor/heartbeats.go
+++ b/seam/conductor/heartbeats.go
@@ -22,6 +22,9 @@
 	// instance sends.
 	sameRegionThreshold = 32
 	fleetThreshold      = 16
+	// Reports of work times are passed on in regions of up to maxReportingRegion instances. In
+	// larger ones heartbeats are too rare for them, and too many to carry them.
+	maxReportingRegion = 48
 	// propagationMargin covers a heartbeat's network delay and jitter.
 	propagationMargin = 150 * time.Millisecond
 	// maxIntervalRatio is the longest time between two heartbeats to an audience, as a
@@ -100,7 +103,9 @@
 	hb.WarmObjects = m.takeWarmObjects(to)
 	if to == SameRegion {
 		hb.Sightings = m.takeSightings(now)
-		hb.WorkTimes = m.balancer.TakeWorkTimeReports(now)
+		if m.regionSize <= maxReportingRegion {
+			hb.WorkTimes = m.balancer.TakeWorkTimeReports(now)
+		}
 	}
 	m.heartbeatCounts[to]++
 	for _, t := range m.teams {
