Take no load from a 421 response

Cause: found by reading. Another endpoint may send a 421 response, so what it states of its load is not that of the endpoint that was meant, as with rate limits.

Change: the load in such a response is ignored.

--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -361,16 +361,26 @@
 	outcome.Leaving = platform.IsLeaving(answer.Header)
 	outcome.Pause = platform.PauseOf(answer.Status, answer.Header, time.Now())
 	outcome.Limit = platform.LimitOf(answer.Header)
-	var valid bool
-	if outcome.Load, valid = platform.LoadOf(answer.Header); !valid {
-		e.metrics.invalidLoads.Inc()
-	}
+	outcome.Load = e.loadOf(answer)
 	outcome.NotRun = answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(platform.HeaderNotRun) != ""
 	// A 2xx answer without the endpoint's signature is not accepted.
 	outcome.Answered = answer.Status/100 != 2 || answer.Header.Get(platform.HeaderSignature) != ""
 	return outcome
 }
 
+// loadOf returns what an answer states of the load of its endpoint. Another endpoint may send a
+// 421 response.
+func (e *Edge) loadOf(answer exchanger.Result) router.ReportedLoad {
+	if answer.Status == http.StatusMisdirectedRequest {
+		return router.ReportedLoad{}
+	}
+	load, valid := platform.LoadOf(answer.Header)
+	if !valid {
+		e.metrics.invalidLoads.Inc()
+	}
+	return load
+}
+
 // deliver sends an endpoint's answer to the caller. It panics to abort the connection if
 // the answer can't be sent completely.
 func (e *Edge) deliver(w http.ResponseWriter, req *callerRequest, answer *exchanger.Result) {
