--- a/seam/placer/reports_test.go
+++ b/seam/placer/reports_test.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// Guards against run times and warm capacities that are learned from slow moments: what a report
-// explains says nothing about the endpoint or the object.
+// Guards against run times and warm capacities that are learned from slow moments: the part of
+// a run time that a report explains must not change them.
 func TestSlowMomentsTeachNothingLasting(t *testing.T) {
 	play := func(percent int) placer.Choice {
 		b := newBalancer("a-1")
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -131,8 +131,7 @@
 // Option configures an Exchanger in New.
 type Option func(*Exchanger)
 
-// WithMinKeptDialTime sets the dial time from which on a connection is worth probes that keep it
-// open.
+// WithMinKeptDialTime sets the dial time from which on a connection is kept open with probes.
 func WithMinKeptDialTime(d time.Duration) Option {
 	return func(x *Exchanger) { x.minKeptDialTime = d }
 }
--- a/seamedge/exchanger/keepalive.go
+++ b/seamedge/exchanger/keepalive.go
@@ -37,7 +37,7 @@
 }
 
 // DueProbes returns the addresses to which an idle connection will soon have been idle for too
-// long, and is worth a probe: it took long to open, and carried a request not long ago. Only the
+// long and should be kept: it took long to open, and carried a request not long ago. Only the
 // connections that carried the latest requests are kept open, and one for each address.
 func (x *Exchanger) DueProbes() []string { return x.pool.due(time.Now(), x.minKeptDialTime) }
 
--- a/seamedge/exchanger/keepalive_test.go
+++ b/seamedge/exchanger/keepalive_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// A connection that is opened in little time isn't worth probes.
+// A connection that was opened in little time gets no probes.
 func TestConnectionsThatOpenFastGetNoProbes(t *testing.T) {
 	e := listen(t, probed(0, ""))
 	x := exchanger.New()
