Fix the size of the receive buffers of connections to other instances

Cause: the product reads 16 MB of a response at most, but the kernel goes on taking what the other side sends. Its receive buffer grows with the rate, on this kind of machine up to 32 MB (tcp_rmem), and the platform counts bytes that are not read as the instance's memory. Ruled out: reading past the limit; the reader stops at 16 MB and closes.

Change: heartbeater.NewClient makes the client of that RPC, with a receive buffer of 512 KB, for the daemon and for the test; the test used a client of its own without that. The bound is unchanged. dialer.WithReceiveBuffer sets it, with a test.

--- a/seam/dialer/dialer.go
+++ b/seam/dialer/dialer.go
@@ -13,6 +13,7 @@
 package dialer
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -39,6 +40,7 @@
 
 type options struct {
 	connectTimeout, keepAliveIdle, keepAliveInterval, userTimeout time.Duration
+	receiveBufferBytes                                            int
 }
 
 // WithTimeout limits how long opening a connection takes.
@@ -53,6 +55,11 @@
 // WithUserTimeout limits how long sent data may stay unacknowledged (TCP_USER_TIMEOUT).
 func WithUserTimeout(d time.Duration) Option { return func(o *options) { o.userTimeout = d } }
 
+// WithReceiveBuffer sets the size in bytes of the kernel's receive buffer (SO_RCVBUF). Linux
+// doubles it for its own bookkeeping, and lowers it to the system's maximum. Without this
+// option the buffer grows with the rate at which the peer sends, up to tens of megabytes.
+func WithReceiveBuffer(n int) Option { return func(o *options) { o.receiveBufferBytes = n } }
+
 // New returns a dialer that sets TCP keep-alive and TCP_USER_TIMEOUT on its connections.
 // Its errors are those of [net.Dialer].
 func New(opts ...Option) *net.Dialer {
@@ -64,11 +71,20 @@
 		Timeout:         o.connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.keepAliveIdle, Interval: o.keepAliveInterval, Count: keepAliveCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// If the system doesn't support this option, keep-alive probes still
-				// detect an unreachable peer on an idle connection.
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(o.userTimeout.Milliseconds()))
-			})
+			var err error
+			controlErr := raw.Control(func(fd uintptr) { err = o.apply(int(fd)) })
+			return errors.Join(controlErr, err)
 		},
 	}
 }
+
+// apply sets the socket options of a connection that isn't open yet.
+func (o options) apply(fd int) error {
+	// If the system doesn't support this option, keep-alive probes still detect an
+	// unreachable peer on an idle connection.
+	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, int(o.userTimeout.Milliseconds()))
+	if o.receiveBufferBytes == 0 {
+		return nil
+	}
+	return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, o.receiveBufferBytes)
+}
--- a/seam/dialer/dialer_test.go
+++ b/seam/dialer/dialer_test.go
@@ -38,3 +38,29 @@
 		}
 	})
 }
+
+// Guards against unlimited memory use: without a fixed size, the receive buffer grows while a
+// peer sends without end.
+func TestReceiveBufferHasFixedSize(t *testing.T) {
+	const size = 64 << 10
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	conn, err := dialer.New(dialer.WithReceiveBuffer(size)).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) {
+		// Linux reports twice the size that was set.
+		if got, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF); err != nil || got > 2*size {
+			t.Errorf("the receive buffer has %d bytes (error %v), want %d at most", got, err, 2*size)
+		}
+	})
+}
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -39,7 +39,6 @@
 	"primroseseam.org/platform"
 	"primroseseam.org/seam/accepter"
 	"primroseseam.org/seam/conductor"
-	"primroseseam.org/seam/dialer"
 	"primroseseam.org/seam/follower"
 	"primroseseam.org/seamedge/exchanger"
 	"primroseseam.org/seamedge/heartbeater"
@@ -144,10 +143,7 @@
 		exchanger:   exchange,
 		store:       platform.NewStore(settings.Store),
 		followers:   map[string]*follower.Follower{},
-		copyClient: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.New().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
-			MaxResponseHeaderBytes: heartbeater.MaxHeadBytes,
-		}},
+		copyClient:  heartbeater.NewClient(),
 		model: conductor.New(
 			conductor.WithSelf(settings.Instance.ID, settings.Instance.Zone, settings.Zones),
 			conductor.WithBounds(settings.conductorBounds()),
--- a/seamedge/heartbeater/copies.go
+++ b/seamedge/heartbeater/copies.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
+	"primroseseam.org/seam/dialer"
 	"primroseseam.org/seam/follower"
 )
 
@@ -18,8 +20,14 @@
 	// position for each kind; a response may hold all objects of a kind.
 	maxRequestBytes  = 64 << 10
 	maxResponseBytes = 16 << 20
-	// MaxHeadBytes limits the head of a response.
-	MaxHeadBytes = 64 << 10
+	// maxHeadBytes limits the head of a response.
+	maxHeadBytes = 64 << 10
+	// receiveBufferBytes is the size of the kernel's receive buffer of a connection to another
+	// instance. It bounds what that instance makes the kernel hold that isn't read. With 100 ms
+	// of round trip it lets several megabytes a second pass.
+	receiveBufferBytes = 512 << 10
+	// idleTimeout is how long a connection to another instance is kept open unused.
+	idleTimeout = 75 * time.Second
 )
 
 // CopyRequest is the request for the changes of store objects. Positions maps each
@@ -48,6 +56,17 @@
 // Unmarshal implements connect.Codec.
 func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
 
+// NewClient returns a client for [FetchCopies]. It limits what another instance, or what answers
+// in its place, makes this instance hold: the heads of responses, and the kernel's buffers.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:            dialer.New(dialer.WithReceiveBuffer(receiveBufferBytes)).DialContext,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}}
+}
+
 // limitedClient is an HTTP client that fails when a response has more than maxResponseBytes.
 // Connect's own limit reads the rest of the response until the call's timeout.
 type limitedClient struct{ client *http.Client }
@@ -74,8 +93,7 @@
 }
 
 // FetchCopies calls the RPC of the instance at address, host:port, and returns the
-// response. It fails when ctx ends. client should limit the heads of responses to
-// MaxHeadBytes.
+// response. It fails when ctx ends. client should come from [NewClient].
 func FetchCopies(ctx context.Context, client *http.Client, address string, request CopyRequest) (CopyResponse, error) {
 	copyClient := connect.NewClient[CopyRequest, CopyResponse](limitedClient{client}, "http://"+address+copyProcedure, connect.WithCodec(jsonCodec{}))
 	response, err := copyClient.CallUnary(ctx, connect.NewRequest(&request))
--- a/seamedge/heartbeater/endless_test.go
+++ b/seamedge/heartbeater/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"testing"
 	"time"
 
@@ -17,7 +16,7 @@
 	const maxBytes = 32 << 20
 	forms := streamer.Forms("Content-Type: application/json\r\n")
 	maps.Copy(forms, streamer.Bodies("Content-Type: application/json\r\n"))
-	client := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: heartbeater.MaxHeadBytes}}
+	client := heartbeater.NewClient()
 	for name, form := range forms {
 		t.Run(name, func(t *testing.T) {
 			s, err := streamer.Listen(form[0], form[1])
