Limit how fast a region's requests change the region in which they run

Cause: each request goes to its cheapest endpoint, and nothing limited how many change their minds at once. The small region fills up while all objects are cold; objects then become warm elsewhere, and in six seconds its part fell from 0.86 to 0.31. Ruled out: teams with home regions (20 of 350 requests) and endpoints that left.

Change: seam/regulator keeps a plan of the parts that go to each region, from the counts that the region's instances send each other, and moves requests to keep it. A metric, and 'preferred' in the log.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -30,13 +30,16 @@
 package conductor
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"primroseseam.org/seam/admitter"
 	"primroseseam.org/seam/placer"
 	"primroseseam.org/seam/quarantiner"
 	"primroseseam.org/seam/rationer"
+	"primroseseam.org/seam/regulator"
 	"primroseseam.org/seam/router"
 )
 
@@ -49,6 +52,9 @@
 	// opened for the attempt before it.
 	RetryRatio float64
 	RetryExtra float64
+	// RegionShift is the largest part of a region's requests that may change the region in which
+	// they run from one period of regionShiftPeriod to the next; 0 means no limit.
+	RegionShift float64
 }
 
 // Model is the decision state of one instance. It is not safe for concurrent use.
@@ -123,6 +129,10 @@
 	// both, this one included. demand sums up the demand at the peers that aren't silent.
 	knownInstances int
 	demand         demandTotals
+	// regulator limits how fast requests change their region, and slotParts is what it last got
+	// to know of the slots in each region.
+	regulator *regulator.Regulator
+	slotParts map[string]float64
 }
 
 // Option configures a Model in New.
@@ -179,6 +189,7 @@
 	}
 	m.balancer = placer.New(m.zone, m.zones)
 	m.balancer.SetStanding(m.standing)
+	m.regulator = regulator.New(m.region, slices.Collect(maps.Values(m.zones)), m.bounds.shiftSpeed())
 	if m.hasConnection != nil {
 		m.balancer.SetHasConnection(m.hasConnection)
 	}
@@ -214,6 +225,7 @@
 		return m.heartbeatReceived(now, msg.Heartbeat)
 	case BoundsChanged:
 		m.bounds = msg.Bounds
+		m.regulator.SetMaxSpeed(m.bounds.shiftSpeed())
 	case Ticked:
 		m.ticked(now)
 	case StopRequested:
@@ -266,6 +278,7 @@
 func (m *Model) ticked(now time.Time) {
 	m.expireSilentPeers(now)
 	m.refreshRates(now)
+	m.refreshRegions(now)
 	m.confirmEnds(now)
 	if now.Sub(m.lastPrune) > pruneInterval {
 		m.lastPrune = now
--- a/seam/conductor/heartbeats.go
+++ b/seam/conductor/heartbeats.go
@@ -103,6 +103,7 @@
 	hb.WarmObjects = m.takeWarmObjects(to)
 	if to == SameRegion {
 		hb.Sightings = m.takeSightings(now)
+		hb.Regions = m.regulator.TakeCounts()
 		if m.regionSize <= maxReportingRegion {
 			hb.WorkTimes = m.balancer.TakeWorkTimeReports(now)
 		}
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -149,6 +149,9 @@
 	// sent on an idle connection that the endpoint may already have closed.
 	Idempotent bool
 	Attempt    int
+	// Preferred is the region of the best endpoint if one in another region was chosen, so that
+	// not too many requests change their region at once. Otherwise it is empty.
+	Preferred string
 	// Choice holds the estimates on which the endpoint was chosen. ConfigVersion is the
 	// version of the configuration in force. Both are for the log.
 	Choice        placer.Choice
@@ -213,6 +216,10 @@
 	// WorkTimes holds what endpoints stated of how long work takes there. Only heartbeats within
 	// the region contain it.
 	WorkTimes []placer.WorkTimeReport
+	// Regions counts the sender's requests since its last heartbeat within the region by their
+	// regions, as package regulator reports them. Only heartbeats within the region contain it,
+	// and only if there were any.
+	Regions []uint32
 	// ReachabilityReports reports endpoints that the sender can't reach, or can reach
 	// again.
 	ReachabilityReports []placer.ReachabilityReport
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -114,6 +114,7 @@
 	m.balancer.ApplyDepartures(hb.Departures)
 	m.balancer.ApplyLimits(now, hb.Limits)
 	m.balancer.ApplyWorkTimeReports(now, hb.WorkTimes)
+	m.regulator.Apply(now, hb.Regions)
 	m.quarantiner.Apply(now, hb.Evidence)
 	m.balancer.MergePeerWarmCapacities(hb.WarmCapacities)
 	if changed {
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -53,6 +53,9 @@
 	// estimates for it.
 	sentAt time.Time
 	choice placer.Choice
+	// preferredRegion is the region of the best endpoint if the first attempt was sent to another
+	// region.
+	preferredRegion string
 	// mayHaveRun means that an endpoint may have run the request in one of the attempts.
 	mayHaveRun bool
 	// hasErrorAnswer means that an endpoint's error response is kept. It is delivered if
@@ -187,7 +190,7 @@
 // firstAttempt sends a request to the best endpoint. It refuses the request if there
 // is no usable endpoint or the best one can't answer in time.
 func (m *Model) firstAttempt(now time.Time, r *request) []Cmd {
-	choice, ok := m.balancer.Pick(now, r.placement)
+	choice, preferred, ok := m.pick(now, r.placement)
 	if !ok {
 		m.refundToken(r)
 		wait, known := m.balancer.TimeUntilReady(now, r.placement)
@@ -222,6 +225,10 @@
 		}}
 	}
 	m.requests[r.id] = r
+	m.regulator.Record(now, preferred, choice.Region)
+	if preferred != choice.Region {
+		r.preferredRegion = preferred
+	}
 	return m.sendAttempt(now, r, choice)
 }
 
@@ -257,7 +264,7 @@
 	return []Cmd{Send{
 		ID: r.id, Endpoint: choice.ID, Address: choice.Address, Team: r.teamName(), HasTeam: r.team != nil,
 		Budget: r.deadline.Sub(now) - answerMargin, Deadline: r.deadline,
-		Idempotent: r.route.Idempotent, Attempt: r.attempts, Choice: choice, ConfigVersion: m.config.Version(),
+		Idempotent: r.route.Idempotent, Attempt: r.attempts, Preferred: r.preferredRegion, Choice: choice, ConfigVersion: m.config.Version(),
 	}}
 }
 
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -183,7 +183,7 @@
 func zone(r int) string   { return fmt.Sprintf("zone-%d", r) }
 func region(r int) string { return fmt.Sprintf("region-%d", r) }
 
-var testBounds = conductor.Bounds{RetryRatio: 0.2, RetryExtra: 60}
+var testBounds = conductor.Bounds{RetryRatio: 0.2, RetryExtra: 60, RegionShift: 0.15}
 
 func (sim *simulation) addInstance(id, zone string) *instance {
 	i := &instance{id: id, zone: zone}
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -283,6 +283,9 @@
 	if cmd.Choice.Limited {
 		e.metrics.limitedAttempts.Inc()
 	}
+	if cmd.Attempt == 1 && cmd.Preferred != "" {
+		e.metrics.movedRequests.Inc()
+	}
 	answer := e.exchanger.Do(req.ctx, exchanger.Call{
 		Address: cmd.Address, Method: req.request.Method, URI: req.request.RequestURI, Host: req.request.Host,
 		Header: req.header, Body: req.body.Data, BodyRemainder: req.bodyRemainder, BodyLength: req.bodyLength,
@@ -468,7 +471,7 @@
 	}
 	choice := cmd.Choice
 	e.log.Info("request: sent", zap.String("request", req.requestID), zap.String("team", cmd.Team),
-		zap.String("endpoint", cmd.Endpoint), zap.String("region", choice.Region), zap.Int("attempt", cmd.Attempt),
+		zap.String("endpoint", cmd.Endpoint), zap.String("region", choice.Region), zap.String("preferred", cmd.Preferred), zap.Int("attempt", cmd.Attempt),
 		zap.Duration("expected", choice.ExpectedLatency), zap.Duration("wait", choice.QueueTime), zap.Bool("warm", choice.ObjectWarm),
 		zap.Int("load", choice.AttemptsInFlight), zap.Int("slots", choice.Slots), zap.Float64("slow", choice.Slowdown),
 		zap.Bool("limited", choice.Limited), zap.Duration("budget", cmd.Budget),
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -27,6 +27,9 @@
 	endpointConnections *metrics.Counter
 	// limitedAttempts counts attempts at endpoints that named a rate limit.
 	limitedAttempts *metrics.Counter
+	// movedRequests counts requests that were sent to another region than that of their best
+	// endpoint, so that not too many requests change their region at once.
+	movedRequests *metrics.Counter
 	// endpointChecks counts the connections that were opened, or not, to find out whether an
 	// endpoint has ended.
 	endpointChecks *metrics.Counter
@@ -77,6 +80,7 @@
 		probes:               set.NewCounter("seam_edge_probes_total"),
 		probesFailed:         set.NewCounter("seam_edge_probes_failed_total"),
 		limitedAttempts:      set.NewCounter("seam_edge_limited_attempts_total"),
+		movedRequests:        set.NewCounter("seam_edge_moved_requests_total"),
 		skippedResponses:     set.NewCounter("seam_edge_skipped_responses_total"),
 		invalidLoads:         set.NewCounter("seam_edge_invalid_loads_total"),
 		invalidEntries:       set.NewCounter("seam_edge_invalid_entries_total"),
--- a/seamedge/edger/settings.go
+++ b/seamedge/edger/settings.go
@@ -58,6 +58,9 @@
 	// is the number of retries that are allowed in addition.
 	RetryRatio float64 `json:"retryRatio"`
 	RetryExtra float64 `json:"retryExtra"`
+	// RegionShift limits the part of a region's requests that may change the region in which
+	// they run from one period of two seconds to the next. 0 means no limit.
+	RegionShift float64 `json:"regionShift"`
 	// Grace is how long the instance may keep running after SIGTERM.
 	Grace float64 `json:"grace"`
 	// LookupTTL limits how long callers may use the answer to a look-up.
@@ -180,7 +183,7 @@
 		}
 	}
 	numbers := map[string]float64{
-		"bounds.retryRatio": s.Bounds.RetryRatio, "bounds.retryExtra": s.Bounds.RetryExtra, "bounds.grace": s.Bounds.Grace,
+		"bounds.retryRatio": s.Bounds.RetryRatio, "bounds.retryExtra": s.Bounds.RetryExtra, "bounds.regionShift": s.Bounds.RegionShift, "bounds.grace": s.Bounds.Grace,
 		"log.linesPerSecond": float64(s.Log.LinesPerSecond), "memory.limitMb": float64(s.Memory.LimitMB),
 	}
 	for path, n := range numbers {
@@ -216,7 +219,7 @@
 }
 
 func (s *Settings) conductorBounds() conductor.Bounds {
-	return conductor.Bounds{RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra}
+	return conductor.Bounds{RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra, RegionShift: s.Bounds.RegionShift}
 }
 
 func duration(seconds float64) time.Duration {
--- a/seamedge/heartbeater/heartbeater_test.go
+++ b/seamedge/heartbeater/heartbeater_test.go
@@ -35,6 +35,7 @@
 		},
 		Sightings: []conductor.Sighting{{Instance: 1 << 31, AgeTenths: 255}, {Instance: 4}},
 		WorkTimes: []placer.WorkTimeReport{{Endpoint: 1 << 31, Percent: 250, Age: 180 * time.Millisecond}, {Endpoint: 4, Percent: 100}},
+		Regions:   []uint32{3, 0, 1 << 20},
 	}
 	for i := range endpoints {
 		hb.Loads = append(hb.Loads, placer.Load{Endpoint: placer.Hash32(fmt.Sprint(i)), Count: 2})
