--- a/seam/conductor/simulation_arrivals_test.go
+++ b/seam/conductor/simulation_arrivals_test.go
@@ -1,6 +1,35 @@
 package conductor_test
 
-import "time"
+import (
+	"strings"
+	"time"
+)
+
+// Requests on bulkPath have a low rank. They run for bulkFactor times as long as others, and have
+// as much more time.
+const (
+	bulkPath   = "/bulk/"
+	bulkFactor = 4
+)
+
+// work is what an endpoint does for a request: the object that it handles, and how long it runs
+// as a multiple of the usual time.
+type work struct {
+	object uint32
+	factor time.Duration
+}
+
+func factorOf(path string) time.Duration {
+	if strings.HasPrefix(path, bulkPath) {
+		return bulkFactor
+	}
+	return 1
+}
+
+// patience returns how long callers wait for a response on a path.
+func (sim *simulation) patience(path string) time.Duration {
+	return 2 * sim.timings.timeout * factorOf(path)
+}
 
 // arrival records when a request reached an endpoint, the region of the instance that
 // sent it, the region of the endpoint, and the request's team.
--- a/seam/conductor/simulation_endpoint_test.go
+++ b/seam/conductor/simulation_endpoint_test.go
@@ -37,7 +37,7 @@
 }
 
 type attempt struct {
-	object uint32
+	work
 	digest uint64
 	done   func(status int, notRun bool)
 }
@@ -71,7 +71,7 @@
 func (e *fakeEndpoint) start(sim *simulation, a attempt) {
 	e.runningCount++
 	e.runs++
-	duration := float64(sim.timings.coldRun) * (0.85 + 0.3*sim.rng.Float64())
+	duration := float64(sim.timings.coldRun*a.factor) * (0.85 + 0.3*sim.rng.Float64())
 	if index := slices.Index(e.warmObjects, a.object); index >= 0 {
 		duration *= warmRatio
 		e.warmRuns++
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -158,6 +158,9 @@
 	}, {
 		Name: "pay", Host: host, Prefix: "/pay/", Timeout: timings.timeout, TargetLatency: timings.target,
 		MaxAttempts: 3, TrafficSplit: []router.WeightedService{{Service: service, Weight: 1}},
+	}, {
+		Name: "bulk", Host: host, Prefix: bulkPath, Idempotent: true, Timeout: bulkFactor * timings.timeout, TargetLatency: bulkFactor * timings.target,
+		Priority: 2, MaxAttempts: 2, Sticky: true, TrafficSplit: []router.WeightedService{{Service: service, Weight: 1}},
 	}}, []router.Service{{Name: service, Warmup: 3 * time.Second, ColdRate: coldRate}}, router.Limits{}, withTeams(teams)...)
 	for r := range 3 {
 		sim.zones[zone(r)] = region(r)
@@ -289,7 +292,7 @@
 			return
 		}
 		object := placer.Hash32(fmt.Sprint(sim.zones[i.zone], sim.rng.IntN(objects)))
-		sim.request(i, 0, object, key, path, 2*sim.timings.timeout, sim.now, 1)
+		sim.request(i, 0, object, key, path, sim.patience(path), sim.now, 1)
 		sim.after(time.Duration(sim.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	sim.after(time.Duration(sim.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
@@ -311,17 +314,17 @@
 		elapsed := sim.now.Sub(first)
 		if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && retries > 0 && after > 0 {
 			sim.after(min(after, (timeLeft-elapsed)/3), func() {
-				sim.request(i, digest, object, key, path, 2*sim.timings.timeout-sim.now.Sub(first), first, retries-1)
+				sim.request(i, digest, object, key, path, sim.patience(path)-sim.now.Sub(first), first, retries-1)
 			})
 			return
 		}
-		sim.answers = append(sim.answers, answer{at: first, latency: elapsed, status: status, team: key, target: sim.timings.target})
-	}, object)
+		sim.answers = append(sim.answers, answer{at: first, latency: elapsed, status: status, team: key, target: sim.timings.target * factorOf(path)})
+	}, work{object, factorOf(path)})
 }
 
 // execute carries out the commands that a model returned for a request. done is
 // called with the final status and the time to wait before a retry.
-func (sim *simulation) execute(i *instance, team string, cmds []conductor.Cmd, done func(int, time.Duration), object uint32) {
+func (sim *simulation) execute(i *instance, team string, cmds []conductor.Cmd, done func(int, time.Duration), w work) {
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case conductor.Refuse:
@@ -332,12 +335,12 @@
 		case conductor.Deliver:
 			done(http.StatusOK, 0)
 		case conductor.Send:
-			sim.send(i, team, cmd, done, object)
+			sim.send(i, team, cmd, done, w)
 		}
 	}
 }
 
-func (sim *simulation) send(i *instance, team string, cmd conductor.Send, done func(int, time.Duration), object uint32) {
+func (sim *simulation) send(i *instance, team string, cmd conductor.Send, done func(int, time.Duration), w work) {
 	e := sim.endpoints[cmd.Endpoint]
 	if e == nil {
 		e = &fakeEndpoint{down: true}
@@ -356,7 +359,7 @@
 			}
 			cmds := i.model.Update(sim.now, conductor.AttemptEnded{ID: cmd.ID, Outcome: o})
 			sim.checkEndpoints(i)
-			sim.execute(i, team, cmds, done, object)
+			sim.execute(i, team, cmds, done, w)
 		})
 	}
 	sim.after(connectTime+oneWayDelay, func() {
@@ -366,7 +369,7 @@
 		}
 		sim.admitted[team] = append(sim.admitted[team], sim.now)
 		sim.arrivals = append(sim.arrivals, arrival{at: sim.now, from: sim.zones[i.zone], in: e.region, team: team})
-		e.arrive(sim, attempt{object: object, digest: sim.digestOf[cmd.ID], done: func(status int, notRun bool) {
+		e.arrive(sim, attempt{work: w, digest: sim.digestOf[cmd.ID], done: func(status int, notRun bool) {
 			finish(conductor.Outcome{Answered: status > 0, Status: status, NotRun: notRun, Limit: e.limit, Broken: status == 0, Load: e.load(sim)})
 		}})
 	})
