--- a/seam/admitter/admitter.go
+++ b/seam/admitter/admitter.go
@@ -27,8 +27,6 @@
 	// QueueSlack is how long a request for a warm object could wait in the endpoint's
 	// queue and still be answered within the target latency.
 	QueueSlack time.Duration
-	// Reserved means that the endpoint's free slots are kept for requests of a higher rank.
-	Reserved bool
 }
 
 // Request holds the time limits of a request.
@@ -101,12 +99,7 @@
 // Decide decides whether a request is admitted. c is the credit of the request's
 // service, which Decide may raise or lower. random is uniform in [0, 1) and spreads
 // the retries over time.
-//
-// A request for which only slots are left that are kept for requests of a higher rank is refused.
 func Decide(l Load, r Request, c *Credit, random float64) Decision {
-	if l.Reserved {
-		return Decision{Refuse: true, RetryAfter: RetryAfter(l.QueueTime, r.CallerTimeLeft, random)}
-	}
 	if l.ExpectedLatency <= r.TargetLeft {
 		if l.QueueTime == 0 {
 			c.earn()
--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -62,9 +62,6 @@
 	NoRoom Code = 118
 	// CallerTooSlow means that the body of the request did not arrive in time.
 	CallerTooSlow Code = 119
-	// SlotsReserved means that slots are short and the free ones are kept for requests of a
-	// higher rank.
-	SlotsReserved Code = 126
 	// LinkCapReached means that the request would exceed the bandwidth limit of a link
 	// between regions.
 	LinkCapReached Code = 115
--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -23,7 +23,6 @@
 	_ = x[RequestQuarantined-117]
 	_ = x[NoRoom-118]
 	_ = x[CallerTooSlow-119]
-	_ = x[SlotsReserved-126]
 	_ = x[LinkCapReached-115]
 	_ = x[UpstreamFailed-120]
 	_ = x[UpstreamTimeout-121]
@@ -49,7 +48,7 @@
 const (
 	_Code_name_0 = "OK"
 	_Code_name_1 = "KeyMissingKeyUnknownKeyEvidenceStaleRouteUnknownRequestMalformed"
-	_Code_name_2 = "TeamOverRateDeadlineUnreachableQueueFullNoUpstreamStoppingLinkCapReachedNoConfigurationRequestQuarantinedNoRoomCallerTooSlowUpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGoneInternalErrorSlotsReserved"
+	_Code_name_2 = "TeamOverRateDeadlineUnreachableQueueFullNoUpstreamStoppingLinkCapReachedNoConfigurationRequestQuarantinedNoRoomCallerTooSlowUpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGoneInternalError"
 	_Code_name_3 = "ConfigInvalidConfigConflictConfigNotInForce"
 	_Code_name_4 = "SettingsInvalid"
 	_Code_name_5 = "ArgumentInvalid"
@@ -60,7 +59,7 @@
 
 var (
 	_Code_index_1 = [...]uint8{0, 10, 20, 36, 48, 64}
-	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72, 87, 105, 111, 124, 138, 153, 169, 183, 193, 206, 219}
+	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72, 87, 105, 111, 124, 138, 153, 169, 183, 193, 206}
 	_Code_index_3 = [...]uint8{0, 13, 27, 43}
 	_Code_index_6 = [...]uint8{0, 16, 29, 42, 56, 75}
 	_Code_index_8 = [...]uint8{0, 12, 25}
@@ -73,7 +72,7 @@
 	case 100 <= i && i <= 104:
 		i -= 100
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
-	case 110 <= i && i <= 126:
+	case 110 <= i && i <= 125:
 		i -= 110
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
 	case 200 <= i && i <= 202:
--- a/seam/conductor/requests.go
+++ b/seam/conductor/requests.go
@@ -134,7 +134,6 @@
 	m.retryBudgetOf(now, r.service).bucket.Put(m.bounds.RetryRatio * usedRetryRatio)
 	r.placement = placer.Request{
 		Service: r.service, TargetLatency: route.TargetLatency, Timeout: r.deadline.Sub(r.arrivedAt), NonIdempotent: !route.Idempotent,
-		Priority: router.PriorityOf(route, team), CallerRetry: r.callerRetry,
 	}
 	if route.Sticky {
 		r.placement.Object = msg.Object
@@ -206,26 +205,22 @@
 	}
 	estimate := m.routeLatency.get(r.route.Name).estimate(now, choice.ExpectedLatency, choice.QueueTime, m.serviceLatency.get(r.service))
 	decision := admitter.Decide(
-		admitter.Load{ExpectedLatency: estimate, QueueTime: choice.QueueTime, QueueSlack: choice.QueueSlack, Reserved: choice.Reserved},
+		admitter.Load{ExpectedLatency: estimate, QueueTime: choice.QueueTime, QueueSlack: choice.QueueSlack},
 		admitter.Request{
 			TargetLeft: r.targetDeadline.Sub(now), TimeLeft: r.deadline.Sub(now),
 			CallerTimeLeft: r.callerDeadline.Sub(now), CallerRetry: r.callerRetry,
 		}, m.creditFor(r.service), m.rng.Float64())
 	if decision.Refuse {
 		m.refundToken(r)
-		code := coder.DeadlineUnreachable
-		if choice.Reserved {
-			code = coder.SlotsReserved
-		}
 		// Some names in the detail: expect is the expected latency by the estimate for the
 		// service. paced is that estimate adjusted for the route. wait is the queueing time
 		// at the endpoint. room is how long a request for a warm object could queue there
 		// without being late. cameBack means that the caller is taken to be retrying.
 		return []Cmd{Refuse{
-			ID: r.id, Status: http.StatusServiceUnavailable, Code: code, RetryAfter: decision.RetryAfter,
-			Detail: fmt.Sprintf("team=%q service=%q best=%q expect=%v paced=%v wait=%v room=%v load=%d slots=%d warm=%t rank=%d reserved=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
+			ID: r.id, Status: http.StatusServiceUnavailable, Code: coder.DeadlineUnreachable, RetryAfter: decision.RetryAfter,
+			Detail: fmt.Sprintf("team=%q service=%q best=%q expect=%v paced=%v wait=%v room=%v load=%d slots=%d warm=%t targetLeft=%v timeLeft=%v cameBack=%t version=%d",
 				r.teamName(), r.service, choice.ID, choice.ExpectedLatency, estimate, choice.QueueTime, choice.QueueSlack,
-				choice.AttemptsInFlight, choice.Slots, choice.ObjectWarm, r.placement.Priority, choice.Reserved,
+				choice.AttemptsInFlight, choice.Slots, choice.ObjectWarm,
 				r.targetDeadline.Sub(now), r.deadline.Sub(now), r.callerRetry, m.config.Version()),
 		}}
 	}
--- a/seam/placer/estimates.go
+++ b/seam/placer/estimates.go
@@ -362,9 +362,6 @@
 // endpoints that are no longer listed.
 func (b *Balancer) Prune(now time.Time) {
 	b.pruneUnlisted(now)
-	for _, s := range b.services {
-		s.pruneRanks(now)
-	}
 	for _, e := range b.byID {
 		for object, h := range e.recentObjects {
 			if now.Sub(h.last) >= warmTTL {
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -58,10 +58,6 @@
 	Timeout       time.Duration
 	// NonIdempotent means that the request must not run more than once.
 	NonIdempotent bool
-	// Priority is the rank of the request; 0 is the highest. CallerRetry means that the caller
-	// was refused before.
-	Priority    int
-	CallerRetry bool
 }
 
 // Choice is a chosen endpoint with the estimates behind the choice.
@@ -86,8 +82,6 @@
 	Slowdown float64
 	// Limited means that the endpoint named a rate limit.
 	Limited bool
-	// Reserved means that the endpoint's free slots are kept for requests of a higher rank.
-	Reserved bool
 }
 
 // Load is a number of attempts in flight at an endpoint, which is identified by
@@ -120,11 +114,6 @@
 	// runs that were cold although their object was expected to be warm.
 	warmCapacity float64
 	misses       int
-	// ranks holds when the service was last used by requests of each rank.
-	ranks map[int]time.Time
-	// shortage holds the regions where the service's slots were short at shortageAt.
-	shortage   map[string]bool
-	shortageAt time.Time
 }
 
 // atWarmCapacity reports whether an endpoint handled at least as many objects recently
@@ -233,7 +222,7 @@
 func (b *Balancer) service(name string) *service {
 	s, ok := b.services[name]
 	if !ok {
-		s = &service{ranks: map[int]time.Time{}, shortage: map[string]bool{}}
+		s = &service{}
 		b.services[name] = s
 	}
 	return s
@@ -343,8 +332,6 @@
 // for it. It returns false if no endpoint may receive the request.
 func (b *Balancer) Pick(now time.Time, r Request) (Choice, bool) {
 	s := b.service(r.Service)
-	s.recordRank(now, r)
-	s.refreshShortage(now)
 	enoughCopies := b.warmCopies(now, r, s) >= copiesWithoutPenalty
 	best := newCandidate()
 	for _, e := range s.endpoints {
@@ -427,10 +414,6 @@
 		cost += placementSpread * coldRunTime.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
 	}
 	cost += b.costOfBound(r, s, e) * coldRunTime.Seconds()
-	if s.isReserved(now, r, c) {
-		c.Reserved = true
-		cost += reservedCost * coldRunTime.Seconds()
-	}
 	if e.isEjected(now) {
 		cost += ejectedCost
 	}
--- a/seam/router/router.go
+++ b/seam/router/router.go
@@ -76,10 +76,8 @@
 // Team is a customer. Rate and Burst apply to the whole fleet; a Rate of 0 means
 // no limit.
 type Team struct {
-	Name string
-	// Priority is the rank of the team's requests, on all routes; 0 is the highest. If it is nil,
-	// the route's priority applies.
-	Priority    *int
+	Name        string
+	Priority    int
 	Rate        float64
 	Burst       float64
 	HomeRegions []string
@@ -227,15 +225,6 @@
 	return nil, false
 }
 
-// PriorityOf returns the rank of a team's requests on a route; 0 is the highest. team is nil for
-// requests without a team.
-func PriorityOf(route *Route, team *Team) int {
-	if team != nil && team.Priority != nil {
-		return *team.Priority
-	}
-	return route.Priority
-}
-
 // AllowedRegions returns the regions that are in both lists of home regions, a and b.
 // An empty list allows all regions. If both lists are empty, restricted is false and
 // any region may be used.
