Explain where a request would go now, without sending it

Cause: the operators' wish: a command that explains where a given request would go, and why. 'seamctl explain ID' only explains requests that were made.

Change: 'seamctl explain request' asks an instance of seamedge at its metrics address (GET /v1/explain). conductor.Model.Explain answers from the state that decisions use: route, team and what is left of its rate, the plan of regions, admission, and the endpoints with each term of their cost. For that the cost of an endpoint is a struct of its terms. A key comes from an environment variable and is neither printed nor logged. A gauge shows the plan of regions.

On processes: TestExplainSendsNothing. Chance, and the copy of a busy object, are left out, as docs/OPERATIONS.md says.

--- a/seam/conductor/latency.go
+++ b/seam/conductor/latency.go
@@ -38,6 +38,14 @@
 	return ratio
 }
 
+// copyOf returns a copy of the latency ratio of a name.
+func (r latencyRatios) copyOf(name string) latencyRatio {
+	if ratio, ok := r[name]; ok {
+		return *ratio
+	}
+	return latencyRatio{}
+}
+
 // estimate returns the expected latency of a request of the route that r belongs to.
 // expected is the estimate for the service, and queueTime is the part of expected that
 // is spent queueing. service is the latency ratio of the service.
--- a/seam/conductor/regions.go
+++ b/seam/conductor/regions.go
@@ -53,7 +53,7 @@
 func (m *Model) refreshRegions(now time.Time) {
 	parts := m.balancer.SlotParts(now)
 	changed := largestChange(m.slotParts, parts) >= minSlotChange
-	if m.slotParts != nil && changed || m.balancer.HasLimited() {
+	if m.slotParts != nil && changed || m.balancer.LimitedCount() > 0 {
 		m.regulator.Release(now)
 	}
 	if changed {
--- a/seam/conductor/simulation_test.go
+++ b/seam/conductor/simulation_test.go
@@ -40,7 +40,9 @@
 	instances []*instance
 	endpoints map[string]*fakeEndpoint
 	requests  uint64
-	answers   []answer
+	// lastSent is the endpoint to which the last attempt was sent.
+	lastSent string
+	answers  []answer
 	// admitted holds when the requests of each team reached an endpoint.
 	admitted map[string][]time.Time
 	arrivals []arrival
@@ -341,6 +343,7 @@
 }
 
 func (sim *simulation) send(i *instance, team string, cmd conductor.Send, done func(int, time.Duration), w work) {
+	sim.lastSent = cmd.Endpoint
 	e := sim.endpoints[cmd.Endpoint]
 	if e == nil {
 		e = &fakeEndpoint{down: true}
--- a/seam/conductor/stats.go
+++ b/seam/conductor/stats.go
@@ -27,6 +27,8 @@
 	// RetryTokens holds the tokens left in this instance's part of each service's
 	// retry budget.
 	RetryTokens map[string]float64
+	// RegionParts is the plan of the parts of this region's requests that go to each region.
+	RegionParts map[string]float64
 }
 
 // TakeLimitChanges returns the changes of endpoints' rate limits since the last call.
@@ -40,6 +42,7 @@
 		KnownEndpoints: m.balancer.EndpointCount(), RequestsInFlight: len(m.requests), LimitedEndpoints: m.balancer.LimitedCount(),
 		QuarantinedRequests: m.quarantiner.Quarantined(),
 		TeamTokens:          map[string]float64{}, RetryTokens: map[string]float64{},
+		RegionParts: m.regulator.Parts(),
 	}
 	for name, t := range m.teams {
 		s.TeamTokens[name] = t.fleetBucket.Tokens(now)
--- a/seam/placer/copies.go
+++ b/seam/placer/copies.go
@@ -79,7 +79,7 @@
 		use.add(e)
 		choice, cost := b.estimate(now, r, s, e)
 		if s.mayTakeCopy(now, e, choice) {
-			best.offer(choice, cost)
+			best.offer(choice, cost.Total())
 		}
 	}
 	inTime := float64(best.choice.ExpectedLatency) < maxCopyWait*float64(r.Timeout)
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -339,10 +339,8 @@
 			continue
 		}
 		choice, cost := b.estimate(now, r, s, e)
-		if enoughCopies && !choice.ObjectWarm && !e.isUnderused() {
-			cost += extraCopyCost
-		}
-		best.offer(choice, cost)
+		cost.Copies = copiesCost(enoughCopies, choice, e)
+		best.offer(choice, cost.Total())
 	}
 	if r.wantsCopy(best.choice) {
 		if choice, ok := b.pickForCopy(now, r, s, best.choice.Region); ok {
@@ -369,8 +367,8 @@
 }
 
 // estimate returns the estimates for sending a request to an endpoint, and the cost
-// of doing so, in seconds. The cost is the expected time plus penalties.
-func (b *Balancer) estimate(now time.Time, r Request, s *service, e *endpoint) (Choice, float64) {
+// of doing so without that of further copies.
+func (b *Balancer) estimate(now time.Time, r Request, s *service, e *endpoint) (Choice, Cost) {
 	warmRunTime, coldRunTime := s.runTimes(r.TargetLatency, r.Timeout)
 	c := Choice{
 		ID: e.spec.ID, Address: e.spec.Address, Region: e.region, AttemptsInFlight: e.attemptsInFlight(), Slots: e.spec.Slots,
@@ -402,23 +400,23 @@
 	}
 	// The dial time is left out of the cost. Otherwise, once one request has opened a
 	// connection to another region, more requests would be sent to that region.
-	cost := (c.ExpectedLatency - c.DialTime).Seconds() + b.localityCost(e, r.TargetLatency)
+	cost := Cost{Latency: (c.ExpectedLatency - c.DialTime).Seconds(), Locality: b.localityCost(e, r.TargetLatency)}
 	if c.DialTime > 0 {
-		cost += newConnectionCost * r.TargetLatency.Seconds()
+		cost.Connection = newConnectionCost * r.TargetLatency.Seconds()
 	}
-	cost += failurePenalty * e.currentFailureRate(now) * r.TargetLatency.Seconds()
+	cost.Failures = failurePenalty * e.currentFailureRate(now) * r.TargetLatency.Seconds()
 	if !c.ObjectWarm && s.atWarmCapacity(e) {
-		cost += evictionCost * coldRunTime.Seconds()
+		cost.Eviction = evictionCost * coldRunTime.Seconds()
 	}
 	if !c.ObjectWarm {
-		cost += placementSpread * coldRunTime.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
+		cost.Placement = placementSpread * coldRunTime.Seconds() * float64(mix(e.hash, r.Object)) / math.MaxUint32
 	}
-	cost += b.costOfBound(r, s, e) * coldRunTime.Seconds()
+	cost.Bound = b.costOfBound(r, s, e) * coldRunTime.Seconds()
 	if e.isEjected(now) {
-		cost += ejectedCost
+		cost.Ejected = ejectedCost
 	}
 	if e.untried && !e.isCold(now) && b.standing(e.region, e.hash).Rank == 0 {
-		cost -= untriedBonus
+		cost.Untried = -untriedBonus
 	}
 	return c, cost
 }
--- a/seam/placer/regions.go
+++ b/seam/placer/regions.go
@@ -2,16 +2,6 @@
 
 import "time"
 
-// HasLimited reports whether an endpoint names a rate limit.
-func (b *Balancer) HasLimited() bool {
-	for _, e := range b.byID {
-		if e.limit.named {
-			return true
-		}
-	}
-	return false
-}
-
 // SlotParts returns, for each region, its part of the slots of all endpoints that may get requests
 // from this instance. It is empty if there are none.
 func (b *Balancer) SlotParts(now time.Time) map[string]float64 {
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -271,7 +271,7 @@
 		{"ready", e.settings.Listen.Ready, withoutBody(e.serveReady)},
 		{"lookups", e.settings.Listen.Lookups, withoutBody(e.serveLookup)},
 		{"peers", e.settings.Listen.Peers, peers},
-		{"metrics", e.settings.Listen.Metrics, withoutBody(e.serveMetrics)},
+		{"metrics", e.settings.Listen.Metrics, withoutBody(e.serveOperators)},
 	}
 	for _, h := range handlers {
 		if h.address == "" {
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -199,6 +199,9 @@
 	for service, tokens := range stats.RetryTokens {
 		metrics.WriteGaugeFloat64(w, labeled("seam_edge_retry_budget_left", "service", service), tokens)
 	}
+	for region, part := range stats.RegionParts {
+		metrics.WriteGaugeFloat64(w, labeled("seam_edge_region_part", "region", region), part)
+	}
 	for kind, f := range e.followers {
 		metrics.WriteGaugeFloat64(w, labeled("seam_edge_store_age_seconds", "kind", kind), f.State(now).Age.Seconds())
 	}
