Hold teams to static shares while a region is heard elsewhere and not here

Cause: each of the two counts itself and the third region as more than half of the fleet, and takes the other for gone. So both use the whole rate.

Why it works: heartbeats say how many live instances their sender counts in each region.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -129,6 +129,12 @@
 	// both, this one included. demand sums up the demand at the peers that aren't silent.
 	knownInstances int
 	demand         demandTotals
+	// regionNames lists the names of all regions in their order. liveReports holds the latest
+	// report on live instances from each other region, and hiddenSince the time from which on
+	// another region has had live instances of which none is heard here, or zero.
+	regionNames []string
+	liveReports map[string]liveReport
+	hiddenSince time.Time
 	// regulator limits how fast requests change their region, and slotParts is what it last got
 	// to know of the slots in each region.
 	regulator *regulator.Regulator
@@ -182,6 +188,7 @@
 		longestCallerTime: map[string]time.Duration{},
 		knownInstances:    1,
 		demand:            demandTotals{},
+		liveReports:       map[string]liveReport{},
 		peersByHash:       map[uint32]*peer{},
 	}
 	for _, opt := range opts {
@@ -189,7 +196,8 @@
 	}
 	m.balancer = placer.New(m.zone, m.zones)
 	m.balancer.SetStanding(m.standing)
-	m.regulator = regulator.New(m.region, slices.Collect(maps.Values(m.zones)), m.bounds.shiftSpeed())
+	m.regionNames = slices.Compact(slices.Sorted(maps.Values(m.zones)))
+	m.regulator = regulator.New(m.region, m.regionNames, m.bounds.shiftSpeed())
 	if m.hasConnection != nil {
 		m.balancer.SetHasConnection(m.hasConnection)
 	}
@@ -277,6 +285,7 @@
 // and every pruneInterval deletes outdated records.
 func (m *Model) ticked(now time.Time) {
 	m.expireSilentPeers(now)
+	m.refreshHidden(now)
 	m.refreshRates(now)
 	m.refreshRegions(now)
 	m.confirmEnds(now)
@@ -296,7 +305,8 @@
 	if m.reportedFleetSize == 0 && m.lastUpdate.Sub(m.firstUpdate) < assumedFleetPeriod {
 		knownInstances = max(knownInstances, assumedFleetSize)
 	}
-	return rationer.Fleet{KnownInstances: knownInstances, LiveInstances: m.liveCount}
+	divided := !m.hiddenSince.IsZero() && m.lastUpdate.Sub(m.hiddenSince) >= hiddenDelay
+	return rationer.Fleet{KnownInstances: knownInstances, LiveInstances: m.liveCount, Divided: divided}
 }
 
 const (
--- a/seam/conductor/heartbeats.go
+++ b/seam/conductor/heartbeats.go
@@ -108,6 +108,10 @@
 			hb.WorkTimes = m.balancer.TakeWorkTimeReports(now)
 		}
 	}
+	if to == OtherRegions || hb.FullDemand {
+		// An address whose region isn't known yet counts as one of this region.
+		hb.LiveByRegion = m.liveByRegion()
+	}
 	m.heartbeatCounts[to]++
 	for _, t := range m.teams {
 		if d, ok := t.reportTo(now, to, hb.FullDemand); ok {
@@ -135,6 +139,7 @@
 func (m *Model) RefreshHeartbeat(now time.Time, hb Heartbeat) Heartbeat {
 	next := m.baseHeartbeat(now)
 	next.FullDemand, next.WarmObjects = hb.FullDemand, hb.WarmObjects
+	next.LiveByRegion = m.liveByRegion()
 	listed := make(map[uint32]bool, len(hb.Demand))
 	for _, d := range hb.Demand {
 		listed[d.Team] = true
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -216,6 +216,10 @@
 	// WorkTimes holds what endpoints stated of how long work takes there. Only heartbeats within
 	// the region contain it.
 	WorkTimes []placer.WorkTimeReport
+	// LiveByRegion counts, for each region in the order of their names, the instances that are
+	// live as seen by the sender, at most 255. Heartbeats to other regions and full ones contain
+	// it.
+	LiveByRegion []byte
 	// Regions counts the sender's requests since its last heartbeat within the region by their
 	// regions, as package regulator reports them. Only heartbeats within the region contain it,
 	// and only if there were any.
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -114,7 +114,10 @@
 	m.balancer.ApplyDepartures(hb.Departures)
 	m.balancer.ApplyLimits(now, hb.Limits)
 	m.balancer.ApplyWorkTimeReports(now, hb.WorkTimes)
-	m.regulator.Apply(now, hb.Regions)
+	if hb.Region == m.region {
+		m.regulator.Apply(now, hb.Regions)
+	}
+	m.recordLiveByRegion(now, hb)
 	m.quarantiner.Apply(now, hb.Evidence)
 	m.balancer.MergePeerWarmCapacities(hb.WarmCapacities)
 	if changed {
--- a/seam/rationer/rationer.go
+++ b/seam/rationer/rationer.go
@@ -30,10 +30,14 @@
 	// LiveInstances is the number of instances that aren't leaving and from which this
 	// instance recently received a heartbeat.
 	LiveInstances int
+	// Divided means that there are live instances which this one receives no heartbeats from.
+	Divided bool
 }
 
-// HasMajority reports whether more than half of the known instances are live.
-func (f Fleet) HasMajority() bool { return 2*f.LiveInstances > f.KnownInstances }
+// HasMajority reports whether more than half of the known instances are live, and this instance
+// receives heartbeats from all of them. Otherwise two parts of the fleet that have lost each other
+// could both be a majority, with the help of a third one that hears both.
+func (f Fleet) HasMajority() bool { return !f.Divided && 2*f.LiveInstances > f.KnownInstances }
 
 // Share returns the fraction of a fleet-wide rate that this instance may use,
 // given its own demand and that of the other live instances, both per second.
--- a/seamedge/edger/settings.go
+++ b/seamedge/edger/settings.go
@@ -59,14 +59,23 @@
 	RetryRatio float64 `json:"retryRatio"`
 	RetryExtra float64 `json:"retryExtra"`
 	// RegionShift limits the part of a region's requests that may change the region in which
-	// they run from one period of two seconds to the next. 0 means no limit.
-	RegionShift float64 `json:"regionShift"`
+	// they run from one period of two seconds to the next. It is a list of one number, or an empty
+	// one for no limit, so that a template can leave the number out.
+	RegionShift []float64 `json:"regionShift"`
 	// Grace is how long the instance may keep running after SIGTERM.
 	Grace float64 `json:"grace"`
 	// LookupTTL limits how long callers may use the answer to a look-up.
 	LookupTTL float64 `json:"lookupTtl"`
 }
 
+// regionShift returns the number in RegionShift, or 0 if there is none.
+func (b BoundsSettings) regionShift() float64 {
+	if len(b.RegionShift) == 0 {
+		return 0
+	}
+	return b.RegionShift[0]
+}
+
 // LogSettings limits the log.
 type LogSettings struct {
 	// LinesPerSecond limits the routine log lines, which are about successful requests
@@ -182,8 +191,11 @@
 			return invalid(path, "%q is not HOST:PORT", a)
 		}
 	}
+	if len(s.Bounds.RegionShift) > 1 {
+		return invalid("bounds.regionShift", "must have one number at most")
+	}
 	numbers := map[string]float64{
-		"bounds.retryRatio": s.Bounds.RetryRatio, "bounds.retryExtra": s.Bounds.RetryExtra, "bounds.regionShift": s.Bounds.RegionShift, "bounds.grace": s.Bounds.Grace,
+		"bounds.retryRatio": s.Bounds.RetryRatio, "bounds.retryExtra": s.Bounds.RetryExtra, "bounds.regionShift": s.Bounds.regionShift(), "bounds.grace": s.Bounds.Grace,
 		"log.linesPerSecond": float64(s.Log.LinesPerSecond), "memory.limitMb": float64(s.Memory.LimitMB),
 	}
 	for path, n := range numbers {
@@ -219,7 +231,7 @@
 }
 
 func (s *Settings) conductorBounds() conductor.Bounds {
-	return conductor.Bounds{RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra, RegionShift: s.Bounds.RegionShift}
+	return conductor.Bounds{RetryRatio: s.Bounds.RetryRatio, RetryExtra: s.Bounds.RetryExtra, RegionShift: s.Bounds.regionShift()}
 }
 
 func duration(seconds float64) time.Duration {
--- a/seamedge/heartbeater/heartbeater_test.go
+++ b/seamedge/heartbeater/heartbeater_test.go
@@ -33,9 +33,10 @@
 			Answers:     []quarantiner.AnswerReport{{Digest: 7, Age: 20 * time.Millisecond}, {Digest: 8}},
 			Quarantines: []quarantiner.QuarantineReport{{Digest: 5, Ends: 3, LastEndAge: 61 * time.Second, Left: 540 * time.Second}},
 		},
-		Sightings: []conductor.Sighting{{Instance: 1 << 31, AgeTenths: 255}, {Instance: 4}},
-		WorkTimes: []placer.WorkTimeReport{{Endpoint: 1 << 31, Percent: 250, Age: 180 * time.Millisecond}, {Endpoint: 4, Percent: 100}},
-		Regions:   []uint32{3, 0, 1 << 20},
+		Sightings:    []conductor.Sighting{{Instance: 1 << 31, AgeTenths: 255}, {Instance: 4}},
+		WorkTimes:    []placer.WorkTimeReport{{Endpoint: 1 << 31, Percent: 250, Age: 180 * time.Millisecond}, {Endpoint: 4, Percent: 100}},
+		Regions:      []uint32{3, 0, 1 << 20},
+		LiveByRegion: []byte{98, 0, 255},
 	}
 	for i := range endpoints {
 		hb.Loads = append(hb.Loads, placer.Load{Endpoint: placer.Hash32(fmt.Sprint(i)), Count: 2})
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -69,6 +69,8 @@
 	WorkTimes []byte `msgpack:"w,omitempty"`
 	// Regions counts requests by the region that they preferred.
 	Regions []uint32 `msgpack:"r,omitempty"`
+	// LiveByRegion holds a byte for each region.
+	LiveByRegion []byte `msgpack:"v,omitempty"`
 	// Ends, Answers and Quarantines are the parts of the evidence; see evidence.go.
 	Ends        []byte `msgpack:"e,omitempty"`
 	Answers     []byte `msgpack:"a,omitempty"`
@@ -179,7 +181,7 @@
 // empty reports whether the extension holds nothing.
 func (x extension) empty() bool {
 	return len(x.Departures) == 0 && len(x.CopyStates) == 0 && len(x.Regions) == 0 &&
-		len(x.Sightings)+len(x.Limits)+len(x.WorkTimes)+len(x.Ends)+len(x.Answers)+len(x.Quarantines) == 0
+		len(x.Sightings)+len(x.LiveByRegion)+len(x.Limits)+len(x.WorkTimes)+len(x.Ends)+len(x.Answers)+len(x.Quarantines) == 0
 }
 
 // encode encodes a heartbeat as a message in MessagePack, followed by an extension if there
@@ -205,7 +207,7 @@
 	if err := encoder.Encode(m); err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
-	x := extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings), Limits: encodeLimits(hb.Limits), WorkTimes: encodeWorkTimes(hb.WorkTimes), Regions: hb.Regions, CopyStates: later}
+	x := extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings), Limits: encodeLimits(hb.Limits), WorkTimes: encodeWorkTimes(hb.WorkTimes), Regions: hb.Regions, LiveByRegion: hb.LiveByRegion, CopyStates: later}
 	x.setEvidence(hb.Evidence)
 	if !x.empty() {
 		encoder.UseArrayEncodedStructs(false)
@@ -282,6 +284,6 @@
 		SequenceNumber: m.SequenceNumber, Leaving: m.Leaving, FleetSize: m.FleetSize, StoreUnreachable: m.StoreUnreachable,
 		FullDemand: m.FullDemand, CopyStatesOnly: m.CopyStatesOnly, Loads: m.Loads, WarmObjects: m.WarmObjects, Demand: m.Demand,
 		ReachabilityReports: m.ReachabilityReports, WarmCapacities: m.WarmCapacities, CopyStates: joinCopyStates(m.CopyStates, x.CopyStates),
-		KnownAddresses: m.KnownAddresses, Departures: x.Departures, Sightings: decodeSightings(x.Sightings), Limits: decodeLimits(x.Limits), WorkTimes: decodeWorkTimes(x.WorkTimes), Regions: x.Regions, Evidence: x.evidence(),
+		KnownAddresses: m.KnownAddresses, Departures: x.Departures, Sightings: decodeSightings(x.Sightings), Limits: decodeLimits(x.Limits), WorkTimes: decodeWorkTimes(x.WorkTimes), Regions: x.Regions, LiveByRegion: x.LiveByRegion, Evidence: x.evidence(),
 	}, true
 }
