--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -131,7 +131,7 @@
 	demand         demandTotals
 	// regionNames lists the names of all regions in their order. liveReports holds the latest
 	// report on live instances from each other region, and hiddenSince the time from which on
-	// another region has had live instances of which none is heard here, or zero.
+	// no heartbeats of a region have arrived although it has live instances, or zero.
 	regionNames []string
 	liveReports map[string]liveReport
 	hiddenSince time.Time
--- a/seam/conductor/explain.go
+++ b/seam/conductor/explain.go
@@ -62,7 +62,7 @@
 	// Admitted means that the best endpoint answers early enough. Retries of refused callers may
 	// be admitted with less.
 	Admitted bool `json:"admitted"`
-	// Unavailable says why no endpoint may receive the request, if none may.
+	// Unavailable is the reason if no endpoint may receive the request.
 	Unavailable string                 `json:"unavailable,omitempty"`
 	Candidates  []CandidateExplanation `json:"candidates,omitempty"`
 }
--- a/seam/conductor/hidden.go
+++ b/seam/conductor/hidden.go
@@ -11,8 +11,8 @@
 // live instances they count in each region.
 
 const (
-	// hiddenDelay is how long a region must be heard elsewhere and not here before the fleet
-	// counts as divided. Instances notice at different times that a region is gone.
+	// hiddenDelay is how long a region must be hidden before the fleet counts as divided.
+	// Instances notice at different times that a region is gone.
 	hiddenDelay = time.Second
 	// liveReportLifetime is how long a report of another region's instance holds.
 	liveReportLifetime = 2 * time.Second
@@ -42,8 +42,7 @@
 	}
 }
 
-// refreshHidden finds out whether another region reports live instances in a region of which this
-// instance hears none.
+// refreshHidden finds out whether a region is hidden from this instance.
 func (m *Model) refreshHidden(now time.Time) {
 	hidden := slices.ContainsFunc(m.regionNames, func(region string) bool { return m.isHidden(now, region) })
 	switch {
@@ -54,8 +53,8 @@
 	}
 }
 
-// isHidden reports whether a third region reports live instances in a region of which this
-// instance hears none.
+// isHidden reports whether this instance counts none of a region's instances as live while an
+// instance of a third region counts some.
 func (m *Model) isHidden(now time.Time, region string) bool {
 	if region == m.region || len(m.live[region]) > 0 {
 		return false
--- a/seam/placer/cost.go
+++ b/seam/placer/cost.go
@@ -31,12 +31,14 @@
 	return c.Latency + c.Locality + c.Connection + c.Failures + c.Eviction + c.Placement + c.Bound + c.Ejected + c.Untried + c.Copies
 }
 
-// copiesCost returns the cost of making an object warm at one more endpoint.
-func copiesCost(enoughCopies bool, c Choice, e *endpoint) float64 {
-	if enoughCopies && !c.ObjectWarm && !e.isUnderused() {
-		return extraCopyCost
+// estimateWithCopies returns the estimates for sending a request to an endpoint and the cost of
+// doing so. enoughCopies means that the object is warm at enough endpoints.
+func (b *Balancer) estimateWithCopies(now time.Time, r Request, s *service, e *endpoint, enoughCopies bool) (Choice, Cost) {
+	choice, cost := b.estimate(now, r, s, e)
+	if enoughCopies && !choice.ObjectWarm && !e.isUnderused() {
+		cost.Copies = extraCopyCost
 	}
-	return 0
+	return choice, cost
 }
 
 // Candidate is an endpoint that may receive a request, with the estimates for it and the terms of
@@ -61,8 +63,7 @@
 		if !b.mayReceive(now, r, e) {
 			continue
 		}
-		choice, cost := b.estimate(now, r, s, e)
-		cost.Copies = copiesCost(enoughCopies, choice, e)
+		choice, cost := b.estimateWithCopies(now, r, s, e, enoughCopies)
 		candidates = append(candidates, Candidate{Choice: choice, Zone: e.spec.Zone, Cost: cost})
 	}
 	slices.SortStableFunc(candidates, func(x, y Candidate) int { return cmp.Compare(x.Cost.Total(), y.Cost.Total()) })
--- a/seam/placer/placer.go
+++ b/seam/placer/placer.go
@@ -338,8 +338,7 @@
 		if !b.mayReceive(now, r, e) {
 			continue
 		}
-		choice, cost := b.estimate(now, r, s, e)
-		cost.Copies = copiesCost(enoughCopies, choice, e)
+		choice, cost := b.estimateWithCopies(now, r, s, e, enoughCopies)
 		best.offer(choice, cost.Total())
 	}
 	if r.wantsCopy(best.choice) {
--- a/seam/rationer/rationer.go
+++ b/seam/rationer/rationer.go
@@ -35,8 +35,8 @@
 }
 
 // HasMajority reports whether more than half of the known instances are live, and this instance
-// receives heartbeats from all of them. Otherwise two parts of the fleet that have lost each other
-// could both be a majority, with the help of a third one that hears both.
+// receives heartbeats from all of them. Otherwise two parts of the fleet that are cut off from
+// each other, but not from a third part, could both count as a majority.
 func (f Fleet) HasMajority() bool { return !f.Divided && 2*f.LiveInstances > f.KnownInstances }
 
 // Share returns the fraction of a fleet-wide rate that this instance may use,
