--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,4 +7,4 @@
   echo "first run the build command of deploy/system.toml and review/build-2.sh" >&2
   exit 2
 fi
-exec target/review/scene grace "$folder/record.txt"
+exec target/review/scene homes "$folder/record.txt"
