Name only homes and the caller's region in look-ups

Cause: a look-up fell back from zone to region to all instances and never read the host that it was asked for, though the configuration in force has the homes of its routes. Ruled out: an old configuration at the instance that answered (there was only one), and the removed instance still counted (it was never named).

Change: a look-up names instances in the caller's region or in regions that are home to all routes of the host that have homes; if there are none it is refused with 503 and no address. Without a configuration the homes aren't known, and only the caller's region is named. Hosts are compared in one form, without port and final dot and in lower case, by routes and look-ups alike. Refused look-ups are logged and counted.

--- a/seam/coder/coder.go
+++ b/seam/coder/coder.go
@@ -82,6 +82,9 @@
 	CallerGone Code = 124
 	// InternalError means that the instance itself failed while it handled the request.
 	InternalError Code = 125
+	// NoHomeInstance means that a lookup names no instance: none is alive in the caller's
+	// region or in a region that is home to all routes of the host that have homes.
+	NoHomeInstance Code = 126
 )
 
 // Results of configuration, settings and store calls.
--- a/seam/coder/coder_string.go
+++ b/seam/coder/coder_string.go
@@ -30,6 +30,7 @@
 	_ = x[OutcomeUnknown-123]
 	_ = x[CallerGone-124]
 	_ = x[InternalError-125]
+	_ = x[NoHomeInstance-126]
 	_ = x[ConfigInvalid-200]
 	_ = x[ConfigConflict-201]
 	_ = x[ConfigNotInForce-202]
@@ -48,7 +49,7 @@
 const (
 	_Code_name_0 = "OK"
 	_Code_name_1 = "KeyMissingKeyUnknownKeyEvidenceStaleRouteUnknownRequestMalformed"
-	_Code_name_2 = "TeamOverRateDeadlineUnreachableQueueFullNoUpstreamStoppingLinkCapReachedNoConfigurationRequestQuarantinedNoRoomCallerTooSlowUpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGoneInternalError"
+	_Code_name_2 = "TeamOverRateDeadlineUnreachableQueueFullNoUpstreamStoppingLinkCapReachedNoConfigurationRequestQuarantinedNoRoomCallerTooSlowUpstreamFailedUpstreamTimeoutAnswerMismatchedOutcomeUnknownCallerGoneInternalErrorNoHomeInstance"
 	_Code_name_3 = "ConfigInvalidConfigConflictConfigNotInForce"
 	_Code_name_4 = "SettingsInvalid"
 	_Code_name_5 = "ArgumentInvalid"
@@ -59,7 +60,7 @@
 
 var (
 	_Code_index_1 = [...]uint8{0, 10, 20, 36, 48, 64}
-	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72, 87, 105, 111, 124, 138, 153, 169, 183, 193, 206}
+	_Code_index_2 = [...]uint8{0, 12, 31, 40, 50, 58, 72, 87, 105, 111, 124, 138, 153, 169, 183, 193, 206, 220}
 	_Code_index_3 = [...]uint8{0, 13, 27, 43}
 	_Code_index_6 = [...]uint8{0, 16, 29, 42, 56, 75}
 	_Code_index_8 = [...]uint8{0, 12, 25}
@@ -72,7 +73,7 @@
 	case 100 <= i && i <= 104:
 		i -= 100
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
-	case 110 <= i && i <= 125:
+	case 110 <= i && i <= 126:
 		i -= 110
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
 	case 200 <= i && i <= 202:
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -16,9 +16,6 @@
 	// is the shortest time after which an instance counts as silent.
 	silentMargin = 400 * time.Millisecond
 	minSilence   = otherRegionsInterval + propagationMargin + silentMargin
-	// lookupTimeout is the time after an instance's last sign of life from which on lookups
-	// no longer return its address.
-	lookupTimeout = 3 * time.Second
 	// forgetAfter is how long after its last sign of life an instance still counts as known.
 	// A silent instance may be running but partitioned, and then still uses its static
 	// share of each team's rate.
@@ -247,41 +244,6 @@
 // perSecond returns a team's total in requests per second.
 func (t demandTotals) perSecond(team uint32) float64 { return float64(t[team]) / 10 }
 
-// Addresses returns the addresses that callers in a zone should connect to: the
-// instances in that zone; if there are none, the instances in the region; if there
-// are none, all instances. Instances that are leaving, or that have given no sign of life
-// for lookupTimeout, are left out. self is the address of this instance. It is returned
-// alone if all instances are left out.
-func (m *Model) Addresses(now time.Time, self string, region, zone string) []string {
-	var inZone, inRegion, all []string
-	add := func(address, r, z string) {
-		all = append(all, address)
-		if r == region {
-			inRegion = append(inRegion, address)
-		}
-		if z == zone {
-			inZone = append(inZone, address)
-		}
-	}
-	if m.stopRequestedAt.IsZero() {
-		add(self, m.region, m.zone)
-	}
-	for _, p := range m.peers {
-		if !p.lastHeartbeat.Leaving && now.Sub(p.seenAt) < lookupTimeout {
-			add(p.lastHeartbeat.CallerAddress, p.lastHeartbeat.Region, p.lastHeartbeat.Zone)
-		}
-	}
-	switch {
-	case len(inZone) > 0:
-		return inZone
-	case len(inRegion) > 0:
-		return inRegion
-	case len(all) > 0:
-		return all
-	}
-	return []string{self}
-}
-
 // StorePollRank returns this instance's rank among the live instances that can reach
 // the store. The instance of rank 0 polls the store all the time.
 func (m *Model) StorePollRank() int {
--- a/seam/router/router.go
+++ b/seam/router/router.go
@@ -12,6 +12,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -109,8 +110,11 @@
 
 // Config is one version of the steering configuration.
 type Config struct {
-	version      uint64
+	version uint64
+	// routesByHost and homesByHost have canonical hosts as keys. homesByHost holds only the
+	// hosts that have a route with home regions.
 	routesByHost map[string][]*Route
+	homesByHost  map[string][]string
 	services     map[string]Service
 	requiresKeys bool
 	teams        map[string]*Team
@@ -148,6 +152,7 @@
 	c := &Config{
 		version:      version,
 		routesByHost: map[string][]*Route{},
+		homesByHost:  map[string][]string{},
 		services:     map[string]Service{},
 		teams:        map[string]*Team{},
 		teamsByKey:   map[string]*Team{},
@@ -155,10 +160,16 @@
 	}
 	for i := range routes {
 		r := &routes[i]
-		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
+		host := CanonicalHost(r.Host)
+		c.routesByHost[host] = append(c.routesByHost[host], r)
 	}
-	for _, list := range c.routesByHost {
-		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	for host, list := range c.routesByHost {
+		slices.SortFunc(list, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), strings.Compare(a.Name, b.Name))
+		})
+		if homes, restricted := commonHomes(list); restricted {
+			c.homesByHost[host] = homes
+		}
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -214,10 +225,32 @@
 	return t, ok
 }
 
+// HomesOf returns the regions that are home to all routes of a host, and whether the host has
+// routes with homes at all. There may be none: routes may have different homes.
+func (c *Config) HomesOf(host string) (regions []string, restricted bool) {
+	regions, restricted = c.homesByHost[CanonicalHost(host)]
+	return regions, restricted
+}
+
+// commonHomes returns the regions that are home to all of the routes, and whether any of them
+// has homes.
+func commonHomes(routes []*Route) (regions []string, restricted bool) {
+	for _, r := range routes {
+		switch {
+		case len(r.HomeRegions) == 0:
+		case !restricted:
+			regions, restricted = slices.Clone(r.HomeRegions), true
+		default:
+			regions = slices.DeleteFunc(regions, func(region string) bool { return !slices.Contains(r.HomeRegions, region) })
+		}
+	}
+	return regions, restricted
+}
+
 // Route returns the route of a host whose prefix is the longest that matches the
 // path, or false if none matches.
 func (c *Config) Route(host, path string) (*Route, bool) {
-	for _, r := range c.routesByHost[host] {
+	for _, r := range c.routesByHost[CanonicalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -96,7 +96,7 @@
 	}
 	req.digest = digestOf(req, r.Header.Get(platform.HeaderKey))
 	msg := conductor.RequestArrived{
-		ID: req.id, Host: hostWithoutPort(r.Host), Path: r.URL.EscapedPath(), Key: r.Header.Get(platform.HeaderKey),
+		ID: req.id, Host: r.Host, Path: r.URL.EscapedPath(), Key: r.Header.Get(platform.HeaderKey),
 		CallerTimeLeft: callerTimeout(r), ReadAt: req.arrivedAt, BodyStreamed: req.bodyRemainder != nil, Digest: req.digest,
 	}
 	if affinity := r.Header.Get(platform.HeaderAffinity); affinity != "" {
@@ -173,7 +173,7 @@
 // refusal and false.
 func (e *Edge) readBody(w http.ResponseWriter, req *callerRequest) (conductor.Refuse, bool) {
 	e.mu.Lock()
-	refused, ok := e.model.CheckAccess(hostWithoutPort(req.request.Host), req.request.URL.EscapedPath(), req.request.Header.Get(platform.HeaderKey))
+	refused, ok := e.model.CheckAccess(req.request.Host, req.request.URL.EscapedPath(), req.request.Header.Get(platform.HeaderKey))
 	e.mu.Unlock()
 	if !ok {
 		return refused, false
--- a/seamedge/edger/headers.go
+++ b/seamedge/edger/headers.go
@@ -1,7 +1,6 @@
 package edger
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,14 +22,6 @@
 	return fields, bytes
 }
 
-// hostWithoutPort returns the value of a Host header without the port, if it has one.
-func hostWithoutPort(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 // callerTimeout returns how long the caller waits for an answer, according to the header
 // [platform.HeaderDeadline] of the request. It returns 0 if the header is missing or
 // invalid or exceeds an hour.
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -164,6 +164,11 @@
 	m.set.GetOrCreateCounter(labeled("seam_edge_accept_errors_total", "socket", socket)).Inc()
 }
 
+// lookups returns the counter of look-ups with an answer: lookupAnswered or lookupRefused.
+func (m *edgeMetrics) lookups(answer string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(labeled("seam_edge_lookups_total", "answer", answer))
+}
+
 // closings returns the counter of connections that the limits on a socket's clients closed, and
 // of requests that they refused, for a reason.
 func (m *edgeMetrics) closings(socket string, reason limiter.Reason) *metrics.Counter {
