Treat a response whose status is none as a failed attempt

In seamd a status of 099 ended the whole process.

Cause: net/http parses any three characters that are a number of 0 or more as a status, and any version, and its server panics for what is outside 100 to 999; nothing in between looked at the number. In seamd the panic is in a goroutine of its own. Ruled out: a check that is too wide, and a change on the caller's side; the stack begins where the answer is delivered.

Change: bytes that are no valid response are one typed failure of the attempt, with the fault in log and metrics: tried elsewhere where that is allowed, else 502, and counted against the endpoint. The same reader serves calls, probes and streamed bodies. In seamd the status is checked before a refusal in the response is believed. Reading responses has a file of its own in package exchanger.

--- a/seam/caller/exchange.go
+++ b/seam/caller/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"primroseseam.org/seam/coder"
+	"primroseseam.org/seam/validator"
 )
 
 // HTTP headers of requests to the load balancer and of its own responses.
@@ -139,6 +140,9 @@
 		return Response{}, noResponseError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := validator.Status(resp.StatusCode); err != nil {
+		return Response{}, noResponseError(err)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = fmt.Errorf("response body is longer than %d bytes", maxResponseBytes)
--- a/seam/validator/validator.go
+++ b/seam/validator/validator.go
@@ -1,7 +1,8 @@
-// Package validator checks whether text can stand in the head of an HTTP/1.1 request and
-// arrives there unchanged. Text that can't may end the line in which it stands, and so add
-// header fields or whole requests. The edge daemon seamedge uses it for the names that others
-// write to the platform's store, and for all that it sends to endpoints.
+// Package validator checks what stands in the heads of HTTP/1.1 messages: whether a number can be
+// the status of a response, and whether text can stand in the head of a request and arrives there
+// unchanged. Text that can't may end the line in which it stands, and so add header fields or
+// whole requests. The edge daemon seamedge uses it for the names that others write to the
+// platform's store, and for all that it sends to endpoints. Both daemons use it for responses.
 //
 // # Usage
 //
@@ -13,6 +14,20 @@
 	"strings"
 )
 
+// minStatus and maxStatus bound the statuses of HTTP; see RFC 9110, section 15.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Status returns an error unless a number can be the status of a response.
+func Status(status int) error {
+	if status < minStatus || status > maxStatus {
+		return fmt.Errorf("status %03d is not from %d to %d", status, minStatus, maxStatus)
+	}
+	return nil
+}
+
 // deleteChar is the control character at the end of ASCII.
 const deleteChar = 0x7f
 
--- a/seamd/daemon/answers_test.go
+++ b/seamd/daemon/answers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -130,6 +131,7 @@
 func TestBrokenAnswersAreNotReportedAsComplete(t *testing.T) {
 	id := func(r *http.Request) string { return "Seam-Request-Id: " + r.Header.Get("Seam-Request-Id") + "\r\n" }
 	long := strings.Repeat("x", 200<<10)
+	var invalidStatuses []string
 	cases := map[string]func(*http.Request) string{
 		"truncated": func(r *http.Request) string { return "HTTP/1.1 200 OK\r\n" + id(r) + "Content-Length: 10\r\n\r\nshort" },
 		"chunks": func(r *http.Request) string {
@@ -151,6 +153,17 @@
 		"header": func(r *http.Request) string { return "HTTP/1.1 200 OK\r\n" + id(r) + "X: " + long + "\r\n\r\n" },
 		"lost":   func(*http.Request) string { return "" },
 	}
+	// Guards against MIXED: a status that is none was passed to the server of the callers, which
+	// panics, or to the caller; a refusal with such a status counted as not run.
+	for _, status := range []string{"000", "099", "+20", "600", "999", "101"} {
+		cases["status"+status] = func(r *http.Request) string {
+			return "HTTP/1.1 " + status + " OK\r\n" + id(r) + "Content-Length: 2\r\n\r\nok"
+		}
+		cases["refusal"+status] = func(r *http.Request) string {
+			return "HTTP/1.1 " + status + " OK\r\n" + id(r) + "Upstream-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+		}
+		invalidStatuses = append(invalidStatuses, "status"+status, "refusal"+status)
+	}
 	var kind atomic.Value
 	var runs atomic.Int64
 	u := rawUpstream{answer: func(c net.Conn, r *http.Request) {
@@ -166,6 +179,9 @@
 			if a.err == nil && (a.status == http.StatusOK || a.header.Get("Seam-Not-Run") == "true") {
 				t.Errorf("%s: status %d, not run %q", name, a.status, a.header.Get("Seam-Not-Run"))
 			}
+			if slices.Contains(invalidStatuses, name) && (a.err != nil || a.status != http.StatusBadGateway) {
+				t.Errorf("%s: status %d, %v, want 502", name, a.status, a.err)
+			}
 			if n := runs.Load(); n != 1 {
 				t.Errorf("%s: a non-idempotent request ran %d times", name, n)
 			}
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 
 	"primroseseam.org/seam/coder"
 	"primroseseam.org/seam/prover"
+	"primroseseam.org/seam/validator"
 )
 
 // maxBufferedResponseBytes is the maximum number of bytes of a response's body that are
@@ -170,6 +171,10 @@
 		Status: resp.StatusCode, Unhealthy: isUnhealthyStatus(resp.StatusCode),
 	}
 	switch {
+	case !isFinal(resp.StatusCode):
+		f.endpoints.closeIdle(endpoint)
+		result.Code, result.Ran, result.Unhealthy = coder.UpstreamFailed, coder.MayHaveRun, true
+		return result
 	// A refusal counts only if it answers this request. It may be a late copy of an earlier
 	// one.
 	case resp.Header.Get(HeaderRequestID) != out.ID && !f.skipEchoCheck:
@@ -183,6 +188,12 @@
 	return writeResponse(ctx, claim, w, resp, result)
 }
 
+// isFinal reports whether a status is that of a final response. Others are no response: net/http
+// reads any three characters that are a number, and returns an unasked 101.
+func isFinal(status int) bool {
+	return validator.Status(status) == nil && status >= http.StatusOK
+}
+
 // isUnhealthyStatus reports whether a response with this status counts as a failure of
 // the endpoint.
 func isUnhealthyStatus(status int) bool {
@@ -238,7 +249,7 @@
 // caller. If the start can't be read, it writes nothing.
 func writeResponse(ctx context.Context, claim *ResponseClaim, w http.ResponseWriter, resp *http.Response, result Result) Result {
 	result.Ran = coder.MayHaveRun
-	if !hasDelimitedBody(resp) {
+	if !isFinal(resp.StatusCode) || !hasDelimitedBody(resp) {
 		result.Code = coder.UpstreamFailed
 		return result
 	}
--- a/seamedge/edger/callers.go
+++ b/seamedge/edger/callers.go
@@ -298,6 +298,9 @@
 	// disconnected.
 	outcome.CallerDisconnected = req.ctx.Err() != nil || !outcome.Acceptable() && accepter.CallerDisconnected(req.ctx)
 	e.metrics.recordAttempt(outcome.Answered, time.Since(start).Seconds())
+	if invalid := (*exchanger.ResponseError)(nil); errors.As(answer.Err, &invalid) {
+		e.metrics.invalidResponses[invalid.Fault()].Inc()
+	}
 	e.logAttempt(req, cmd, answer, outcome, time.Since(start))
 	if outcome.CallerDisconnected {
 		e.metrics.closeAfter.Update(answer.CloseAfter.Seconds())
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -12,6 +12,7 @@
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/labeler"
 	"primroseseam.org/seam/router"
+	"primroseseam.org/seamedge/exchanger"
 	"primroseseam.org/seamedge/limiter"
 )
 
@@ -40,6 +41,8 @@
 	// skippedResponses counts responses of endpoints that couldn't be attributed to the
 	// request at hand and were skipped.
 	skippedResponses *metrics.Counter
+	// invalidResponses counts, for each fault, bytes of endpoints that are no valid response.
+	invalidResponses map[exchanger.ResponseFault]*metrics.Counter
 	// invalidLoads counts responses that state a load in a form that can't be read.
 	invalidLoads *metrics.Counter
 	// invalidEntries counts entries of endpoints that can't be used, and refusedConfigs
@@ -70,7 +73,12 @@
 
 func newMetrics() *edgeMetrics {
 	set := metrics.NewSet()
+	invalidResponses := map[exchanger.ResponseFault]*metrics.Counter{}
+	for _, fault := range exchanger.ResponseFaults() {
+		invalidResponses[fault] = set.NewCounter(labeled("seam_edge_invalid_responses_total", "fault", fault.String()))
+	}
 	return &edgeMetrics{
+		invalidResponses:     invalidResponses,
 		set:                  set,
 		storeErrors:          set.NewCounter("seam_edge_store_errors_total"),
 		heartbeatErrors:      set.NewCounter("seam_edge_heartbeat_errors_total"),
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -23,10 +23,7 @@
 	"fmt"
 	"hash/maphash"
 	"io"
-	"math"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,25 +31,9 @@
 	"primroseseam.org/seamedge/bufferer"
 )
 
-// maxHeadBytes limits the bytes that are read for the head of a response.
-const maxHeadBytes = 64 << 10
-
-// maxExtraResponses is the largest number of responses that are skipped before the response
-// to the request. Interim (1xx) responses and responses that can't be attributed to the
-// request are skipped.
-const maxExtraResponses = 3
-
-// Errors of a call.
-var (
-	// ErrUnexpectedResponse means that the endpoint sent a response that can't be used:
-	// a 2xx response without a request ID, a response with a content-encoded body, a
-	// response to be skipped with a body that isn't buffered as a whole, or more than
-	// maxExtraResponses responses that had to be skipped.
-	ErrUnexpectedResponse = errors.New("unexpected response from endpoint")
-	// ErrInvalidCall means that the head of the request would not arrive as it is: some text
-	// in it would end a line or be changed by the receiver. Nothing was sent.
-	ErrInvalidCall = errors.New("request can't be sent unchanged")
-)
+// ErrInvalidCall means that the head of the request would not arrive as it is: some text in it
+// would end a line or be changed by the receiver. Nothing was sent.
+var ErrInvalidCall = errors.New("request can't be sent unchanged")
 
 // Call is a request to an endpoint.
 type Call struct {
@@ -87,6 +68,7 @@
 
 // Result is the outcome of a call: a response, or an error.
 type Result struct {
+	// Status is a final status, from 200 to 599.
 	Status int
 	Header http.Header
 	Body   []byte
@@ -96,7 +78,8 @@
 	BodyRemainder io.Reader
 	Close         func()
 	// Err is set if there is no valid response or its body broke off within the buffered
-	// part. If the body breaks off later, reading BodyRemainder returns the error.
+	// part. If the body breaks off later, reading BodyRemainder returns the error. If what
+	// arrived is no valid response, Err wraps a [ResponseError].
 	Err error
 	// MaybeSent means that some bytes of the request may have reached the endpoint.
 	MaybeSent bool
@@ -264,7 +247,7 @@
 		// read while the request is being written.
 		go func() { writeResult <- writeRequest(c, call) }()
 	}
-	response, body, skipped, err := x.readResponse(c, call)
+	received, err := x.readResponse(c, call)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -276,19 +259,22 @@
 	}
 	finish := func(complete bool) {
 		contextActive := stop()
-		if complete && contextActive && reusable(c, response, writeResult) {
+		if complete && contextActive && reusable(c, received.Response, writeResult) {
 			_ = c.SetDeadline(time.Time{})
-			c.maxIdle = maxIdleTime(response.Header)
+			c.maxIdle = maxIdleTime(received.Header)
 			c.lastUsed = time.Now()
 			x.pool.put(call.Address, c)
 			return
 		}
 		_ = c.Close()
 	}
-	result := Result{Status: response.StatusCode, Header: response.Header, Body: body.Data, MaybeSent: true, SkippedResponses: skipped}
+	body := received.body
+	result := Result{
+		Status: received.StatusCode, Header: received.Header, Body: body.Data, MaybeSent: true, SkippedResponses: received.skipped,
+	}
 	switch {
 	case body.More:
-		result.BodyRemainder = response.Body
+		result.BodyRemainder = received.Body
 		result.Close = func() {
 			body.Release()
 			finish(false)
@@ -309,100 +295,6 @@
 	return call.BodyRemainder == nil && len(call.Body) <= buffered
 }
 
-// readResponse reads responses from a connection until it has the response to the call and
-// the start of its body. It skips interim responses and responses that can't be attributed to
-// the call, and returns how many of the latter.
-func (x *Exchanger) readResponse(c *conn, call Call) (response *http.Response, body bufferer.Start, skipped int, err error) {
-	request := &http.Request{Method: call.Method}
-	for extra := 0; extra <= maxExtraResponses; extra++ {
-		c.input.N = maxHeadBytes
-		response, err = http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, bufferer.Start{}, 0, fmt.Errorf("read response: %w", err)
-		}
-		c.input.N = math.MaxInt64
-		if response.StatusCode/100 == 1 {
-			continue
-		}
-		body, err = bufferer.Read(call.Room, response.Body, bodyLength(response, call))
-		if err != nil {
-			return nil, bufferer.Start{}, 0, fmt.Errorf("read response body: %w", err)
-		}
-		id := response.Header.Get(call.IDHeader)
-		if isForeign(id, call, c.reused() || skipped > 0) {
-			body.Release()
-			// The response can be skipped only if its whole body has been read.
-			if body.More {
-				return nil, bufferer.Start{}, 0, ErrUnexpectedResponse
-			}
-			skipped++
-			continue
-		}
-		if id == "" && response.StatusCode/100 == 2 || response.Header.Get("Content-Encoding") != "" {
-			body.Release()
-			return nil, bufferer.Start{}, 0, ErrUnexpectedResponse
-		}
-		if extra > 0 {
-			response.Close = true
-		}
-		return response, body, skipped, nil
-	}
-	return nil, bufferer.Start{}, 0, ErrUnexpectedResponse
-}
-
-// bodyLength returns the size of a response's body, or -1 if it isn't known.
-func bodyLength(response *http.Response, call Call) int64 {
-	if call.Method == http.MethodHead {
-		return 0
-	}
-	return response.ContentLength
-}
-
-// isForeign reports whether a response with the given request ID, or "", can't be
-// attributed to the call. Endpoints return the ID of the request. A response without an ID
-// may be a late copy of one to an earlier request if the connection has carried other
-// responses.
-func isForeign(id string, call Call, carriedOthers bool) bool {
-	if id == "" {
-		return carriedOthers && call.RequestID != ""
-	}
-	return id != call.RequestID
-}
-
-// reusable reports whether a connection can be used for another request. This requires that
-// it has carried fewer than maxRequestsPerConn, that the last request was written completely,
-// that the end of its response is known, that the response isn't marked to close the
-// connection, and that no bytes follow it.
-func reusable(c *conn, response *http.Response, writeResult <-chan error) bool {
-	select {
-	case err := <-writeResult:
-		if err != nil {
-			return false
-		}
-	default:
-		return false
-	}
-	endKnown := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return len(c.requests) < maxRequestsPerConn && endKnown && !response.Close && c.reader.Buffered() == 0
-}
-
-// maxIdleTime returns how long a connection may be idle and still be reused. The time is
-// derived from the timeout in the Keep-Alive header of the last response. If the header has
-// no valid timeout, the time is defaultMaxIdle.
-func maxIdleTime(header http.Header) time.Duration {
-	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if s, err := strconv.Atoi(value); err == nil && s >= 0 {
-			timeout := time.Duration(s) * time.Second
-			return max(timeout-idleMargin, time.Duration(idleFraction*float64(timeout)))
-		}
-	}
-	return defaultMaxIdle
-}
-
 // writeRequest writes a request and its body. A body of unknown length is sent in chunked
 // encoding.
 func writeRequest(w io.Writer, call Call) error {
