Count the age of what instances report over suspends and queues

Cause: each instance polls the store only if the last poll that it knows of is too old. The age of that poll was counted by the steady clock, which doesn't run in a suspend, and from the receipt of a heartbeat, however long that had lain in a queue. So an instance that had stood still vouched for the poll from before, and others put off their own.

Change: package timekeeper has a clock that counts suspends; copies and their ages use it. A response that was read after a suspend is as old as its call. Heartbeats state when they were made, and receivers count what is beyond the sender's shortest way as delay; all ages in a heartbeat, and the sign of life itself, count from then. Ages are rounded up when passed on. Heartbeats of earlier builds, and of senders known for less than a second, don't put off a poll.

--- a/seam/conductor/liveness.go
+++ b/seam/conductor/liveness.go
@@ -54,11 +54,12 @@
 	return list
 }
 
-// applySightings applies the sightings that an instance of this region reported.
-func (m *Model) applySightings(now time.Time, sightings []Sighting) {
+// applySightings applies the sightings that an instance of this region reported. Their ages
+// count from madeAt.
+func (m *Model) applySightings(now, madeAt time.Time, sightings []Sighting) {
 	for _, s := range sightings {
 		p, ok := m.peersByHash[s.Instance]
-		at := now.Add(-time.Duration(s.AgeTenths) * 100 * time.Millisecond)
+		at := madeAt.Add(-time.Duration(s.AgeTenths) * 100 * time.Millisecond)
 		if !ok || !at.After(p.seenAt) {
 			continue
 		}
--- a/seam/conductor/lookups_test.go
+++ b/seam/conductor/lookups_test.go
@@ -160,3 +160,23 @@
 	addresses := m.LookUp(now, "0", conductor.Lookup{Host: host, Region: "region-client", Zone: "zone-client"}).Addresses
 	return strings.Join(slices.Sorted(slices.Values(addresses)), " ")
 }
+
+// Guards against DRAIN and CONFIG: what a heartbeat states is as old as its way was long. An
+// instance that stood still must not take the heartbeats that lay in its socket for signs of life.
+func TestDelayedHeartbeatsAreNoFreshSignsOfLife(t *testing.T) {
+	m := conductor.New(conductor.WithSelf("0", "zone-0", map[string]string{"zone-0": "region-0"}))
+	m.Update(start, conductor.ConfigReceived{Config: homedConfig(1, nil)})
+	first := heartbeatFrom("other", 1)
+	m.Update(start, conductor.HeartbeatReceived{Heartbeat: first})
+	late := heartbeatFrom("other", 2)
+	late.Delay, late.DelayKnown = 6*time.Second, true
+	received := start.Add(7 * time.Second)
+	m.Update(received, conductor.HeartbeatReceived{Heartbeat: late})
+	if got := namedRegions(m, received, "h"); got != "0" {
+		t.Errorf("named after a heartbeat that was 6 s on its way: %q", got)
+	}
+	m.Update(received, conductor.HeartbeatReceived{Heartbeat: heartbeatFrom("other", 3)})
+	if got := namedRegions(m, received, "h"); got != "0 other" {
+		t.Errorf("named after a heartbeat without a delay: %q", got)
+	}
+}
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -246,6 +246,14 @@
 	// CopyStatesOnly means that only CopyStates and the fields that identify the sender
 	// are set. Such a heartbeat is sent between two regular ones.
 	CopyStatesOnly bool
+	// MadeAt is when the heartbeat was made, by a clock of the sender that counts suspends and
+	// is never set. It is 0 in heartbeats of earlier builds.
+	MadeAt time.Duration
+	// Delay is set by the receiver: by how much longer than the sender's other heartbeats this one
+	// was on its way. DelayKnown means that there were enough to compare it with. All ages in the
+	// heartbeat are to be counted from the receipt less Delay.
+	Delay      time.Duration
+	DelayKnown bool
 }
 
 // Demand is a team's demand at one instance. Team is the hash of the team's name.
--- a/seam/conductor/peers.go
+++ b/seam/conductor/peers.go
@@ -100,22 +100,24 @@
 		m.reportedFleetSize = m.fleet().KnownInstances
 	}
 	p.lastHeartbeat = hb
-	p.lastHeartbeatAt = now
-	p.seenAt = now
+	// What the sender states was true when it made the heartbeat.
+	madeAt := now.Add(-hb.Delay)
+	p.lastHeartbeatAt = later(p.lastHeartbeatAt, madeAt)
+	p.seenAt = later(p.seenAt, madeAt)
 	m.recordSighting(p)
-	m.applySightings(now, hb.Sightings)
+	m.applySightings(now, madeAt, hb.Sightings)
 	m.recordDemand(now, p, hb)
 	m.balancer.SetPeerLoads(hb.ID, hb.Loads)
 	m.balancer.AddPeerWarmObjects(now, hb.WarmObjects)
 	m.balancer.ApplyPeerReachability(now, hb.ReachabilityReports)
 	m.balancer.ApplyDepartures(hb.Departures)
-	m.balancer.ApplyLimits(now, hb.Limits)
-	m.balancer.ApplyWorkTimeReports(now, hb.WorkTimes)
+	m.balancer.ApplyLimits(madeAt, hb.Limits)
+	m.balancer.ApplyWorkTimeReports(madeAt, hb.WorkTimes)
 	if hb.Region == m.region {
 		m.regulator.Apply(now, hb.Regions)
 	}
-	m.recordLiveByRegion(now, hb)
-	m.quarantiner.Apply(now, hb.Evidence)
+	m.recordLiveByRegion(madeAt, hb)
+	m.quarantiner.Apply(madeAt, hb.Evidence)
 	m.balancer.MergePeerWarmCapacities(hb.WarmCapacities)
 	if changed {
 		m.refreshLive()
@@ -123,6 +125,14 @@
 	return cmds
 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // recordDemand applies the demand and the admission counts reported by a peer. If the
 // peer is not known from its start, the first count that it reports for a team only
 // serves as the base for later counts: those requests may have been admitted before
--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -40,6 +40,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"primroseseam.org/seam/timekeeper"
 )
 
 // Errors of a [Store] that callers distinguish from other errors.
@@ -166,6 +168,7 @@
 	report   func(kind string, err error)
 	pollRank func() int
 	wake     chan struct{}
+	clock    timekeeper.Clock
 
 	mu   sync.Mutex
 	view View
@@ -214,10 +217,20 @@
 // rank is 0.
 func WithPollRank(f func() int) Option { return func(w *Follower) { w.pollRank = f } }
 
+// WithClock sets the clock of all times that the follower takes and returns. It should count the
+// time of suspends: a copy gets older in them. The default is the system's steady clock.
+func WithClock(c timekeeper.Clock) Option { return func(w *Follower) { w.clock = c } }
+
+// steadyClock is the system's steady clock.
+type steadyClock struct{}
+
+// Now implements timekeeper.Clock.
+func (steadyClock) Now() time.Time { return time.Now() }
+
 // New returns a follower that has no copy yet.
 func New(store Store, kind string, opts ...Option) *Follower {
 	f := &Follower{
-		store: store, kind: kind, wake: make(chan struct{}, 1), storeReachable: true,
+		store: store, kind: kind, wake: make(chan struct{}, 1), clock: steadyClock{}, storeReachable: true,
 		notify: func(View) {}, report: func(string, error) {}, pollRank: func() int { return 0 },
 		view: View{Kind: kind, Objects: map[string]Object{}}, stored: map[string]Object{}, retained: newRetainedObjects(),
 	}
@@ -260,7 +273,7 @@
 		return false
 	}
 	if f.hasCopy && EraOf(position) > EraOf(f.view.Position) {
-		f.enterEra(time.Now(), position)
+		f.enterEra(f.clock.Now(), position)
 	}
 	removed := missingNames(f.stored, next)
 	f.removalsLostUpTo = max(f.removalsLostUpTo, position)
@@ -268,12 +281,12 @@
 	return true
 }
 
-// applyChanges applies the changes that a watch returned, which are complete up to
+// applyChanges applies the changes that a watch, c, returned, which are complete up to
 // position. It reports whether the copy changed.
-func (f *Follower) applyChanges(changes []Change, position uint64) bool {
+func (f *Follower) applyChanges(c call, changes []Change, position uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordResponse()
+	f.recordResponse(c)
 	if position < f.view.Position {
 		return false
 	}
@@ -340,14 +353,16 @@
 	}
 	f.stored = objects
 	f.view.Position = position
-	f.showObjects(time.Now(), removed)
+	f.showObjects(f.clock.Now(), removed)
 }
 
-// recordResponse records that the store responded to this instance just now. If this
+// recordResponse records that the store responded to a call of this instance. If this
 // instance's previous call failed, recordResponse reports that the store is reachable
 // again. The lock must be held.
-func (f *Follower) recordResponse() {
-	f.lastPoll = time.Now()
+func (f *Follower) recordResponse(c call) {
+	if at := c.asOf(f.clock.Now()); at.After(f.lastPoll) {
+		f.lastPoll = at
+	}
 	f.recordResponseToAny(f.lastPoll)
 	if f.storeReachable {
 		return
--- a/seam/follower/polling.go
+++ b/seam/follower/polling.go
@@ -15,8 +15,8 @@
 	relists := 0
 	slowStoreCallsLeft := 0
 	for ctx.Err() == nil {
-		f.releaseExpired(time.Now())
-		if wait := f.untilNextPoll(time.Now()); wait > 0 {
+		f.releaseExpired(f.clock.Now())
+		if wait := f.untilNextPoll(f.clock.Now()); wait > 0 {
 			f.sleep(ctx, wait)
 			continue
 		}
@@ -81,7 +81,7 @@
 // call fails if it takes longer than this wait plus watchGrace, unless allowSlow is
 // set.
 func (f *Follower) poll(ctx context.Context, pollSucceeded, allowSlow bool) (pollResult, error) {
-	from := f.State(time.Now()).Position
+	from := f.State(f.clock.Now()).Position
 	if !pollSucceeded && from == 0 {
 		changed, err := f.listObjects(ctx)
 		return pollResult{changed: changed}, err
@@ -90,11 +90,14 @@
 	if f.pollRank() > 0 {
 		wait = 0
 	}
+	limit := slowCallLimit
 	if !allowSlow {
+		limit = wait + watchGrace
 		bounded, cancel := context.WithTimeout(ctx, wait+watchGrace)
 		defer cancel()
 		ctx = bounded
 	}
+	watch := f.beginCall(limit)
 	changes, position, err := f.store.Watch(ctx, f.kind, from, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		changed, err := f.listObjects(ctx)
@@ -103,19 +106,20 @@
 	if err != nil {
 		return pollResult{}, err
 	}
-	return pollResult{changed: f.applyChanges(changes, position)}, nil
+	return pollResult{changed: f.applyChanges(watch, changes, position)}, nil
 }
 
 // listObjects lists all objects in the store and replaces the copy by the list, unless
 // the list is older than the copy. It reports whether the copy changed.
 func (f *Follower) listObjects(ctx context.Context) (bool, error) {
+	list := f.beginCall(slowCallLimit)
 	objects, position, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return false, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordResponse()
+	f.recordResponse(list)
 	if f.hasCopy && position < f.view.Position {
 		return false, nil
 	}
@@ -123,6 +127,39 @@
 	return f.replaceObjects(objects, position, position), nil
 }
 
+// slowCallLimit is the longest time that a call to the store takes if the store is slow and this
+// instance runs all the while.
+const slowCallLimit = 5 * time.Second
+
+// call is a call to the store.
+type call struct {
+	// began is when the call was made, and steady is the same moment by the steady clock.
+	began  time.Time
+	steady time.Time
+	// limit is the longest time that the call takes while this instance runs.
+	limit time.Duration
+}
+
+// beginCall returns a call that is made now.
+func (f *Follower) beginCall(limit time.Duration) call {
+	return call{began: f.clock.Now(), steady: time.Now(), limit: limit}
+}
+
+// asOf returns the time up to which the response to a call, read now, is known to be current. If
+// this instance stood still meanwhile, the response may have waited for it since the call.
+func (c call) asOf(now time.Time) time.Time {
+	took := now.Sub(c.began)
+	suspended := took - time.Since(c.steady)
+	if took > c.limit || suspended > maxUnnoticedSuspend {
+		return c.began
+	}
+	return now
+}
+
+// maxUnnoticedSuspend is the longest suspend in a call that leaves its response as recent as it
+// was. It allows for the two clocks not being read at the same moment.
+const maxUnnoticedSuspend = 50 * time.Millisecond
+
 // retryDelay returns the pause after the given number of failures in a row. It grows
 // exponentially from retryMin to retryMax; random jitter shortens it by up to half.
 func retryDelay(failures int) time.Duration {
--- a/seam/follower/sharing.go
+++ b/seam/follower/sharing.go
@@ -13,7 +13,8 @@
 	Position uint64
 	Changed  uint64
 	// Age is the time since the last successful poll of the store by any instance that
-	// the sender knows of. It is very large before the first poll and after PollNow.
+	// the sender knows of. It is very large before the first poll and after PollNow. The
+	// receiver adds the time for which the state was on its way.
 	Age time.Duration
 }
 
--- a/seamedge/edger/copies.go
+++ b/seamedge/edger/copies.go
@@ -110,7 +110,8 @@
 	return next, ok
 }
 
-// handleCopyStates processes the positions of the sender's copies in a heartbeat. For each
+// handleCopyStates processes the positions of the sender's copies in a heartbeat that was
+// received now, by e.clock. For each
 // kind of object, it queues a fetch if the sender has changes that this instance lacks.
 func (e *Edge) handleCopyStates(hb conductor.Heartbeat, now time.Time) {
 	for _, s := range hb.CopyStates {
@@ -118,7 +119,11 @@
 		if !ok {
 			continue
 		}
-		state := follower.State{Position: s.Position, Changed: s.Changed, Age: time.Duration(s.AgeMs) * time.Millisecond}
+		state := follower.State{Position: s.Position, Changed: s.Changed, Age: time.Duration(s.AgeMs)*time.Millisecond + hb.Delay}
+		if !hb.DelayKnown {
+			// The heartbeat may have waited for this instance for any time.
+			state.Age = maxReportedAge
+		}
 		if f.ObservePeer(state, now) {
 			e.fetchQueue.put(pendingFetch{kind: s.Kind, peer: hb.PeerAddress, changePosition: s.Changed, sameRegion: hb.Region == e.region()})
 		}
@@ -238,7 +243,7 @@
 }
 
 // copyStates returns the positions of this instance's copies of store objects, to be sent
-// in a heartbeat.
+// in a heartbeat. now is a time of e.clock.
 func (e *Edge) copyStates(now time.Time) []conductor.CopyState {
 	var list []conductor.CopyState
 	for kind, f := range e.followers {
@@ -246,7 +251,8 @@
 		if s.Position == 0 {
 			continue
 		}
-		age := min(s.Age, maxReportedAge).Milliseconds()
+		// Rounded up: a poll must not become more recent by being passed on.
+		age := min(s.Age, maxReportedAge).Milliseconds() + 1
 		list = append(list, conductor.CopyState{Kind: kind, Position: s.Position, Changed: s.Changed, AgeMs: uint32(age)})
 	}
 	return list
@@ -275,7 +281,7 @@
 func (e *Edge) sendCopyStates(to conductor.Audience) {
 	hb := conductor.Heartbeat{
 		ID: e.settings.Instance.ID, StartedAtMs: e.startedAtMs, Region: e.region(), PeerAddress: e.settings.Listen.Peers,
-		CopyStatesOnly: true, CopyStates: e.copyStates(time.Now()),
+		CopyStatesOnly: true, MadeAt: e.clock.Elapsed(), CopyStates: e.copyStates(e.clock.Now()),
 	}
 	e.sendToAudience(hb, to)
 }
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -40,6 +40,7 @@
 	"primroseseam.org/seam/accepter"
 	"primroseseam.org/seam/conductor"
 	"primroseseam.org/seam/follower"
+	"primroseseam.org/seam/timekeeper"
 	"primroseseam.org/seamedge/exchanger"
 	"primroseseam.org/seamedge/heartbeater"
 	"primroseseam.org/seamedge/limiter"
@@ -78,15 +79,17 @@
 	settings     Settings
 	settingsPath string
 	startedAtMs  int64
-	logs         *Logs
-	log          *zap.Logger
-	metrics      *edgeMetrics
-	exchanger    *exchanger.Exchanger
-	heartbeats   *heartbeater.Heartbeater
-	store        *platform.Store
-	followers    map[string]*follower.Follower
-	copyClient   *http.Client
-	fetchQueue   *fetchQueue
+	// clock counts suspends. It is the one of ages that are reported to other instances.
+	clock      *timekeeper.Keeper
+	logs       *Logs
+	log        *zap.Logger
+	metrics    *edgeMetrics
+	exchanger  *exchanger.Exchanger
+	heartbeats *heartbeater.Heartbeater
+	store      *platform.Store
+	followers  map[string]*follower.Follower
+	copyClient *http.Client
+	fetchQueue *fetchQueue
 	// announceAll and announceSameRegion make runHeartbeats send the positions of this
 	// instance's copies at once. announceAll sends them to the instances of all regions,
 	// announceSameRegion only to those of this instance's region.
@@ -137,6 +140,7 @@
 	e := &Edge{
 		settings:    settings,
 		startedAtMs: startedAtMs,
+		clock:       timekeeper.New(),
 		logs:        logs,
 		log:         logs.logger.With(zap.String("instance", settings.Instance.ID)),
 		metrics:     newMetrics(),
@@ -256,7 +260,7 @@
 func (e *Edge) listen() error {
 	var err error
 	report := func(err error) { e.log.Warn("heartbeat: receiving or decoding failed", zap.Error(err)) }
-	if e.heartbeats, err = heartbeater.Listen(e.settings.Listen.Peers, e.handleHeartbeat, report); err != nil {
+	if e.heartbeats, err = heartbeater.Listen(e.settings.Listen.Peers, e.handleHeartbeat, report, heartbeater.WithClock(e.clock)); err != nil {
 		return err
 	}
 	path, copyHandler := heartbeater.Handler(e.deltasFor)
@@ -387,7 +391,7 @@
 			e.update(conductor.Ticked{})
 			e.logLimitChanges()
 			e.logQuarantineChanges()
-			e.removeMissingEndpoints(now)
+			e.removeMissingEndpoints(e.clock.Now())
 			e.limitConnections()
 			if now.Sub(lastPrune) > pruneInterval {
 				lastPrune = now
--- a/seamedge/edger/follow.go
+++ b/seamedge/edger/follow.go
@@ -55,7 +55,7 @@
 			notify(v)
 		}
 		f := follower.New(e.store, kind, follower.WithNotify(notifyOfEra), follower.WithReport(e.handleStoreReport), follower.WithPollRank(e.storePollRank),
-			follower.WithRetention(retentions[kind]))
+			follower.WithRetention(retentions[kind]), follower.WithClock(e.clock))
 		e.followers[kind] = f
 		list = append(list, f)
 	}
@@ -115,7 +115,7 @@
 
 func (e *Edge) handleEndpoints(v follower.View) {
 	e.mu.Lock()
-	invalid := e.endpointTable.update(v, time.Now())
+	invalid := e.endpointTable.update(v, e.clock.Now())
 	e.updateModelEndpoints()
 	count := len(e.endpointTable.endpoints)
 	e.mu.Unlock()
--- a/seamedge/edger/heartbeats.go
+++ b/seamedge/edger/heartbeats.go
@@ -166,7 +166,7 @@
 			}
 		}
 	}
-	e.handleCopyStates(hb, now)
+	e.handleCopyStates(hb, e.clock.Now())
 }
 
 // runHeartbeats sends periodic heartbeats to both audiences until ctx ends. After a call of
@@ -219,7 +219,7 @@
 	e.sequenceNumber++
 	hb.SequenceNumber = e.sequenceNumber
 	e.mu.Unlock()
-	e.addInstanceFields(&hb, now)
+	e.addInstanceFields(&hb)
 	if hb.FullDemand {
 		knownAddresses := e.peers.recentAddresses(now)
 		rand.Shuffle(len(knownAddresses), func(i, j int) { knownAddresses[i], knownAddresses[j] = knownAddresses[j], knownAddresses[i] })
@@ -262,7 +262,7 @@
 	next := e.model.RefreshHeartbeat(now, hb)
 	e.mu.Unlock()
 	next.SequenceNumber, next.KnownAddresses = hb.SequenceNumber, hb.KnownAddresses
-	e.addInstanceFields(&next, now)
+	e.addInstanceFields(&next)
 	return next
 }
 
@@ -280,7 +280,7 @@
 	hb := e.model.FullHeartbeat(now)
 	hb.SequenceNumber = e.sequenceNumber
 	e.mu.Unlock()
-	e.addInstanceFields(&hb, now)
+	e.addInstanceFields(&hb)
 	if _, err := e.heartbeats.Send(hb, []netip.AddrPort{to}); err != nil {
 		e.metrics.heartbeatErrors.Inc()
 		e.log.Debug("heartbeat: sending failed", zap.Error(err))
@@ -288,12 +288,14 @@
 }
 
 // addInstanceFields sets the fields of a heartbeat for which the model has no data: the
-// start time and addresses of this instance and the state of its copies.
-func (e *Edge) addInstanceFields(hb *conductor.Heartbeat, now time.Time) {
+// start time and addresses of this instance, the state of its copies and the time at which the
+// heartbeat is made.
+func (e *Edge) addInstanceFields(hb *conductor.Heartbeat) {
+	hb.MadeAt = e.clock.Elapsed()
 	hb.StartedAtMs = e.startedAtMs
 	hb.CallerAddress = e.settings.Listen.Callers
 	hb.PeerAddress = e.settings.Listen.Peers
-	hb.CopyStates = e.copyStates(now)
+	hb.CopyStates = e.copyStates(e.clock.Now())
 	hb.StoreUnreachable = e.storeUnreachable()
 }
 
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -216,6 +216,6 @@
 		metrics.WriteGaugeFloat64(w, labeled("seam_edge_region_part", "region", region), part)
 	}
 	for kind, f := range e.followers {
-		metrics.WriteGaugeFloat64(w, labeled("seam_edge_store_age_seconds", "kind", kind), f.State(now).Age.Seconds())
+		metrics.WriteGaugeFloat64(w, labeled("seam_edge_store_age_seconds", "kind", kind), f.State(e.clock.Now()).Age.Seconds())
 	}
 }
--- a/seamedge/heartbeater/heartbeater.go
+++ b/seamedge/heartbeater/heartbeater.go
@@ -26,8 +26,10 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"primroseseam.org/seam/conductor"
+	"primroseseam.org/seam/timekeeper"
 )
 
 // maxDatagram is the size in bytes of the largest heartbeat that can be received. A larger
@@ -39,13 +41,25 @@
 	socket  *net.UDPConn
 	receive func(conductor.Heartbeat)
 	report  func(error)
+	clock   Clock
 	senders senders
+	delays  delays
 }
 
+// Clock returns the time since some moment. It counts suspends and is never set; see package
+// timekeeper.
+type Clock interface{ Elapsed() time.Duration }
+
+// Option configures a Heartbeater in Listen.
+type Option func(*Heartbeater)
+
+// WithClock sets the clock by which the delays of heartbeats are measured.
+func WithClock(c Clock) Option { return func(h *Heartbeater) { h.clock = c } }
+
 // Listen opens a UDP socket at address and returns a Heartbeater for it. [Heartbeater.Run]
 // then calls receive with each heartbeat whose sender is known. It calls report with each
 // error in receiving or decoding a datagram.
-func Listen(address string, receive func(conductor.Heartbeat), report func(error)) (*Heartbeater, error) {
+func Listen(address string, receive func(conductor.Heartbeat), report func(error), opts ...Option) (*Heartbeater, error) {
 	resolved, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("heartbeats: %w", err)
@@ -54,7 +68,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("heartbeats: %w", err)
 	}
-	return &Heartbeater{socket: socket, receive: receive, report: report, senders: senders{}}, nil
+	h := &Heartbeater{socket: socket, receive: receive, report: report, clock: timekeeper.New(), senders: senders{}, delays: delays{}}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h, nil
 }
 
 // Address returns the local address of the socket.
@@ -79,6 +97,9 @@
 			continue
 		}
 		if hb, ok := h.senders.toHeartbeat(m, x, from); ok {
+			if hb.MadeAt > 0 {
+				hb.Delay, hb.DelayKnown = h.delays.of(lifetime{hb.ID, hb.StartedAtMs}, hb.MadeAt, h.clock.Elapsed())
+			}
 			h.receive(hb)
 		}
 	}
--- a/seamedge/heartbeater/message.go
+++ b/seamedge/heartbeater/message.go
@@ -79,6 +79,8 @@
 	// before the extension know no eras: they would ask the store for such a position, and
 	// then drop every list of the store as older.
 	CopyStates []copyState `msgpack:"c,omitempty"`
+	// MadeAtMs is when the heartbeat was made by the sender's clock, in milliseconds.
+	MadeAtMs uint64 `msgpack:"m,omitempty"`
 }
 
 // copyState is the encoded form of a [conductor.CopyState], an array.
@@ -180,7 +182,7 @@
 
 // empty reports whether the extension holds nothing.
 func (x extension) empty() bool {
-	return len(x.Departures) == 0 && len(x.CopyStates) == 0 && len(x.Regions) == 0 &&
+	return x.MadeAtMs == 0 && len(x.Departures) == 0 && len(x.CopyStates) == 0 && len(x.Regions) == 0 &&
 		len(x.Sightings)+len(x.LiveByRegion)+len(x.Limits)+len(x.WorkTimes)+len(x.Ends)+len(x.Answers)+len(x.Quarantines) == 0
 }
 
@@ -207,7 +209,10 @@
 	if err := encoder.Encode(m); err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
-	x := extension{Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings), Limits: encodeLimits(hb.Limits), WorkTimes: encodeWorkTimes(hb.WorkTimes), Regions: hb.Regions, LiveByRegion: hb.LiveByRegion, CopyStates: later}
+	x := extension{
+		Departures: hb.Departures, Sightings: encodeSightings(hb.Sightings), Limits: encodeLimits(hb.Limits), WorkTimes: encodeWorkTimes(hb.WorkTimes), Regions: hb.Regions, LiveByRegion: hb.LiveByRegion, CopyStates: later,
+		MadeAtMs: uint64(max(hb.MadeAt.Milliseconds(), 0)),
+	}
 	x.setEvidence(hb.Evidence)
 	if !x.empty() {
 		encoder.UseArrayEncodedStructs(false)
@@ -241,6 +246,9 @@
 	return m, x, nil
 }
 
+// maxMadeAtMs bounds the time since a sender's start.
+const maxMadeAtMs = uint64(100 * 365 * 24 * time.Hour / time.Millisecond)
+
 // maxSenders limits the number of recorded senders. When it is reached, all records are
 // deleted. It is larger than the number of instances in the largest planned deployment,
 // including some instances that were replaced.
@@ -285,5 +293,6 @@
 		FullDemand: m.FullDemand, CopyStatesOnly: m.CopyStatesOnly, Loads: m.Loads, WarmObjects: m.WarmObjects, Demand: m.Demand,
 		ReachabilityReports: m.ReachabilityReports, WarmCapacities: m.WarmCapacities, CopyStates: joinCopyStates(m.CopyStates, x.CopyStates),
 		KnownAddresses: m.KnownAddresses, Departures: x.Departures, Sightings: decodeSightings(x.Sightings), Limits: decodeLimits(x.Limits), WorkTimes: decodeWorkTimes(x.WorkTimes), Regions: x.Regions, LiveByRegion: x.LiveByRegion, Evidence: x.evidence(),
+		MadeAt: time.Duration(min(x.MadeAtMs, maxMadeAtMs)) * time.Millisecond,
 	}, true
 }
