Tell an endpoint that reads slowly from a dead path

Cause: TCP_USER_TIMEOUT (2 s in seamedge, 3 s in seamd) also ends connections whose peer acknowledges everything but keeps its receive window closed.

Change: while a body over 16 KiB is under way the option is off, and dialer.WatchPath looks at the connection (TCP_INFO): the path is dead if acknowledgements are owed for as long as the option says. Where the system doesn't tell, the option stays on. Both daemons use it.

--- a/seamd/forwarder/attempt.go
+++ b/seamd/forwarder/attempt.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
+
+	"primroseseam.org/seam/dialer"
 )
 
 // ResponseClaim ensures that only one of several concurrent attempts at a request
@@ -35,15 +38,23 @@
 // chooses a connection for the request, the tracker stores the number of bytes written to
 // the connection so far. More bytes than that mean that a part of the request may have
 // been sent. untracked is set if the connection doesn't count its bytes.
+//
+// It also watches the connection while a long body is sent: the endpoint may read it slowly, and
+// then its receive window closes. end must be called after the attempt.
 type sendTracker struct {
 	conn          atomic.Pointer[countingConn]
 	writtenBefore atomic.Int64
 	untracked     atomic.Bool
+	stopWatch     atomic.Pointer[func()]
 }
 
-// withTrace returns a context for the request. When the transport has chosen the
-// request's connection, the context's trace stores it in s.
-func (s *sendTracker) withTrace(ctx context.Context) context.Context {
+// maxUnwatchedBytes is the size of the largest body that fits into the receive window of any
+// endpoint.
+const maxUnwatchedBytes = 16 << 10
+
+// withTrace returns a context for the request, whose body has the given length, or -1. When the
+// transport has chosen the request's connection, the context's trace stores it in s.
+func (s *sendTracker) withTrace(ctx context.Context, bodyLength int64) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn := info.Conn
 		if tlsConn, ok := conn.(*tls.Conn); ok {
@@ -56,9 +67,31 @@
 		}
 		s.writtenBefore.Store(c.written.Load())
 		s.conn.Store(c)
+		if bodyLength < 0 || bodyLength > maxUnwatchedBytes {
+			s.watch(c)
+		}
 	}})
 }
 
+// watch watches the path of a connection, and closes the connection if the path is dead.
+func (s *sendTracker) watch(c *countingConn) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	stop := dialer.WatchPath(conn, func() { _ = c.Close() })
+	if before := s.stopWatch.Swap(&stop); before != nil {
+		(*before)()
+	}
+}
+
+// end ends the watch.
+func (s *sendTracker) end() {
+	if stop := s.stopWatch.Swap(nil); stop != nil {
+		(*stop)()
+	}
+}
+
 // maybeSent reports whether any byte of the request may have been sent. It returns false
 // only if certainly none was.
 func (s *sendTracker) maybeSent() bool {
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -148,7 +148,8 @@
 // If Result.Committed is false, it wrote nothing to w.
 func (f *Forwarder) Attempt(ctx context.Context, claim *ResponseClaim, w http.ResponseWriter, out OutgoingRequest, endpoint string) Result {
 	var s sendTracker
-	req, err := newRequest(s.withTrace(ctx), out, "http://"+endpoint+out.URI, out.Method)
+	defer s.end()
+	req, err := newRequest(s.withTrace(ctx, out.RequestBody.Length()), out, "http://"+endpoint+out.URI, out.Method)
 	if err != nil {
 		return Result{Code: coder.RequestMalformed, Ran: coder.NotRun, Load: -1}
 	}
--- a/seamd/forwarder/pass.go
+++ b/seamd/forwarder/pass.go
@@ -37,11 +37,12 @@
 // Otherwise, if no other attempt has acquired the claim, Pass writes the response to w.
 func (f *Forwarder) Pass(ctx context.Context, claim *ResponseClaim, w http.ResponseWriter, out OutgoingRequest, e Envelope, base string) Result {
 	var s sendTracker
+	defer s.end()
 	envelope, err := json.Marshal(e)
 	if err != nil {
 		return Result{Code: coder.RequestMalformed, Ran: coder.NotRun, Load: -1}
 	}
-	req, err := newRequest(s.withTrace(ctx), out, base+PassPath, http.MethodPost)
+	req, err := newRequest(s.withTrace(ctx, out.RequestBody.Length()), out, base+PassPath, http.MethodPost)
 	if err != nil {
 		return Result{Code: coder.RequestMalformed, Ran: coder.NotRun, Load: -1}
 	}
--- a/seamedge/exchanger/exchanger.go
+++ b/seamedge/exchanger/exchanger.go
@@ -25,8 +25,10 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"primroseseam.org/seam/dialer"
 	"primroseseam.org/seam/validator"
 	"primroseseam.org/seamedge/bufferer"
 )
@@ -35,6 +37,10 @@
 // would end a line or be changed by the receiver. Nothing was sent.
 var ErrInvalidCall = errors.New("request can't be sent unchanged")
 
+// ErrPathDead means that the endpoint acknowledged nothing for too long while a long request was
+// sent. An endpoint that only reads slowly acknowledges what arrives.
+var ErrPathDead = errors.New("path to endpoint is dead")
+
 // Call is a request to an endpoint.
 type Call struct {
 	Address string
@@ -240,9 +246,16 @@
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
 	writeResult := make(chan error, 1)
+	var pathDead atomic.Bool
+	stopWatch := func() {}
 	if fitsBuffers(call) {
 		writeResult <- writeRequest(c, call)
 	} else {
+		// The endpoint may read slowly, and then its receive window closes.
+		stopWatch = dialer.WatchPath(c.Conn.(syscall.Conn), func() {
+			pathDead.Store(true)
+			_ = c.SetDeadline(time.Unix(1, 0))
+		})
 		// The endpoint may respond before it has read a long body, so the response is
 		// read while the request is being written.
 		go func() { writeResult <- writeRequest(c, call) }()
@@ -250,7 +263,11 @@
 	received, err := x.readResponse(c, call)
 	if err != nil {
 		stop()
+		stopWatch()
 		_ = c.Close()
+		if pathDead.Load() {
+			err = fmt.Errorf("%w: %w", ErrPathDead, err)
+		}
 		failure := Result{Err: err, MaybeSent: true}
 		if at := endedAt.Load(); at != 0 {
 			failure.CloseAfter = time.Since(time.Unix(0, at))
@@ -259,6 +276,7 @@
 	}
 	finish := func(complete bool) {
 		contextActive := stop()
+		stopWatch()
 		if complete && contextActive && reusable(c, received.Response, writeResult) {
 			_ = c.SetDeadline(time.Time{})
 			c.maxIdle = maxIdleTime(received.Header)
