Handle the error of setting a socket option

The linter found that an error was dropped when a watch ends: then the connection has ended and needs no option. No change in what happens; go test ./seam/dialer passes.

--- a/seam/dialer/path.go
+++ b/seam/dialer/path.go
@@ -34,7 +34,8 @@
 	go w.run()
 	return sync.OnceFunc(func() {
 		close(w.ended)
-		w.setUserTimeout(w.userTimeoutMs)
+		// An error means that the connection has ended.
+		_ = w.setUserTimeout(w.userTimeoutMs)
 	})
 }
 
