Apply each change of the settings, or name it as needing a restart

Cause: a reload applied the retry bounds and added seeds, and the other fields stayed as they were without a message. Ruled out: another reason to take requests late; the stop refused from half of the old grace on.

Change: a table has a row for each field of the settings file, with whether its change is applied while the instance runs. Seeds, all bounds, the log's limit, the collector's and the descriptors are; a stop that has begun follows the grace period. Each change is logged, and those that need a restart are named. Seeds that are taken out of the file expire now.

--- a/seam/conductor/conductor.go
+++ b/seam/conductor/conductor.go
@@ -237,7 +237,10 @@
 	case Ticked:
 		m.ticked(now)
 	case StopRequested:
-		m.stopRequestedAt, m.stopEnd = now, msg.End
+		if m.stopRequestedAt.IsZero() {
+			m.stopRequestedAt = now
+		}
+		m.stopEnd = msg.End
 	}
 	return nil
 }
--- a/seam/conductor/messages.go
+++ b/seam/conductor/messages.go
@@ -35,8 +35,8 @@
 // Ticked is sent periodically to run work that depends on time.
 type Ticked struct{}
 
-// StopRequested begins a graceful stop. At End the instance ends, and requests that are still
-// open then get no answer.
+// StopRequested begins a graceful stop, or changes the end of one. At End the instance ends, and
+// requests that are still open then get no answer.
 type StopRequested struct{ End time.Time }
 
 // RequestArrived reports that a caller's request was read.
--- a/seamedge/edger/edger.go
+++ b/seamedge/edger/edger.go
@@ -76,7 +76,10 @@
 
 // Edge is an edge instance.
 type Edge struct {
+	// settings are those of the start. current are those with the live fields of the latest
+	// reload; see settingsFields.
 	settings     Settings
+	current      atomic.Pointer[Settings]
 	settingsPath string
 	startedAtMs  int64
 	// clock counts suspends. It is the one of ages that are reported to other instances.
@@ -162,6 +165,7 @@
 		peers:              newPeerTable(settings.peerAddresses(), settings.Listen.Peers),
 	}
 	e.storeEra.Store(-1)
+	e.current.Store(&settings)
 	for _, opt := range opts {
 		opt(e)
 	}
--- a/seamedge/edger/heartbeats.go
+++ b/seamedge/edger/heartbeats.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,18 +55,28 @@
 
 func newPeerTable(seeds []string, self string) *peerTable {
 	t := &peerTable{self: self, byAddress: map[string]*peerEntry{}}
-	for _, s := range seeds {
-		t.add(s, "", time.Time{}, true)
-	}
+	t.setSeeds(seeds)
 	return t
 }
 
+// setSeeds replaces the addresses that the settings list as seeds. Earlier ones expire like any
+// other address.
+func (t *peerTable) setSeeds(seeds []string) {
+	for _, address := range seeds {
+		t.add(address, "", time.Time{})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, p := range t.byAddress {
+		p.fromSettings = slices.Contains(seeds, address)
+	}
+}
+
 // add adds an address or updates its entry. lastHeartbeatAt is when a heartbeat from the
 // address arrived. It is zero if the address is known from another source: the settings,
 // the store, or a heartbeat of another instance. region is used only with a heartbeat.
-// fromSettings means that the settings list the address as a seed. Invalid addresses and
-// this instance's own address are ignored.
-func (t *peerTable) add(address, region string, lastHeartbeatAt time.Time, fromSettings bool) {
+// Invalid addresses and this instance's own address are ignored.
+func (t *peerTable) add(address, region string, lastHeartbeatAt time.Time) {
 	if address == t.self {
 		return
 	}
@@ -87,7 +98,6 @@
 		p.lastHeartbeatAt = lastHeartbeatAt
 		p.region = region
 	}
-	p.fromSettings = p.fromSettings || fromSettings
 }
 
 // targetAddresses returns the addresses of an audience. region is the region of this
@@ -155,9 +165,9 @@
 // handleHeartbeat processes a heartbeat from another instance.
 func (e *Edge) handleHeartbeat(hb conductor.Heartbeat) {
 	now := time.Now()
-	e.peers.add(hb.PeerAddress, hb.Region, now, false)
+	e.peers.add(hb.PeerAddress, hb.Region, now)
 	for _, address := range hb.KnownAddresses {
-		e.peers.add(address, "", time.Time{}, false)
+		e.peers.add(address, "", time.Time{})
 	}
 	if !hb.CopyStatesOnly {
 		for _, cmd := range e.update(conductor.HeartbeatReceived{Heartbeat: hb}) {
--- a/seamedge/edger/logs.go
+++ b/seamedge/edger/logs.go
@@ -203,6 +203,13 @@
 	return limit
 }
 
+// SetLinesPerSecond sets the limit on routine lines.
+func (l *Logs) SetLinesPerSecond(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxLines = n
+}
+
 // AllowRoutine reports whether another routine line, such as one about a successful
 // request, may be logged in the second of now. Each call counts one line: as logged if
 // AllowRoutine returns true, and as omitted otherwise.
--- a/seamedge/edger/lookups.go
+++ b/seamedge/edger/lookups.go
@@ -55,7 +55,7 @@
 		return
 	}
 	e.metrics.lookups(lookupAnswered).Inc()
-	ttl := min(lookupTTL, duration(e.settings.Bounds.LookupTTL))
+	ttl := min(lookupTTL, duration(e.current.Load().Bounds.LookupTTL))
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the caller has disconnected and needs no answer.
 	_, _ = w.Write(platform.EncodeLookupResponse(answer.Addresses, ttl))
--- a/seamedge/edger/register.go
+++ b/seamedge/edger/register.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		ids = append(ids, i.ID)
-		e.peers.add(i.PeerAddress, i.Region, time.Time{}, false)
+		e.peers.add(i.PeerAddress, i.Region, time.Time{})
 	}
 	e.update(conductor.InstancesReceived{IDs: ids})
 }
--- a/seamedge/edger/reload.go
+++ b/seamedge/edger/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -54,25 +55,41 @@
 	}
 }
 
-// reload reads the settings file and applies the settings that can change while the
-// instance runs: added seeds and the bounds on retries. If the settings are invalid, it
-// logs this and applies nothing.
+// reload reads the settings file and applies the changes of fields that can change while the
+// instance runs, also while it stops; see settingsFields. It logs each change, and whether it
+// needs a restart. If the settings are invalid, it logs this and applies nothing.
 func (e *Edge) reload(path string) {
-	settings, err := LoadSettings(path)
+	loaded, err := LoadSettings(path)
 	if err != nil {
 		e.log.Error("reload: invalid settings ignored", zap.Int("code", int(coder.CodeOf(err))), zap.Error(err))
 		return
 	}
-	if settings.Instance != e.settings.Instance || settings.Listen != e.settings.Listen || settings.Store != e.settings.Store {
-		e.log.Warn("reload: changes of instance, listen and store take effect after a restart")
+	before := e.current.Load()
+	next, err := before.withLive(&loaded)
+	if err != nil {
+		e.log.Error("reload: invalid settings ignored", zap.Int("code", int(coder.CodeOf(err))), zap.Error(err))
+		return
 	}
-	for _, address := range settings.peerAddresses() {
-		e.peers.add(address, "", time.Time{}, true)
+	for _, c := range changes(before, &loaded) {
+		message := "reload: field applied"
+		if !c.live {
+			message = "reload: field needs a restart"
+		}
+		e.log.Info(message, zap.String("field", c.path), zap.Any("before", c.before), zap.Any("after", c.after))
 	}
-	e.update(conductor.BoundsChanged{Bounds: settings.conductorBounds()})
+	e.current.Store(&next)
+	e.applySettings(&next)
 	e.log.Info("reload: settings applied", zap.Strings("peers", e.peers.allAddresses()))
 }
 
+// applySettings applies the live fields that aren't read from e.current where they are used.
+func (e *Edge) applySettings(s *Settings) {
+	e.peers.setSeeds(s.peerAddresses())
+	e.update(conductor.BoundsChanged{Bounds: s.conductorBounds()})
+	e.logs.SetLinesPerSecond(s.Log.LinesPerSecond)
+	debug.SetGCPercent(s.Memory.CollectPercent)
+}
+
 // notifyHangups returns a channel that receives each SIGHUP, which is a request to reload
 // the settings. The returned function stops the delivery of signals to the channel.
 func notifyHangups() (<-chan os.Signal, func()) {
--- a/seamedge/edger/sockets.go
+++ b/seamedge/edger/sockets.go
@@ -92,7 +92,7 @@
 			nonCallerConns += s.budget.Usage().Open
 		}
 	}
-	limits := divideSockets(e.settings.Descriptors, nonCallerConns)
+	limits := divideSockets(e.current.Load().Descriptors, nonCallerConns)
 	e.exchanger.TrimIdle(limits.endpointsIdle)
 	for _, s := range e.servers {
 		s.listener.CancelDisconnected()
--- a/seamedge/edger/stop.go
+++ b/seamedge/edger/stop.go
@@ -41,22 +41,24 @@
 //     closes the servers.
 func (e *Edge) stop() {
 	start := time.Now()
-	grace := duration(e.settings.Bounds.Grace)
-	end := start.Add(time.Duration(stopFraction * float64(grace)))
 	e.stopping.Store(true)
-	e.update(conductor.StopRequested{End: end.Add(-answerTime)})
-	e.log.Info("stop: requested", zap.Int64("requests", e.openRequests.Load()))
+	plan := e.planStop(start, stopPlan{})
+	e.log.Info("stop: requested", zap.Int64("requests", e.openRequests.Load()), zap.Duration("grace", plan.grace))
 	for range leavingHeartbeats {
 		e.sendHeartbeat(conductor.SameRegion)
 		e.sendHeartbeat(conductor.OtherRegions)
 	}
 	e.unregister()
-	time.Sleep(time.Until(start.Add(time.Duration(drainFraction * float64(grace)))))
+	for time.Now().Before(plan.refuseAt) {
+		time.Sleep(min(stopPollInterval, time.Until(plan.refuseAt)))
+		plan = e.planStop(start, plan)
+	}
 	e.refusingRequests.Store(true)
-	for e.openRequests.Load() > 0 && time.Now().Before(end) {
+	for e.openRequests.Load() > 0 && time.Now().Before(plan.end) {
 		time.Sleep(stopPollInterval)
+		plan = e.planStop(start, plan)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(stopPollInterval))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.end.Add(stopPollInterval))
 	defer cancel()
 	for _, s := range e.servers {
 		if err := s.close(ctx); err != nil {
@@ -66,6 +68,29 @@
 	e.log.Info("stop: finished", zap.Int64("requests", e.openRequests.Load()), zap.Duration("took", time.Since(start)))
 }
 
+// stopPlan holds the times of a graceful stop: when the instance begins to refuse all new requests,
+// and when it no longer waits for open ones.
+type stopPlan struct {
+	grace         time.Duration
+	refuseAt, end time.Time
+}
+
+// planStop returns the plan of a stop that began at start, by the grace period that the settings
+// have now. If that is not the one of the plan before, it informs the model of the new end.
+func (e *Edge) planStop(start time.Time, before stopPlan) stopPlan {
+	grace := duration(e.current.Load().Bounds.Grace)
+	if grace == before.grace {
+		return before
+	}
+	plan := stopPlan{
+		grace:    grace,
+		refuseAt: start.Add(time.Duration(drainFraction * float64(grace))),
+		end:      start.Add(time.Duration(stopFraction * float64(grace))),
+	}
+	e.update(conductor.StopRequested{End: plan.end.Add(-answerTime)})
+	return plan
+}
+
 // close closes the listener and waits until the server accepts no more connections. Then it
 // closes each connection as soon as its request has ended. It stops waiting when ctx ends.
 func (s server) close(ctx context.Context) error {
