--- a/seamedge/edger/reload_test.go
+++ b/seamedge/edger/reload_test.go
@@ -76,7 +76,9 @@
 	run := r.start("one", log)
 	run.waitFor(5*time.Second, "ready", run.ready)
 	run.rewrite(`"store":"`+r.address+`"`, `"store":"127.0.0.1:1"`)
-	run.waitFor(5*time.Second, "reload", func() bool { return log.contains(`"msg":"reload: field needs a restart"`) && log.contains(`"field":"store"`) })
+	run.waitFor(5*time.Second, "reload", func() bool {
+		return log.contains(`"msg":"reload: field needs a restart"`) && log.contains(`"field":"store"`)
+	})
 	r.configure("key-2", "s")
 	run.waitFor(5*time.Second, "a change in the store of the start", func() bool {
 		a := run.post("/x/", "key-2", "")
