Check in the test of the grace period when the instance ends

Cause: the test waited for a counter that goes up when an attempt ends, so its wait was over before that, or the stop began after the request. It waits for the gauge of open requests now. It also passed with the grace of the start in place of the current one, as the test's process lives on and the answer is written all the same; so it checks now that the instance doesn't end before its request.

--- a/seamedge/edger/reload_test.go
+++ b/seamedge/edger/reload_test.go
@@ -32,7 +32,7 @@
 		before, during string
 		work           time.Duration
 	}{
-		"before the stop": {before: "10", work: 3 * time.Second},
+		"before the stop": {before: "10", work: 4 * time.Second},
 		"during the stop": {before: "4", during: "10", work: 5 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -50,7 +50,12 @@
 			})
 			conn := dialCaller(t, run)
 			write(t, conn, strings.Replace(rawRequest("slow"), "X-Deadline-Ms: 3000", "X-Deadline-Ms: 8000", 1))
-			run.waitFor(5*time.Second, "request at the endpoint", func() bool { return run.gauge("seam_edge_endpoint_connections_total") > 0 })
+			run.waitFor(5*time.Second, "request at the endpoint", func() bool { return run.gauge("seam_edge_requests_open") > 0 })
+			stopped, ended := time.Now(), make(chan time.Time, 1)
+			go func() {
+				<-run.done
+				ended <- time.Now()
+			}()
 			run.stop()
 			if c.during != "" {
 				run.rewrite(`"grace":`+c.before, `"grace":`+c.during)
@@ -63,6 +68,10 @@
 				t.Errorf("status %d", resp.StatusCode)
 			}
 			_ = resp.Body.Close()
+			// The process would end then, and cut what is under way.
+			if took := (<-ended).Sub(stopped); took < c.work-time.Second {
+				t.Errorf("the instance ended %v after the stop, before its request, which takes %v", took, c.work)
+			}
 		})
 	}
 }
