Respond only after the whole request in the stand-in with statuses

The stand-in wrote its response as soon as it had accepted a connection. When that came before the request was written, net/http took it for a response on an idle connection and dropped the connection. The cases with invalid statuses could pass for the same reason, without a look at the status.

Change: the stand-in reads a request with its body, responds, and closes. The delay before the close is gone, as nothing unread is left that would reset the connection.

--- a/standin/streamer/statuses.go
+++ b/standin/streamer/statuses.go
@@ -1,22 +1,19 @@
 package streamer
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"time"
+	"net/http"
 )
 
 // InvalidStatuses lists what can stand for the status in the first line of a response without being
 // one, or without being that of a final response.
 var InvalidStatuses = []string{"000", "099", "+20", "600", "999", "101", "20", "abc"}
 
-// closeDelay is how long a connection stays open after its response, so that the response arrives
-// before the end of the connection.
-const closeDelay = 10 * time.Millisecond
-
 // ListenWithStatus opens a server on a loopback address that sends a response with the given status
-// and JSON body on each connection, and then closes the connection.
+// and JSON body to the first request on each connection, and then closes the connection.
 func ListenWithStatus(status, body string) (net.Listener, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -29,10 +26,22 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.WriteString(c, response)
-			time.Sleep(closeDelay)
-			_ = c.Close()
+			go respondOnce(c, response)
 		}
 	}()
 	return l, nil
 }
+
+// respondOnce reads a whole request before it responds: a client takes an earlier response for one
+// that it has not asked for.
+func respondOnce(c net.Conn, response string) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, response)
+}
