Check the statuses of look-ups, and of unasked 101s, in the caller library

Cause: the check of statuses in seam/caller came without a test. A mutation showed it; the test written then failed on two faults: an unasked 101 was returned as the instance's answer (the check allowed 100 to 599; net/http returns a 101), and look-ups used the body of any response, also of a 404, a 503 or a status that is none, as long as it named instances.

Change: validator.FinalStatus, used by the caller library and by seamd's forwarder, which had the right check as a function of its own. Only a look-up with the status 200 names instances.

--- a/seam/caller/exchange.go
+++ b/seam/caller/exchange.go
@@ -108,6 +108,9 @@
 		return result, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return result, fmt.Errorf("lookup response with status %d", resp.StatusCode)
+	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&result); err != nil {
 		return result, fmt.Errorf("decode lookup response: %w", err)
 	}
@@ -140,7 +143,7 @@
 		return Response{}, noResponseError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := validator.Status(resp.StatusCode); err != nil {
+	if err := validator.FinalStatus(resp.StatusCode); err != nil {
 		return Response{}, noResponseError(err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
--- a/seam/validator/validator.go
+++ b/seam/validator/validator.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 )
 
@@ -28,6 +29,18 @@
 	return nil
 }
 
+// FinalStatus returns an error unless a number can be the status of a final response. [http.Client]
+// accepts any status of three digits, and returns a response with the status 101.
+func FinalStatus(status int) error {
+	if err := Status(status); err != nil {
+		return err
+	}
+	if status < http.StatusOK {
+		return fmt.Errorf("status %d announces another response", status)
+	}
+	return nil
+}
+
 // deleteChar is the control character at the end of ASCII.
 const deleteChar = 0x7f
 
--- a/seamd/forwarder/forwarder.go
+++ b/seamd/forwarder/forwarder.go
@@ -172,7 +172,7 @@
 		Status: resp.StatusCode, Unhealthy: isUnhealthyStatus(resp.StatusCode),
 	}
 	switch {
-	case !isFinal(resp.StatusCode):
+	case validator.FinalStatus(resp.StatusCode) != nil:
 		f.endpoints.closeIdle(endpoint)
 		result.Code, result.Ran, result.Unhealthy = coder.UpstreamFailed, coder.MayHaveRun, true
 		return result
@@ -189,12 +189,6 @@
 	return writeResponse(ctx, claim, w, resp, result)
 }
 
-// isFinal reports whether a status is that of a final response. Others are no response: net/http
-// reads any three characters that are a number, and returns an unasked 101.
-func isFinal(status int) bool {
-	return validator.Status(status) == nil && status >= http.StatusOK
-}
-
 // isUnhealthyStatus reports whether a response with this status counts as a failure of
 // the endpoint.
 func isUnhealthyStatus(status int) bool {
@@ -250,7 +244,7 @@
 // caller. If the start can't be read, it writes nothing.
 func writeResponse(ctx context.Context, claim *ResponseClaim, w http.ResponseWriter, resp *http.Response, result Result) Result {
 	result.Ran = coder.MayHaveRun
-	if !isFinal(resp.StatusCode) || !hasDelimitedBody(resp) {
+	if validator.FinalStatus(resp.StatusCode) != nil || !hasDelimitedBody(resp) {
 		result.Code = coder.UpstreamFailed
 		return result
 	}
