Pass on only the changed parts of the configuration between instances

Change: seam/patcher splits a JSON document into parts named by JSON Pointers, knows a version by a digest that is a sum over its parts, and keeps which parts changed in the last 64 versions. A request for changes names the digests of what the caller has; the answer holds a patch from there if the version is known and the patch is less than half of the document. The result's digest is checked; what doesn't match is fetched whole. Builds before this one name no digests and get whole objects, and whole objects from them are used as before. The splitter of JSON texts moved from platform into seam/splitter, as both need it. seam_edge_copy_patches_total counts patches.

TestConfigurationChangesAreFetchedInParts and TestPatchOfFewPartsIsShort fail without patches; the property test of followers now compares contents, with and without patches, and fails when a version is left out of the history.

--- a/seam/follower/fleet_test.go
+++ b/seam/follower/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,16 +36,26 @@
 		delete(s.content, c.Object.Name)
 	default:
 		c.Object.Revision = s.revision() + 1
-		c.Object.Spec = json.RawMessage(fmt.Sprint(c.Object.Revision))
+		c.Object.Spec = specAt(c.Object.Revision)
 		s.content[c.Object.Name] = c.Object.Revision
 	}
 	s.at, s.changes = append(s.at, s.content), append(s.changes, c)
 }
 
+// specAt returns the content of an object that was written at a revision: one part that changes, one that
+// some revisions have, and a long one that stays.
+func specAt(revision uint64) json.RawMessage {
+	sometimes := ""
+	if revision%3 == 0 {
+		sometimes = `,"sometimes":{}`
+	}
+	return json.RawMessage(fmt.Sprintf(`{"always":%q,"table":{"changes":{"revision":%d}%s}}`, strings.Repeat("a", 200), revision, sometimes))
+}
+
 func (s *historyStore) List(context.Context, string) ([]Object, uint64, error) {
 	var list []Object
 	for name, revision := range s.content {
-		list = append(list, Object{Name: name, Revision: revision, Spec: json.RawMessage(fmt.Sprint(revision))})
+		list = append(list, Object{Name: name, Revision: revision, Spec: specAt(revision)})
 	}
 	return list, s.revision(), nil
 }
@@ -72,18 +83,25 @@
 type fleet struct {
 	store     *historyStore
 	followers []*Follower
+	options   []Option
 }
 
 // exchange passes an instance another one's state, and lets it fetch what it lacks.
-func (f *fleet) exchange(to, from int) {
+func (f *fleet) exchange(t *rapid.T, to, from int) {
 	reader, giver := f.followers[to], f.followers[from]
 	if !reader.ObservePeer(giver.State(time.Now()), time.Now()) {
 		return
 	}
 	v, _ := reader.View()
-	if d, ok := giver.Delta(v.Position); ok {
-		reader.ApplyDelta(d)
+	d, ok := giver.DeltaWithPatches(v.Position, reader.Versions())
+	if !ok {
+		return
 	}
+	d, err := reader.ResolvePatches(d)
+	if err != nil {
+		t.Fatalf("instance %d can't use the patches of instance %d: %v", to, from, err)
+	}
+	reader.ApplyDelta(d)
 }
 
 // check compares each copy with the content of the store at the copy's position.
@@ -96,6 +114,9 @@
 		got := map[string]uint64{}
 		for name, o := range v.Objects {
 			got[name] = o.Revision
+			if string(o.Spec) != string(specAt(o.Revision)) {
+				t.Fatalf("the content of %s at revision %d is %s", name, o.Revision, o.Spec)
+			}
 		}
 		if want := f.store.at[v.Position]; !maps.Equal(got, want) {
 			t.Fatalf("the copy of instance %d at position %d is %v, the store had %v", n, v.Position, got, want)
@@ -109,8 +130,11 @@
 func TestCopiesAreWhatTheStoreHadAtTheirPosition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{store: newHistoryStore()}
+		if rapid.Bool().Draw(t, "patches") {
+			f.options = append(f.options, WithPatches())
+		}
 		for range rapid.IntRange(2, 4).Draw(t, "instances") {
-			f.followers = append(f.followers, New(f.store, "servers"))
+			f.followers = append(f.followers, New(f.store, "servers", f.options...))
 		}
 		instance := rapid.IntRange(0, len(f.followers)-1)
 		name := rapid.SampledFrom([]string{"a", "b", "c"})
@@ -126,10 +150,18 @@
 				_, _ = f.followers[instance.Draw(t, "instance")].poll(t.Context(), true, true)
 			},
 			"exchange": func(t *rapid.T) {
-				f.exchange(instance.Draw(t, "to"), instance.Draw(t, "from"))
+				f.exchange(t, instance.Draw(t, "to"), instance.Draw(t, "from"))
+			},
+			"spread": func(t *rapid.T) {
+				f.store.record(Change{Object: Object{Name: name.Draw(t, "name")}})
+				first := instance.Draw(t, "first")
+				_, _ = f.followers[first].poll(t.Context(), true, true)
+				for to := range f.followers {
+					f.exchange(t, to, first)
+				}
 			},
 			"restart": func(t *rapid.T) {
-				f.followers[instance.Draw(t, "instance")] = New(f.store, "servers")
+				f.followers[instance.Draw(t, "instance")] = New(f.store, "servers", f.options...)
 			},
 		})
 	})
--- a/seam/follower/follower.go
+++ b/seam/follower/follower.go
@@ -24,7 +24,8 @@
 //     a reported one, is too old. The higher the rank, the older that poll may be. An
 //     instance that receives no states therefore polls by itself.
 //   - An instance whose copy is behind gets the missing changes from another instance
-//     ([Follower.Delta]) and applies them ([Follower.ApplyDelta]).
+//     ([Follower.Delta]) and applies them ([Follower.ApplyDelta]). Of a large object it gets
+//     only the parts that have changed, if both keep patches ([WithPatches]).
 //
 // # Usage
 //
@@ -41,6 +42,7 @@
 	"sync"
 	"time"
 
+	"primroseseam.org/seam/patcher"
 	"primroseseam.org/seam/timekeeper"
 )
 
@@ -62,6 +64,8 @@
 	Name     string
 	Revision uint64
 	Spec     json.RawMessage
+	// document is the content in parts if the follower keeps patches and the content can be split.
+	document *patcher.Document
 }
 
 // Change is a write of an object or, if Deleted is set, its deletion.
@@ -195,6 +199,9 @@
 	// ones are there.
 	removed          []removal
 	removalsLostUpTo uint64
+	// histories holds the latest changes of each object, by its name. It is nil unless the follower
+	// keeps patches.
+	histories map[string]*patcher.History
 }
 
 // Option configures a follower.
@@ -351,6 +358,7 @@
 		f.removalsLostUpTo = f.removed[excess-1].position
 		f.removed = f.removed[excess:]
 	}
+	f.recordVersions(objects)
 	f.stored = objects
 	f.view.Position = position
 	f.showObjects(f.clock.Now(), removed)
--- a/seam/follower/sharing.go
+++ b/seam/follower/sharing.go
@@ -21,7 +21,8 @@
 // Delta holds the changes of a kind after the position From, up to and including
 // Position. Objects are the objects that were written, and Removed are the names of
 // those that were deleted. If Whole is set, Objects is instead a full list that replaces
-// the receiver's copy. Changed is the position of the last change. Complete means that
+// the receiver's copy. Patches stand for further objects, which the receiver makes of those that it
+// has; see [Follower.ResolvePatches]. Changed is the position of the last change. Complete means that
 // Removed holds every removal since From, also those of objects that the sender never had;
 // earlier versions of the program don't set it and leave some out. The field names of Delta
 // and Object are part of the wire format between instances.
@@ -33,6 +34,7 @@
 	Whole    bool
 	Complete bool
 	Objects  []Object
+	Patches  []ObjectPatch `json:",omitempty"`
 	Removed  []string
 }
 
@@ -88,7 +90,11 @@
 // is 0, if some removals after from are no longer recorded, or if from is of an earlier
 // era. It returns false if this
 // follower has no copy or no changes after from.
-func (f *Follower) Delta(from uint64) (Delta, bool) {
+func (f *Follower) Delta(from uint64) (Delta, bool) { return f.DeltaWithPatches(from, nil) }
+
+// DeltaWithPatches is like Delta for a receiver that accepts patches. versions holds the receiver's
+// [Follower.Versions].
+func (f *Follower) DeltaWithPatches(from uint64, versions map[string]uint64) (Delta, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.hasCopy || from >= f.lastChange && from > 0 {
@@ -100,6 +106,7 @@
 	}
 	if d.Whole {
 		d.Objects = slices.Collect(maps.Values(f.stored))
+		f.replaceByPatches(&d, versions)
 		return d, true
 	}
 	removed := map[string]bool{}
@@ -116,17 +123,19 @@
 			d.Objects = append(d.Objects, o)
 		}
 	}
+	f.replaceByPatches(&d, versions)
 	return d, true
 }
 
 // ApplyDelta applies a delta from another instance. It ignores a delta that is no newer
 // than the copy. A delta that isn't whole is also ignored if there is no copy, if it is of
 // another era, if it starts after the copy's position, because the changes in between
-// are missing, or if it doesn't have all removals. It reports whether the copy changed.
+// are missing, or if it doesn't have all removals. Its patches must have been resolved. ApplyDelta
+// reports whether the copy changed.
 func (f *Follower) ApplyDelta(d Delta) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if d.Position <= f.view.Position && f.hasCopy {
+	if d.Position <= f.view.Position && f.hasCopy || len(d.Patches) > 0 {
 		return false
 	}
 	f.view.FromPeer = true
--- a/platform/scan.go
+++ b/seam/splitter/splitter.go
@@ -1,4 +1,12 @@
-package platform
+// Package splitter splits a JSON text into the values of its outermost array or object. The values
+// stay as they are: one that can't be decoded doesn't make the others unreadable. The module
+// platform uses it for responses of the store, and the package patcher for documents.
+//
+// # Usage
+//
+//	members, err := splitter.Members([]byte(`{"a": 1, "b": [2, 3]}`))
+//	list, err := splitter.Array(members[1].Value)
+package splitter
 
 import (
 	"encoding/json"
@@ -6,12 +14,14 @@
 	"fmt"
 )
 
-// maxDepth is the deepest nesting of arrays and objects that is accepted in one object of
-// the store. It is far below the limit of encoding/json, which applies to a whole response
-// or message: one object beyond that limit would make all others unreadable too.
-const maxDepth = 64
+// ErrMalformed means that a text is no array or object, or that a bracket or string has no end.
+var ErrMalformed = errors.New("malformed JSON")
 
-var errMalformed = errors.New("malformed JSON")
+// Member is a value of an object, and its name.
+type Member struct {
+	Name  string
+	Value json.RawMessage
+}
 
 // scanner splits a JSON text into the values of its outermost array or object without
 // decoding these values. It uses no recursion, so the nesting of the values doesn't
@@ -36,7 +46,7 @@
 // next moves past the given byte, which must be the next one after white space.
 func (s *scanner) next(want byte) error {
 	if s.skipSpace() != want {
-		return fmt.Errorf("%w: no %q at byte %d", errMalformed, want, s.at)
+		return fmt.Errorf("%w: no %q at byte %d", ErrMalformed, want, s.at)
 	}
 	s.at++
 	return nil
@@ -53,7 +63,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%w: string without an end", errMalformed)
+	return fmt.Errorf("%w: string without an end", ErrMalformed)
 }
 
 // value moves past a value and returns it. It checks only that brackets and quotes are
@@ -83,7 +93,7 @@
 		s.at++
 	}
 	if depth > 0 {
-		return nil, fmt.Errorf("%w: value without an end", errMalformed)
+		return nil, fmt.Errorf("%w: value without an end", ErrMalformed)
 	}
 	return s.data[start:], nil
 }
@@ -103,7 +113,7 @@
 			return err
 		}
 		if s.at == before {
-			return fmt.Errorf("%w: value missing at byte %d", errMalformed, s.at)
+			return fmt.Errorf("%w: value missing at byte %d", ErrMalformed, s.at)
 		}
 		if s.skipSpace() != ',' {
 			return s.next(closing)
@@ -112,8 +122,9 @@
 	}
 }
 
-// splitArray returns the elements of an array.
-func splitArray(data []byte) ([]json.RawMessage, error) {
+// Array returns the elements of an array. It checks only that brackets and quotes are closed. The
+// error is ErrMalformed.
+func Array(data []byte) ([]json.RawMessage, error) {
 	s := scanner{data: data}
 	var list []json.RawMessage
 	err := s.elements('[', ']', func() error {
@@ -124,19 +135,31 @@
 	return list, err
 }
 
-// splitObject returns the values of an object by their names. Of values with the same
-// name, it returns the last.
-func splitObject(data []byte) (map[string]json.RawMessage, error) {
+// Members returns the members of an object in their order, also those of the same name. The error
+// is ErrMalformed.
+func Members(data []byte) ([]Member, error) {
 	s := scanner{data: data}
-	fields := map[string]json.RawMessage{}
+	var list []Member
 	err := s.elements('{', '}', func() error {
 		name, err := s.name()
 		if err != nil {
 			return err
 		}
-		fields[name], err = s.value()
+		value, err := s.value()
+		list = append(list, Member{Name: name, Value: value})
 		return err
 	})
+	return list, err
+}
+
+// Object returns the values of an object by their names. Of values with the same name, it returns
+// the last. The error is ErrMalformed.
+func Object(data []byte) (map[string]json.RawMessage, error) {
+	members, err := Members(data)
+	fields := make(map[string]json.RawMessage, len(members))
+	for _, m := range members {
+		fields[m.Name] = m.Value
+	}
 	return fields, err
 }
 
@@ -144,7 +167,7 @@
 // name.
 func (s *scanner) name() (string, error) {
 	if s.skipSpace() != '"' {
-		return "", fmt.Errorf("%w: no name at byte %d", errMalformed, s.at)
+		return "", fmt.Errorf("%w: no name at byte %d", ErrMalformed, s.at)
 	}
 	start := s.at
 	if err := s.skipString(); err != nil {
@@ -152,13 +175,13 @@
 	}
 	var name string
 	if err := json.Unmarshal(s.data[start:s.at], &name); err != nil {
-		return "", fmt.Errorf("%w: %w", errMalformed, err)
+		return "", fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return name, s.next(':')
 }
 
-// depthOf returns how deeply arrays and objects are nested in a JSON text.
-func depthOf(data []byte) int {
+// Depth returns how deeply arrays and objects are nested in a JSON text.
+func Depth(data []byte) int {
 	deepest, depth := 0, 0
 	s := scanner{data: data}
 	for s.at < len(data) {
--- a/seamedge/edger/copies.go
+++ b/seamedge/edger/copies.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -186,21 +186,27 @@
 }
 
 // fetchChanges fetches the changes after the position of this instance's copy from another
-// instance and applies them. If the response may lack removals, it fetches the whole copy
-// instead. It reports whether the calls succeeded.
+// instance and applies them. If the response may lack removals, or has patches of other versions, it
+// fetches the whole copy instead. It reports whether the calls succeeded.
 func (e *Edge) fetchChanges(ctx context.Context, pending pendingFetch) bool {
-	v, _ := e.followers[pending.kind].View()
-	deltas, err := e.fetchDeltas(ctx, pending, v.Position)
-	if err == nil && slices.ContainsFunc(deltas, func(d follower.Delta) bool { return !d.HasAllRemovals() }) {
-		e.log.Warn("copy: changes refused, as removals may be missing; fetching the whole copy", zap.String("peer", pending.peer), zap.String("kind", pending.kind))
-		deltas, err = e.fetchDeltas(ctx, pending, 0)
+	f := e.followers[pending.kind]
+	v, _ := f.View()
+	request := heartbeater.CopyRequest{Positions: map[string]uint64{pending.kind: v.Position}}
+	if versions := f.Versions(); len(versions) > 0 {
+		request.Versions = map[string]map[string]uint64{pending.kind: versions}
+	}
+	deltas, err := e.fetchDeltas(ctx, pending, request)
+	var refused *refusedDeltaError
+	if errors.As(err, &refused) {
+		e.log.Warn("copy: changes refused; fetching the whole copy", zap.String("peer", pending.peer), zap.String("kind", pending.kind), zap.Error(err))
+		deltas, err = e.fetchDeltas(ctx, pending, heartbeater.CopyRequest{Positions: map[string]uint64{pending.kind: 0}})
 	}
 	if err != nil {
 		e.log.Info("copy: fetch from another instance failed", zap.String("peer", pending.peer), zap.String("kind", pending.kind), zap.Error(err))
 		return false
 	}
 	for _, d := range deltas {
-		if f, ok := e.followers[d.Kind]; ok && f.ApplyDelta(d) {
+		if e.followers[d.Kind].ApplyDelta(d) {
 			e.log.Info("copy: changes applied", zap.String("peer", pending.peer), zap.String("kind", d.Kind), zap.String("position", follower.FormatPosition(d.Position)),
 				zap.Bool("whole", d.Whole))
 			e.metrics.copies[pending.audience()].Inc()
@@ -212,22 +218,52 @@
 	return true
 }
 
-// fetchDeltas fetches the changes after a position from another instance, or everything if
-// the position is 0.
-func (e *Edge) fetchDeltas(ctx context.Context, pending pendingFetch, position uint64) ([]follower.Delta, error) {
+// refusedDeltaError means that changes from another instance can't be applied to this instance's copy.
+type refusedDeltaError struct{ reason error }
+
+// Error implements error.
+func (e *refusedDeltaError) Error() string { return "delta refused: " + e.reason.Error() }
+
+// Unwrap returns the reason.
+func (e *refusedDeltaError) Unwrap() error { return e.reason }
+
+// errRemovalsMissing means that a delta may lack removals.
+var errRemovalsMissing = errors.New("removals may be missing")
+
+// fetchDeltas fetches changes from another instance and returns them with their patches resolved. The error
+// is a *refusedDeltaError if they can't be applied to this instance's copy.
+func (e *Edge) fetchDeltas(ctx context.Context, pending pendingFetch, request heartbeater.CopyRequest) ([]follower.Delta, error) {
 	timeout := otherRegionFetchTimeout
 	if pending.sameRegion {
 		timeout = sameRegionFetchTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := heartbeater.CopyRequest{Positions: map[string]uint64{pending.kind: position}}
 	answer, err := heartbeater.FetchCopies(ctx, e.copyClient, pending.peer, request)
-	return answer.Deltas, err
+	if err != nil {
+		return nil, err
+	}
+	var deltas []follower.Delta
+	for _, d := range answer.Deltas {
+		f, ok := e.followers[d.Kind]
+		if !ok {
+			continue
+		}
+		if !d.HasAllRemovals() {
+			return nil, &refusedDeltaError{errRemovalsMissing}
+		}
+		resolved, err := f.ResolvePatches(d)
+		if err != nil {
+			return nil, &refusedDeltaError{err}
+		}
+		e.metrics.patches.Add(len(d.Patches))
+		deltas = append(deltas, resolved)
+	}
+	return deltas, nil
 }
 
 // deltasFor returns the response to another instance's call: for each kind in r, the
-// changes after the position in r.
+// changes after the position in r, in patches where the caller accepts them.
 func (e *Edge) deltasFor(r heartbeater.CopyRequest) heartbeater.CopyResponse {
 	var answer heartbeater.CopyResponse
 	for kind, position := range r.Positions {
@@ -235,7 +271,7 @@
 		if !ok {
 			continue
 		}
-		if d, ok := f.Delta(position); ok {
+		if d, ok := f.DeltaWithPatches(position, r.Versions[kind]); ok {
 			answer.Deltas = append(answer.Deltas, d)
 		}
 	}
--- a/seamedge/edger/copies_test.go
+++ b/seamedge/edger/copies_test.go
@@ -24,6 +24,8 @@
 	deltas       map[string]follower.Delta
 	// whole holds what is returned for the position 0, if it is there.
 	whole map[string]follower.Delta
+	// answer, if it isn't nil, answers all calls instead, without a delay.
+	answer func(heartbeater.CopyRequest) heartbeater.CopyResponse
 }
 
 // peerDelay is how long a fake peer takes to answer a call, as if it were in another
@@ -46,6 +48,9 @@
 }
 
 func (p *fakePeer) copies(r heartbeater.CopyRequest) heartbeater.CopyResponse {
+	if p.answer != nil {
+		return p.answer(r)
+	}
 	time.Sleep(peerDelay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/seamedge/edger/follow.go
+++ b/seamedge/edger/follow.go
@@ -54,8 +54,14 @@
 			e.noteEra(v)
 			notify(v)
 		}
-		f := follower.New(e.store, kind, follower.WithNotify(notifyOfEra), follower.WithReport(e.handleStoreReport), follower.WithPollRank(e.storePollRank),
-			follower.WithRetention(retentions[kind]), follower.WithClock(e.clock))
+		opts := []follower.Option{
+			follower.WithNotify(notifyOfEra), follower.WithReport(e.handleStoreReport), follower.WithPollRank(e.storePollRank),
+			follower.WithRetention(retentions[kind]), follower.WithClock(e.clock),
+		}
+		if kind == platform.KindConfig {
+			opts = append(opts, follower.WithPatches())
+		}
+		f := follower.New(e.store, kind, opts...)
 		e.followers[kind] = f
 		list = append(list, f)
 	}
--- a/seamedge/edger/metrics.go
+++ b/seamedge/edger/metrics.go
@@ -60,10 +60,12 @@
 	// otherRegionBodyBytes counts the bytes of request and response bodies in attempts at
 	// endpoints in other regions, without the streamed parts. heartbeatBytes counts the
 	// bytes of heartbeats sent to each audience. copies counts the deltas that were
-	// fetched from the instances of each audience and changed a copy.
+	// fetched from the instances of each audience and changed a copy, and patches the objects
+	// of which only the changed parts were fetched.
 	otherRegionBodyBytes *metrics.Counter
 	heartbeatBytes       [2]*metrics.Counter
 	copies               [2]*metrics.Counter
+	patches              *metrics.Counter
 	// panics counts the panics of handlers of callers' requests.
 	panics *metrics.Counter
 	// teamRequests holds the counter of each team in the configuration.
@@ -105,6 +107,7 @@
 			conductor.SameRegion:   set.NewCounter(labeled("seam_edge_copies_total", "from", "near")),
 			conductor.OtherRegions: set.NewCounter(labeled("seam_edge_copies_total", "from", "far")),
 		},
+		patches:      set.NewCounter("seam_edge_copy_patches_total"),
 		panics:       set.NewCounter("seam_edge_panics_total"),
 		teamRequests: map[string]*metrics.Counter{},
 	}
--- a/seamedge/heartbeater/copies.go
+++ b/seamedge/heartbeater/copies.go
@@ -32,9 +32,11 @@
 
 // CopyRequest is the request for the changes of store objects. Positions maps each
 // requested kind of object to a position in the store's sequence of changes. Only changes
-// after this position are requested.
+// after this position are requested. Versions holds, for kinds of which patches are accepted, the
+// digests of the objects by name; earlier builds neither send nor use it.
 type CopyRequest struct {
-	Positions map[string]uint64 `json:"positions"`
+	Positions map[string]uint64            `json:"positions"`
+	Versions  map[string]map[string]uint64 `json:"versions,omitempty"`
 }
 
 // CopyResponse holds one delta for each requested kind that has changes after the requested
