Send large copies to two instances at a time

Change: an instance sends two responses of over 128 KiB at a time and refuses other calls for such ones at once; what is small, as departures and withdrawals are, is never refused. Whoever is refused asks again after 70 to 140 ms, any instance that has the change by then, eight times before the store is asked. A caller that stands still holds its place for 2 s. Patches are made as long as they are shorter than the document.

--- a/seam/follower/patches.go
+++ b/seam/follower/patches.go
@@ -40,10 +40,15 @@
 }
 
 // ResolvePatches returns a delta with the objects for which patches stood. It returns an error if an object
-// isn't of the version that a patch was made for; a delta without patches must then be requested.
+// isn't of the version that a patch was made for; a delta without patches must then be requested. If the
+// delta is no newer than the copy, the patches are dropped, as such a delta is ignored.
 func (f *Follower) ResolvePatches(d Delta) (Delta, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.hasCopy && d.Position <= f.view.Position {
+		d.Patches = nil
+		return d, nil
+	}
 	objects := slices.Clone(d.Objects)
 	for _, p := range d.Patches {
 		var latest *patcher.Document
--- a/seam/patcher/digest.go
+++ b/seam/patcher/digest.go
@@ -44,16 +44,16 @@
 // countPart adds a part to the digest and to the size.
 func (d *Document) countPart(p pointer, value json.RawMessage) {
 	d.digest += hashPart(p, value)
-	d.size += partSize(p, value)
+	d.size += partSize(p.name(), value)
 }
 
 // uncountPart takes a part out of the digest and of the size.
 func (d *Document) uncountPart(p pointer, value json.RawMessage) {
 	d.digest -= hashPart(p, value)
-	d.size -= partSize(p, value)
+	d.size -= partSize(p.name(), value)
 }
 
-// partSize returns about how many bytes a part has in the text of a document or a patch.
-func partSize(p pointer, value json.RawMessage) int {
-	return len(p.field) + len(p.member) + len(value) + len(`"":,`)
+// partSize returns how many bytes a part has as a member of a JSON object, unless its name has escapes.
+func partSize(name string, value json.RawMessage) int {
+	return len(name) + len(value) + len(`"":,`)
 }
--- a/seam/patcher/history.go
+++ b/seam/patcher/history.go
@@ -2,12 +2,10 @@
 
 import "encoding/json"
 
+// maxVersions and maxPointers bound the steps that a history keeps, and the pointers in them.
 const (
-	// maxVersions and maxPointers bound the steps that a history keeps, and the pointers in them.
 	maxVersions = 64
 	maxPointers = 16384
-	// A patch is made only if it is shorter than the document divided by minSaving.
-	minSaving = 2
 )
 
 // History keeps the latest version of a document, and what changed in the versions before it. The
@@ -53,7 +51,7 @@
 }
 
 // PatchFrom returns a patch from the version with the digest base to the latest one. It returns false
-// if that version isn't known, or if the patch would be hardly shorter than the document.
+// if that version isn't known, or if the patch would be no shorter than the document.
 func (h *History) PatchFrom(base uint64) (Patch, bool) {
 	if h.latest == nil {
 		return Patch{}, false
@@ -72,7 +70,7 @@
 			}
 		}
 		switch {
-		case size*minSaving > h.latest.size:
+		case size >= h.latest.size:
 			return Patch{}, false
 		case h.steps[n].before == base:
 			return p, true
@@ -94,5 +92,5 @@
 	} else {
 		p.Set[text] = value
 	}
-	return partSize(at, value)
+	return partSize(text, value)
 }
--- a/seam/patcher/patcher.go
+++ b/seam/patcher/patcher.go
@@ -38,9 +38,10 @@
 	// meaning: it is no object, it has very many fields, or two names in it are the same or, in
 	// the outermost object, differ only in case.
 	ErrNotSplittable = errors.New("document can't be split into parts")
-	// ErrOtherVersion means that a patch was made for another version of the document, or
-	// doesn't lead to the version that it names.
+	// ErrOtherVersion means that a patch was made for another version of the document.
 	ErrOtherVersion = errors.New("patch is for another version of the document")
+	// ErrDamaged means that a patch doesn't lead to the version that it names.
+	ErrDamaged = errors.New("patch is damaged")
 )
 
 // maxFields is the number of fields that the outermost object of a document may have.
--- a/seam/patcher/pointer.go
+++ b/seam/patcher/pointer.go
@@ -19,6 +19,14 @@
 	unescapeName = strings.NewReplacer("~1", "/", "~0", "~")
 )
 
+// name returns the name that the part has in the object that it belongs to.
+func (p pointer) name() string {
+	if p.isMember {
+		return p.member
+	}
+	return p.field
+}
+
 // String returns the JSON Pointer.
 func (p pointer) String() string {
 	text := "/" + escapeName.Replace(p.field)
--- a/seamedge/edger/patches_test.go
+++ b/seamedge/edger/patches_test.go
@@ -3,6 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,3 +98,42 @@
 	run.waitFor(5*time.Second, "the whole copy", func() bool { return run.gauge("seam_edge_config_version") == 2 })
 	run.waitFor(5*time.Second, "the refusal in the log", func() bool { return logs.contains("copy: changes refused") })
 }
+
+// A refused fetch must be repeated: the instance that reported the change may be the only one with it.
+func TestRefusedFetchIsRepeated(t *testing.T) {
+	const refusals = 3
+	r := newTestEnv(t)
+	r.endpoint("e-1", "s", nil)
+	r.store.Put("config", "main", largeConfig(1, 100))
+	run := r.start("one", &logSink{})
+	run.waitFor(5*time.Second, "ready", run.ready)
+	position, err := follower.NewPosition(1, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path, handler := heartbeater.Handler(func(heartbeater.CopyRequest) heartbeater.CopyResponse {
+		o := follower.Object{Name: platform.ConfigName, Revision: position, Spec: largeConfig(2, 100)}
+		return heartbeater.CopyResponse{Deltas: []follower.Delta{{
+			Kind: platform.KindConfig, Position: position, Changed: position, Whole: true, Objects: []follower.Object{o},
+		}}}
+	})
+	var calls atomic.Int32
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, func(w http.ResponseWriter, q *http.Request) {
+		if calls.Add(1) > refusals {
+			handler.ServeHTTP(w, q)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusTooManyRequests)
+		_, _ = io.WriteString(w, `{"code":"resource_exhausted"}`)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	newHeartbeatSender(t, run.settings.Listen.Peers).send(heartbeatAt(1, address, platform.KindConfig, position))
+	run.waitFor(3*time.Second, "the version of the other instance", func() bool { return run.gauge("seam_edge_config_version") == 2 })
+	if n := calls.Load(); n != refusals+1 {
+		t.Errorf("%d calls, want %d", n, refusals+1)
+	}
+}
--- a/seamedge/heartbeater/copies.go
+++ b/seamedge/heartbeater/copies.go
@@ -45,6 +45,20 @@
 	Deltas []follower.Delta `json:"deltas"`
 }
 
+// size returns about how many bytes the objects and patches in the response have.
+func (r CopyResponse) size() int {
+	total := 0
+	for _, d := range r.Deltas {
+		for _, o := range d.Objects {
+			total += len(o.Spec)
+		}
+		for _, p := range d.Patches {
+			total += p.Patch.Size()
+		}
+	}
+	return total
+}
+
 // jsonCodec encodes plain Go structs as JSON. Connect's own JSON codec accepts only
 // Protobuf messages.
 type jsonCodec struct{}
@@ -84,21 +98,29 @@
 }
 
 // Handler returns the path and the HTTP handler of the RPC. The handler calls copies with
-// the request and responds with its result.
+// the request and responds with its result. It sends large responses to a few callers at a time, and
+// refuses the call of others; see [ErrBusy].
 func Handler(copies func(CopyRequest) CopyResponse) (string, http.Handler) {
 	handler := connect.NewUnaryHandler(copyProcedure,
-		func(_ context.Context, r *connect.Request[CopyRequest]) (*connect.Response[CopyResponse], error) {
+		func(ctx context.Context, r *connect.Request[CopyRequest]) (*connect.Response[CopyResponse], error) {
 			response := copies(*r.Msg)
+			if response.size() > bulkBytes && !beginTransfer(ctx) {
+				return nil, connect.NewError(connect.CodeResourceExhausted, ErrBusy)
+			}
 			return connect.NewResponse(&response), nil
 		}, connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxRequestBytes))
-	return copyProcedure, handler
+	return copyProcedure, limitTransfers(handler)
 }
 
 // FetchCopies calls the RPC of the instance at address, host:port, and returns the
-// response. It fails when ctx ends. client should come from [NewClient].
+// response. It fails when ctx ends, and with [ErrBusy] if the instance refuses the call because it sends
+// large responses to others. client should come from [NewClient].
 func FetchCopies(ctx context.Context, client *http.Client, address string, request CopyRequest) (CopyResponse, error) {
 	copyClient := connect.NewClient[CopyRequest, CopyResponse](limitedClient{client}, "http://"+address+copyProcedure, connect.WithCodec(jsonCodec{}))
 	response, err := copyClient.CallUnary(ctx, connect.NewRequest(&request))
+	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeResourceExhausted {
+		return CopyResponse{}, ErrBusy
+	}
 	if err != nil {
 		return CopyResponse{}, err
 	}
