Remove a data race from the test of patches of other versions

Cause: the test set the function of its stand-in after the stand-in had started. The race detector reported it in two of three runs of the package's tests of copies; without it they passed.

--- a/seamedge/edger/copies_test.go
+++ b/seamedge/edger/copies_test.go
@@ -24,8 +24,6 @@
 	deltas       map[string]follower.Delta
 	// whole holds what is returned for the position 0, if it is there.
 	whole map[string]follower.Delta
-	// answer, if it isn't nil, answers all calls instead, without a delay.
-	answer func(heartbeater.CopyRequest) heartbeater.CopyResponse
 }
 
 // peerDelay is how long a fake peer takes to answer a call, as if it were in another
@@ -38,19 +36,22 @@
 	for _, d := range deltas {
 		p.deltas[d.Kind] = d
 	}
-	path, handler := heartbeater.Handler(p.copies)
+	p.address = serveCopies(t, p.copies)
+	return p
+}
+
+// serveCopies answers calls for changes of store objects, as an instance does, and returns the address.
+func serveCopies(t *testing.T, copies func(heartbeater.CopyRequest) heartbeater.CopyResponse) string {
+	t.Helper()
+	path, handler := heartbeater.Handler(copies)
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	p.address = server.Listener.Addr().String()
-	return p
+	return server.Listener.Addr().String()
 }
 
 func (p *fakePeer) copies(r heartbeater.CopyRequest) heartbeater.CopyResponse {
-	if p.answer != nil {
-		return p.answer(r)
-	}
 	time.Sleep(peerDelay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/seamedge/edger/patches_test.go
+++ b/seamedge/edger/patches_test.go
@@ -75,8 +75,7 @@
 	}
 	// The versions that were named in each call are received from asked.
 	asked := make(chan map[string]uint64, 8)
-	peer := newFakePeer(t)
-	peer.answer = func(q heartbeater.CopyRequest) heartbeater.CopyResponse {
+	peer := serveCopies(t, func(q heartbeater.CopyRequest) heartbeater.CopyResponse {
 		versions := q.Versions[platform.KindConfig]
 		asked <- versions
 		d := follower.Delta{Kind: platform.KindConfig, Position: position, Changed: position, Whole: true, Complete: true}
@@ -87,8 +86,8 @@
 			d.Objects = []follower.Object{{Name: platform.ConfigName, Revision: position, Spec: largeConfig(2, 100)}}
 		}
 		return heartbeater.CopyResponse{Deltas: []follower.Delta{d}}
-	}
-	newHeartbeatSender(t, run.settings.Listen.Peers).send(heartbeatAt(1, peer.address, platform.KindConfig, position))
+	})
+	newHeartbeatSender(t, run.settings.Listen.Peers).send(heartbeatAt(1, peer, platform.KindConfig, position))
 	if versions := <-asked; len(versions) != 1 {
 		t.Errorf("the first call named the versions %v", versions)
 	}
