Watch the path to an endpoint that has answered and closed its side

Cause: the watch of slow readers took a connection for ended once the endpoint had closed its side. An endpoint that answers early, closes its side and reads on was then watched by nothing: the option TCP_USER_TIMEOUT is off during a watch, and a dead path was noticed at the deadline only.

Change: a connection in CLOSE_WAIT can be written, so the watch goes on. A comment of timekeeper spoke of three clocks where there are two.

Measured: TestWatchGoesOnAfterThePeerHasClosedItsSide fails before; all tests of dialer pass with the race detector.

--- a/seam/dialer/path.go
+++ b/seam/dialer/path.go
@@ -8,8 +8,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// tcpEstablished is Linux's state of an open connection.
-const tcpEstablished = 1
+// Linux's states of a connection that can be written: one that is open, and one whose peer has closed
+// its side. That peer may still read.
+const (
+	tcpEstablished = 1
+	tcpCloseWait   = 8
+)
 
 // pathCheckInterval is the time between two looks at the state of a connection.
 const pathCheckInterval = 200 * time.Millisecond
@@ -99,14 +103,17 @@
 }
 
 // look returns the state of the path, or false if the system doesn't report it or the connection
-// isn't established.
+// can't be written.
 func (w *pathWatch) look() (pathState, bool) {
 	var info *unix.TCPInfo
 	err := w.control(func(fd int) (err error) {
 		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		return err
 	})
-	if err != nil || info.State != tcpEstablished || info.Snd_mss == 0 {
+	if err != nil || info.Snd_mss == 0 {
+		return pathState{}, false
+	}
+	if info.State != tcpEstablished && info.State != tcpCloseWait {
 		return pathState{}, false
 	}
 	return pathState{
--- a/seam/dialer/path_test.go
+++ b/seam/dialer/path_test.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -46,6 +47,37 @@
 	}
 }
 
+// Guards against waiting for the dead: a peer that has answered and closed its side may read on, so the
+// watch must go on too.
+func TestWatchGoesOnAfterThePeerHasClosedItsSide(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	conn, err := New(WithUserTimeout(time.Second)).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	peer, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	_ = peer.(*net.TCPConn).CloseWrite()
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Fatalf("got %v, want the end of the peer's side", err)
+	}
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := (&pathWatch{raw: raw}).look(); !ok {
+		t.Error("the watch ends though the connection can be written")
+	}
+}
+
 // After a watch, the connection must have its TCP_USER_TIMEOUT again.
 func TestUserTimeoutIsSetAgainAfterAWatch(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/seam/timekeeper/timekeeper.go
+++ b/seam/timekeeper/timekeeper.go
@@ -34,7 +34,7 @@
 // none. So Keeper reads it only when the time of day and the steady clock have drifted apart,
 // which a suspend makes them do, and so does a step of the time of day.
 type Keeper struct {
-	// read returns the three clocks.
+	// read returns the time of day and the steady clock.
 	read func() Reading
 	// sinceBoot returns the time since the machine was started, suspends included.
 	sinceBoot func() time.Duration
