Suspend instances and change their settings in the soak

Pauses were 3 s at most, and reloads changed nothing.

Change: two series, for seeds whose bits 32 and 64 are set: an instance is paused for up to 30 s, at most until the last fault; one setting changes and is reloaded, and the settings of the start are written again afterwards.

--- a/seamctl/soaker/faults.go
+++ b/seamctl/soaker/faults.go
@@ -19,6 +19,9 @@
 	// A fault lasts for a random time between minFaultTime and maxFaultTime.
 	minFaultTime = 300 * time.Millisecond
 	maxFaultTime = 3 * time.Second
+	// minSuspend and maxSuspend bound how long an instance is suspended.
+	minSuspend = time.Second
+	maxSuspend = 30 * time.Second
 	// maxFaultGap is the longest pause between two faults of a series.
 	maxFaultGap = 1500 * time.Millisecond
 	// restartAfter is the pause before an instance that was stopped or killed is started
@@ -37,7 +40,7 @@
 
 // injectFaults runs several series of faults in parallel for the duration of the test. A
 // series runs one fault at a time, chosen at random. The two series of operator actions,
-// reloads and planned stops always run. Each of the other five series runs if its bit of
+// reloads and planned stops always run. Each of the other seven series runs if its bit of
 // the seed is set. With a seed that leaves out some of these series, instances are without
 // faults for long enough that the time limits of the rules apply to them.
 func (s *Soak) injectFaults(ctx context.Context) {
@@ -50,6 +53,8 @@
 		{resetStore, cutStore, delayStore, breakStore, compactHistory, goBack, writeOddEntry},
 		{nameLimits},
 		{crowd},
+		{suspend},
+		{changeSettings},
 	}
 	for n, faults := range bySeedBit {
 		if s.seed>>n&1 == 1 {
@@ -138,6 +143,21 @@
 	s.timedFault(ctx, rng, i, i.id+" is paused", func() { i.signal(syscall.SIGSTOP) }, func() { i.signal(syscall.SIGCONT) })
 }
 
+// suspend pauses an instance like pauseInstance, for a time between minSuspend and maxSuspend or until the
+// last fault.
+func suspend(ctx context.Context, s *Soak, rng *rand.Rand) {
+	i := pick(rng, s.instances)
+	d := minSuspend + randomBelow(rng, maxSuspend-minSuspend)
+	if end, ok := ctx.Deadline(); ok {
+		d = min(d, time.Until(end))
+	}
+	s.logf("%s is suspended for %v", i.id, d)
+	s.history.recordFault(i, d)
+	i.signal(syscall.SIGSTOP)
+	waiter.Pause(ctx, d)
+	i.signal(syscall.SIGCONT)
+}
+
 // crash kills an instance and starts it again. The recorded fault ends a second after the
 // pause before the restart, since the instance needs time to start.
 func crash(ctx context.Context, s *Soak, rng *rand.Rand) {
--- a/seamctl/soaker/instance.go
+++ b/seamctl/soaker/instance.go
@@ -69,13 +69,8 @@
 	s.cleanups = append(s.cleanups, proxy.Close)
 	i := &instance{soak: s, id: fmt.Sprintf("edge-%d", n+1), index: n, store: proxy}
 	i.settingsPath = filepath.Join(s.dir, i.id+".json")
-	data := fmt.Sprintf(`{"instance":{"id":%q,"zone":%q},"zones":{"zone-0":"region-0","zone-1":"region-1"},
-"listen":{"callers":%q,"ready":%q,"lookups":%q,"peers":%q,"metrics":%q},"store":%q,"seeds":[%q],
-"bounds":{"retryRatio":0.2,"retryExtra":60,"grace":%d,"lookupTtl":2},"memory":{"limitMb":%d}}`,
-		i.id, zoneOf(n), i.address(portCallers), i.address(portReady), i.address(portLookups), i.address(portPeers), i.address(portMetrics),
-		proxy.Address(), s.address(0, portPeers), graceSeconds, s.memoryMB)
 	s.instances = append(s.instances, i)
-	return os.WriteFile(i.settingsPath, []byte(data), 0o600)
+	return i.writeSettings(defaultReloadable(s.memoryMB))
 }
 
 // zoneOf returns the zone of the nth instance or the nth endpoint: zone-0 if n is even,
--- a/seamctl/soaker/soaker.go
+++ b/seamctl/soaker/soaker.go
@@ -64,7 +64,7 @@
 // Option configures a soak test.
 type Option func(*Soak)
 
-// WithSeed sets the seed of the random generators for faults and callers. The five lowest
+// WithSeed sets the seed of the random generators for faults and callers. The seven lowest
 // bits of the seed also select which of the optional series of faults run.
 func WithSeed(seed uint64) Option { return func(s *Soak) { s.seed = seed } }
 
