--- a/seam/conductor/lookups_test.go
+++ b/seam/conductor/lookups_test.go
@@ -55,7 +55,7 @@
 		// live lists the regions that have an instance, beside that of the instance that answers,
 		// region-0.
 		live []string
-		// want lists the regions that the answer names.
+		// want lists the regions in the answer.
 		want string
 	}{
 		"one route":                         {[][]string{{"region-home"}}, "h", []string{"home", "other"}, "home"},
--- a/seam/follower/suspend_test.go
+++ b/seam/follower/suspend_test.go
@@ -27,7 +27,7 @@
 	c.suspended += d
 }
 
-// waitingStore answers lists at once and watches when the test says so.
+// waitingStore returns from lists at once, and from watches when the test releases them.
 type waitingStore struct {
 	follower.Store
 	watching chan struct{}
