Count a reported poll of the store only if it is clearly later

Cause: the age in a report doesn't count the shortest way between two instances, and each relay takes the poll to be a little later.

A reported poll now counts only if it is 200 ms later than the last known one. TestAgesGrowWhileReportsAreOnTheirWay failed before and passes, as do the other tests of the follower with the race detector.

--- a/seam/follower/sharing.go
+++ b/seam/follower/sharing.go
@@ -6,6 +6,12 @@
 	"time"
 )
 
+// minReportedPollGain is how much later than the last known poll a reported one must be. A report's
+// Age doesn't count the shortest delay between the two instances, so that a poll that comes back
+// through others looks later than it was. Without this minimum, reports of the same poll would keep it
+// recent for as long as instances pass them on.
+const minReportedPollGain = 200 * time.Millisecond
+
 // State describes how recent a follower's copy is. Instances send it to each other.
 type State struct {
 	// Position is the position up to which the copy is complete. Changed is the
@@ -53,7 +59,7 @@
 // other instance's copy has changes that this copy lacks. If both copies have the same
 // changes and the other position is not older, this copy is complete up to the other
 // position too. ObservePeer then records that position, and the time of the other
-// instance's last known poll if it is later.
+// instance's last known poll if it is later by at least minReportedPollGain.
 func (f *Follower) ObservePeer(s State, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -68,7 +74,7 @@
 		return true
 	}
 	f.view.Position = s.Position
-	if at.After(f.lastPoll) {
+	if at.Sub(f.lastPoll) >= minReportedPollGain {
 		f.lastPoll = at
 	}
 	return false
