review: machines that are gone for good keep tenants from their rate

Entries of instances stay in the store when a machine goes without SIGTERM, and each counts as a known instance.

--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -22,6 +22,8 @@
 	id, method, host, path string
 	// affinity is the value of X-Affinity-Key, or empty.
 	affinity string
+	// key is the value of X-Key, or empty.
+	key      string
 	body     []byte
 	deadline time.Duration
 }
@@ -51,6 +53,9 @@
 	if q.affinity != "" {
 		head += "X-Affinity-Key: " + q.affinity + "\r\n"
 	}
+	if q.key != "" {
+		head += "X-Key: " + q.key + "\r\n"
+	}
 	if q.method == http.MethodPost {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
 	}
