--- a/review/harness-3/instance.go
+++ b/review/harness-3/instance.go
@@ -16,40 +16,46 @@
 // instance is a process of seamedge, started with the command of the deploy file and with settings
 // as the platform fills them into deploy/settings.json.
 type instance struct {
-	name, zone, directory string
-	listen                map[string]string
-	cmd                   *exec.Cmd
-	exited                chan struct{}
-	log                   *os.File
+	name, zone, ip, directory string
+	listen                    map[string]string
+	cmd                       *exec.Cmd
+	exited                    chan struct{}
+	log                       *os.File
 }
 
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
+// listeners are the sockets of an instance. As on the platform, each has the same port on all
+// machines.
+var listeners = []string{"callers", "ready", "lookups", "peers", "metrics"}
 
-func newInstance(name, zone, directory string) (*instance, error) {
-	i := &instance{name: name, zone: zone, directory: directory, listen: map[string]string{}}
-	for _, l := range []string{"callers", "ready", "lookups", "peers", "metrics"} {
-		a, err := freeAddress()
+// freePorts returns a port for each listener that is free on 127.0.0.1 now.
+func freePorts() (map[string]string, error) {
+	ports := map[string]string{}
+	for _, name := range listeners {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		i.listen[l] = a
+		defer func() { _ = l.Close() }()
+		_, ports[name], _ = net.SplitHostPort(l.Addr().String())
+	}
+	return ports, nil
+}
+
+// newInstance returns an instance on a machine with a loopback address of its own.
+func newInstance(name, zone, ip, directory string, ports map[string]string) *instance {
+	i := &instance{name: name, zone: zone, ip: ip, directory: directory, listen: map[string]string{}}
+	for listener, port := range ports {
+		i.listen[listener] = net.JoinHostPort(ip, port)
 	}
-	return i, nil
+	return i
 }
 
-// start writes the settings and starts the process. zones maps zones to regions.
-func (i *instance) start(storeAddress string, zones map[string]string, bounds map[string]any) error {
+// start writes the settings and starts the process. zones maps zones to regions, and seeds lists
+// the addresses of some machines.
+func (i *instance) start(storeAddress string, zones map[string]string, seeds []string, bounds map[string]any) error {
 	settings, _ := json.Marshal(map[string]any{
 		"instance": map[string]any{"id": i.name, "zone": i.zone}, "zones": zones, "listen": i.listen,
-		"store": storeAddress, "seeds": []string{i.listen["peers"]}, "bounds": bounds,
+		"store": storeAddress, "seeds": seeds, "bounds": bounds,
 		"memory": map[string]any{"limitMb": 284}, "descriptors": 4100,
 	})
 	path := filepath.Join(i.directory, i.name+".json")
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -33,6 +33,7 @@
 	store     *store
 	storeAt   string
 	instances []*instance
+	ports     map[string]string
 }
 
 func main() {
@@ -84,19 +85,46 @@
 	return 0
 }
 
+// seedCount is the number of machines that the settings name as seeds.
+const seedCount = 3
+
 // readyTimeout is how long an instance may take until it is ready.
 const readyTimeout = 10 * time.Second
 
-// addInstance starts an instance in a zone.
-func (w *world) addInstance(name, zone string, zones map[string]string, grace float64) (*instance, error) {
-	i, err := newInstance(name, zone, w.directory)
+// addInstance adds a machine with a name in a zone and starts its instance. It waits until the
+// instance is ready.
+func (w *world) addInstance(name, zone string, zones map[string]string) (*instance, error) {
+	i, err := w.newMachine(name, zone)
 	if err != nil {
 		return nil, err
 	}
-	w.instances = append(w.instances, i)
-	bounds := map[string]any{"retryRatio": 0.2, "retryExtra": 60, "regionShift": []float64{0.15}, "grace": grace, "lookupTtl": 5}
-	if err := i.start(w.storeAt, zones, bounds); err != nil {
+	if err := w.startInstance(i, zones); err != nil {
 		return nil, err
 	}
 	return i, i.awaitReady(readyTimeout)
 }
+
+// newMachine adds a machine without starting its instance. The first three machines are the seeds.
+func (w *world) newMachine(name, zone string) (*instance, error) {
+	if w.ports == nil {
+		var err error
+		if w.ports, err = freePorts(); err != nil {
+			return nil, err
+		}
+	}
+	ip := fmt.Sprintf("127.0.1.%d", len(w.instances)+1)
+	i := newInstance(name, zone, ip, w.directory, w.ports)
+	w.instances = append(w.instances, i)
+	return i, nil
+}
+
+// startInstance starts the instance of a machine, with the bounds of the pages.
+func (w *world) startInstance(i *instance, zones map[string]string) error {
+	var seeds []string
+	for _, seed := range w.instances[:min(len(w.instances), seedCount)] {
+		seeds = append(seeds, seed.listen["peers"])
+	}
+	return i.start(w.storeAt, zones, seeds, map[string]any{
+		"retryRatio": 0.2, "retryExtra": 60, "regionShift": []float64{0.15}, "grace": 6, "lookupTtl": 5,
+	})
+}
--- a/review/harness-3/replaced.go
+++ b/review/harness-3/replaced.go
@@ -51,7 +51,7 @@
 	startAll := func(generation int) ([]*instance, error) {
 		var list []*instance
 		for n := range replacedMachines {
-			i, err := w.addInstance(fmt.Sprintf("front-%s-%d", zoneOf(n), generation*replacedMachines+n+1), zoneOf(n), zones, 6)
+			i, err := w.addInstance(fmt.Sprintf("front-%s-%d", zoneOf(n), generation*replacedMachines+n+1), zoneOf(n), zones)
 			if err != nil {
 				return nil, err
 			}
--- a/review/harness-3/upload.go
+++ b/review/harness-3/upload.go
@@ -50,7 +50,7 @@
 		"services": map[string]any{"depot": map[string]any{"health-path": "/health", "max-connections": 390, "warmup-s": 3.0, "cold-per-s": 18.0}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-s": 3, "idle-timeout-s": uploadIdle},
 	})
-	i, err := w.addInstance("front-zone-a-1", "zone-a", map[string]string{"zone-a": "region-a"}, 6)
+	i, err := w.addInstance("front-zone-a-1", "zone-a", map[string]string{"zone-a": "region-a"})
 	if err != nil {
 		return verdict{}, err
 	}
