--- a/review/harness-3/leave.go
+++ b/review/harness-3/leave.go
@@ -36,8 +36,9 @@
 	id, address string
 	record      *record
 	mu          sync.Mutex
-	// whole holds when the last byte of each request was read, and ran when it began to run.
-	whole, ran map[string]time.Time
+	// read holds how many bytes of each request's body were read, and whole when the last one was.
+	read  map[string]int64
+	whole map[string]time.Time
 }
 
 func startSlowReader(r *record, id string) (*slowReader, error) {
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &slowReader{id: id, address: l.Addr().String(), record: r, whole: map[string]time.Time{}, ran: map[string]time.Time{}}
+	e := &slowReader{id: id, address: l.Addr().String(), record: r, read: map[string]int64{}, whole: map[string]time.Time{}}
 	go func() { _ = http.Serve(l, e) }()
 	return e, nil
 }
@@ -73,6 +74,9 @@
 	for {
 		n, err := io.CopyN(io.Discard, r.Body, leavePiece)
 		read += n
+		e.mu.Lock()
+		e.read[id] = read
+		e.mu.Unlock()
 		if err == io.EOF {
 			break
 		}
@@ -105,6 +109,14 @@
 	}
 }
 
+// readOf returns how many bytes of a request's body the endpoint has read, and whether it has begun to.
+func (e *slowReader) readOf(id string) (int64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n, ok := e.read[id]
+	return n, ok
+}
+
 // playLeave lets some clients leave while endpoints that read slowly take their uploads.
 func playLeave(ctx context.Context, w *world) (verdict, error) {
 	var endpoints []*slowReader
@@ -149,6 +161,14 @@
 					left[n] = time.Now()
 					c.close()
 				})
+				// What has not been read by then can't all be in the endpoint's window.
+				time.AfterFunc(leaveAfter+leaveLate, func() {
+					for _, e := range endpoints {
+						if read, ok := e.readOf(id); ok {
+							w.record.write("endpoint %s has read %d of the %d bytes of request %s, %v after its client has left; its window holds %d", e.id, read, leaveBytes, id, leaveLate, leaveWindow)
+						}
+					}
+				})
 			}
 			r := c.do(call{id: id, method: "POST", host: leaveHost, path: "/files/" + id, affinity: fmt.Sprint(n), body: make([]byte, leaveBytes), deadline: leaveDeadline})
 			w.record.write("client %d: request %s ended after %.3f s: status %d, error %v", n, id, r.took.Seconds(), r.status, r.err)
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -69,7 +69,22 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	v, err := cases[name](ctx, w)
+	type outcome struct {
+		verdict verdict
+		err     error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		v, err := cases[name](ctx, w)
+		done <- outcome{v, err}
+	}()
+	var o outcome
+	select {
+	case o = <-done:
+	case <-ctx.Done():
+		o.err = ctx.Err()
+	}
+	v, err := o.verdict, o.err
 	switch {
 	case err != nil:
 		r.write("the case could not run: %v", err)
